--- a/mallowweir/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""mallowweir: the decisions of a query gateway in front of query engines with limited memory."""
-
-from mallowweir.control import Control
-
-__all__ = ["Control"]
--- a/mallowweir/adapter.py
+++ b/rackhub/adapter.py
@@ -6,8 +6,8 @@
 import sys
 import traceback
 
-from mallowweir import interface as t
-from mallowweir.control import Control
+from rackhub import interface as t
+from rackhub.control import Control
 
 
 class BadLine(ValueError):
--- a/mallowweir/control.py
+++ b/rackhub/control.py
@@ -1,4 +1,4 @@
-"""All decisions of one query gateway. Types, events and actions: mallowweir/interface.py.
+"""All decisions of one query gateway. Types, events and actions: rackhub/interface.py.
 
 Windows and a running cap per tenant refuse at once; what passes goes round robin by told cores. All else is a
 term on these: who is eligible, with what weight, under what cap. Times are microseconds of the events' clock.
@@ -9,7 +9,7 @@
 from collections import defaultdict, deque
 from types import SimpleNamespace
 
-from mallowweir import interface as t
+from rackhub import interface as t
 
 SECOND = 1_000_000
 WINDOWS, WINDOW_MULTIPLE = (SECOND, 5 * SECOND, 20 * SECOND), 2  # burst, surge, habit; twice the whole share
--- a/mallowweir/interface.py
+++ b/rackhub/interface.py
@@ -1,4 +1,4 @@
-"""The types that pass between a query gateway and `mallowweir.control`. No decision is taken here.
+"""The types that pass between a query gateway and `rackhub.control`. No decision is taken here.
 
 All times are whole microseconds of one clock that only advances.
 """
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -13,7 +13,7 @@
 
 
 def talk(*lines):
-    done = subprocess.run([sys.executable, "-m", "mallowweir.adapter"], input="\n".join(lines) + "\n",
+    done = subprocess.run([sys.executable, "-m", "rackhub.adapter"], input="\n".join(lines) + "\n",
                           capture_output=True, text=True, timeout=60)
     return done.stdout.splitlines(), done.stderr, done.returncode
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from mallowweir import Control
-from mallowweir import interface as t
+from rackhub import Control
+from rackhub import interface as t
 
 MS, S = 1_000, 1_000_000
 LOOKUP = t.ClassSettings("lookup", deadline=2_500 * MS, objective=500 * MS, effect="retryable")
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "mallowweir" / "control.py"
+MODULE = Path(__file__).parent.parent / "rackhub" / "control.py"
 MOST_LINES, WIDEST = 520, 110
 
 
@@ -13,4 +13,4 @@
 
 
 def test_the_interface_is_named_at_the_top():
-    assert "mallowweir/interface.py" in MODULE.read_text().splitlines()[0]
+    assert "rackhub/interface.py" in MODULE.read_text().splitlines()[0]
