--- a/rackhub/adapter.py
+++ b/rackhub/adapter.py
@@ -8,33 +8,7 @@
 
 from rackhub import interface as t
 from rackhub.control import Control
-
-
-class BadLine(ValueError):
-    """A line that lacks a needed field or holds a value that cannot be read."""
-
-
-def whole(text):
-    return int(text)
-
-
-def truth(text):
-    if text not in ("0", "1", "true", "false"):
-        raise ValueError(text)
-    return text in ("1", "true")
-
-
-def word(text):
-    if not text:
-        raise ValueError(text)
-    return text
-
-
-def number(text):
-    value = float(text)
-    if value != value or value in (float("inf"), float("-inf")):
-        raise ValueError(text)
-    return value
+from rackhub.settings import BadLine, number, read, settings_of, truth, whole, word
 
 
 def report(text):
@@ -46,10 +20,6 @@
     return b"" if text == "-" else bytes.fromhex(text)
 
 
-def names(text):
-    return tuple(part for part in text.split(",") if part)
-
-
 # wire message -> (event type, ((wire field, attribute, reader, needed), ...))
 EVENTS = {
     "ORDER": (t.QueryArrived, (
@@ -82,39 +52,6 @@
 MEMBERS = (("Scope", "scope", word, True), ("Rev", "rev", whole, False), ("Page", "page", whole, False))
 ABSENT = {"attempt": 0, "value": 0.0}  # a field at its zero value may be left off the line
 
-# settings: path on the wire -> (attribute, reader)
-PLAIN = {
-    "Instances": ("gateways", whole), "Me": ("me", whole), "Zone": ("zone", str),
-    "Discovery": ("discovery", str), "Period": ("period", whole),
-    "FamilyInfo.Grants": ("grants", truth),
-    "FamilyInfo.RanksHeeded": ("priorities", truth),
-    "FamilyInfo.NotePeriod": ("note_period", whole),
-    "Permissions.Cancel": ("cancel", truth), "Permissions.MaxAttempts": ("max_attempts", whole),
-    "Permissions.MaxRetryAfter": ("max_retry_after", whole),
-    "Permissions.SecondCopies": ("second_copies", truth), "Permissions.Peers": ("peers", truth),
-    "Permissions.Probes": ("probes", truth), "Report.Source": ("report_source", str),
-    "Obligations.FreeResends": ("free_resends", number), "Obligations.RepeatRatio": ("repeat_ratio", number),
-    "Obligations.CountedOver": ("counted_over", whole), "Obligations.ColdFrom": ("cold_from", number),
-    "Obligations.RampTime": ("ramp_time", whole), "Obligations.FallMultiple": ("fall_multiple", number),
-    "Obligations.Fall": ("fall", whole), "Obligations.TurnGap": ("turn_gap", whole),
-}
-CLASS = {
-    "Name": ("name", word), "Deadline": ("deadline", whole), "Objective": ("objective", whole),
-    "AimStretch": ("aim_stretch", number), "Worth": ("worth", number), "Effect": ("effect", str),
-    "DedupScope": ("dedup_scope", str), "Window": ("window", whole), "SerialByKey": ("serial_by_key", truth),
-    "StaysIn": ("stays_in", names), "ServedOn": ("served_on", names),
-}
-BY_CLASS = {"FamilyInfo.Dop": ("threads", whole), "FamilyInfo.HoldsTables": ("holds_tables", truth),
-            "FamilyInfo.BlockedByLoads": ("blocked_by_loads", truth)}
-TENANT = {"Name": ("name", word), "Fraction": ("fraction", number), "AllowancePerS": ("allowance_per_s", number)}
-
-
-def read(message, pairs, field, reader):
-    try:
-        return reader(pairs[field])
-    except (ValueError, TypeError):
-        raise BadLine(f"{message}: field {field} has the bad value {pairs[field]!r}") from None
-
 
 def gather(message, pairs, spec):
     values = {}
@@ -128,39 +65,6 @@
     return values
 
 
-def settings_of(pairs):
-    """Settings from the path=value pairs of START."""
-
-    def known(table, prefix=""):
-        found = ((attribute, prefix + path, reader) for path, (attribute, reader) in table.items())
-        return {attribute: read("START", pairs, path, reader)
-                for attribute, path, reader in found if path in pairs}
-
-    def count(path):
-        return read("START", pairs, path, whole) if path in pairs else 0
-
-    def column(path, reader):
-        parts = pairs.get(path, "").split(",") if pairs.get(path) else []
-        return [read("START", {path: part}, path, reader) for part in parts]
-
-    classes = [known(CLASS, f"Services.{i}.") for i in range(count("Services.count"))]
-    for path, (attribute, reader) in BY_CLASS.items():
-        for values, value in zip(classes, column(path, reader), strict=False):
-            values[attribute] = value
-    tenants = [known(TENANT, f"Tenants.{i}.") for i in range(count("Tenants.count"))]
-    for path, rows in (("Services", classes), ("Tenants", tenants)):
-        for i, values in enumerate(rows):
-            if "name" not in values:
-                raise BadLine(f"START: field {path}.{i}.Name is missing")
-    kinds = names(pairs.get("HostTypes", ""))
-    return t.Settings(
-        classes=tuple(t.ClassSettings(**values) for values in classes),
-        tenants=tuple(t.TenantSettings(**values) for values in tenants),
-        kind_cores=dict(zip(kinds, column("FamilyInfo.KindCores", number), strict=False)),
-        kind_memory=dict(zip(kinds, column("FamilyInfo.RamOfKindMb", number), strict=False)),
-        **known(PLAIN))
-
-
 def flat(text):
     return " ".join(str(text).split())
 
--- /dev/null
+++ b/rackhub/cli.py
@@ -0,0 +1,56 @@
+"""rackhub: the coordinator of a fleet of query engines.
+
+Usage:
+  rackhub serve [--config FILE]
+  rackhub check-config [--config FILE]
+  rackhub version
+  rackhub (-h | --help)
+
+Commands:
+  serve         Serve until SIGTERM. SIGUSR1 prints the counters.
+  check-config  Read and check the configuration, print a summary, serve nothing.
+  version       Print the version.
+
+Options:
+  --config FILE  The configuration [default: the file that BALANCER_CONFIG names].
+  -h --help      Show this.
+"""
+
+import logging
+import os
+import sys
+from collections.abc import Sequence
+
+from docopt import docopt
+
+from rackhub import config as configuration
+from rackhub.version import VERSION
+
+
+def main(words: Sequence[str] | None = None) -> int:
+    """Run one sub-command; 2 for a bad command line or configuration."""
+    try:
+        options = docopt(__doc__.replace(" [default: the file that BALANCER_CONFIG names]", ""),
+                         list(sys.argv[1:] if words is None else words))
+    except SystemExit as end:
+        if end.code and end.code != 0:
+            print(end.code, file=sys.stderr)
+            return 2
+        return 0
+    if options["version"]:
+        print(f"rackhub {VERSION}")
+        return 0
+    try:
+        config = configuration.load(configuration.path_of(os.environ, options["--config"]))
+    except configuration.BadConfig as bad:
+        print(f"rackhub: bad configuration: {bad}", file=sys.stderr)
+        return 2
+    if options["check-config"]:
+        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
+              f"{len(config.settings.classes)} classes, {len(config.engines.entries)} engines known")
+        return 0
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    from rackhub.daemon import Daemon  # here: it takes hold of the reactor, which the other commands don't need
+
+    Daemon(config).run()
+    return 0
--- /dev/null
+++ b/rackhub/config.py
@@ -0,0 +1,165 @@
+"""The one place where configuration is read, checked and given defaults.
+
+Every fault ends as a `BadConfig` of one line that names the key. The settings proper are read by
+`rackhub.settings`, which the simulator's adapter uses too.
+"""
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from rackhub import interface as t
+from rackhub.limits import Limits
+from rackhub.net.resolver import Listing, whole_list
+from rackhub.settings import BadLine, flatten, settings_of
+
+STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
+OWN = 64  # descriptors kept aside: the program's own, listening sockets, the resolver
+
+
+class BadConfig(ValueError):
+    """A configuration that can't be used; the text names the key."""
+
+
+class Endpoint(msgspec.Struct):
+    name: str
+    address: str
+    zone: str = ""
+    type: str = ""
+    group: int = 0
+    status: str = "ready"
+    weight: float = 1.0
+    since_ms: int = 0
+
+
+class EnginePool(msgspec.Struct):
+    endpoints: list[Endpoint]
+    snapshot: bool = False
+
+
+class Notice(msgspec.Struct):
+    rev: int
+    pool: EnginePool
+
+
+class Known(msgspec.Struct):
+    rev: int
+    notices: list[Notice]
+
+
+class Quotas(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1_024
+
+
+class File(msgspec.Struct):
+    """The file as the platform words it."""
+
+    listen: str
+    nameserver: str
+    known: Known
+    settings: dict[str, Any]
+    name: str = "rackhub"
+    seed: str = ""
+    limits: Quotas = msgspec.field(default_factory=Quotas)
+
+
+class Config(msgspec.Struct, frozen=True):
+    """All that the program is told, checked."""
+
+    name: str
+    listen: tuple[str, int]
+    nameserver: tuple[str, int]
+    seed: int
+    engines: Listing
+    settings: t.Settings
+    limits: Limits
+
+
+def address(text: str, key: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        if not 0 < int(port) < 65_536:
+            raise ValueError
+    except ValueError:
+        raise BadConfig(f"{key}: {text!r} is not an address and port") from None
+    return host, int(port)
+
+
+def path_of(environment: Mapping[str, str], option: str | None = None) -> Path:
+    text = option or environment.get("BALANCER_CONFIG", "")
+    if not text:
+        raise BadConfig("BALANCER_CONFIG: not set, and no --config given")
+    return Path(text)
+
+
+def load(path: Path) -> Config:
+    try:
+        return read(path.read_bytes())
+    except OSError as fault:
+        raise BadConfig(f"BALANCER_CONFIG: {path}: {os.strerror(fault.errno or 0)}") from None
+
+
+def read(text: bytes) -> Config:
+    """The checked configuration in a file's bytes."""
+    try:
+        file = msgspec.json.decode(text, type=File)
+    except msgspec.ValidationError as bad:  # it ends in the path of what is at fault
+        raise BadConfig(str(bad)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as bad:
+        raise BadConfig(f"the file: not JSON: {bad}") from None
+    try:
+        seed = int(file.seed, 16) if file.seed else 0
+    except ValueError:
+        raise BadConfig(f"seed: {file.seed!r} is not hex digits") from None
+    try:
+        settings = settings_of(flatten(file.settings), "settings")
+    except (BadLine, ValueError) as bad:
+        raise BadConfig(str(bad)) from None
+    if not settings.classes:
+        raise BadConfig("settings.Services: no class of requests is told")
+    return Config(file.name, address(file.listen, "listen"), address(file.nameserver, "nameserver"), seed,
+                  engines(file.known), settings, limits(file))
+
+
+def engines(known: Known) -> Listing:
+    events = []
+    for i, notice in enumerate(known.notices):
+        entries, addresses = [], {}
+        for j, endpoint in enumerate(notice.pool.endpoints):
+            key = f"known.notices[{i}].pool.endpoints[{j}]"
+            if endpoint.status not in STATES:
+                raise BadConfig(f"{key}.status: {endpoint.status!r} is not known")
+            entries.append(t.EngineEntry(endpoint.name, endpoint.zone, endpoint.type, endpoint.group,
+                                         STATES[endpoint.status], endpoint.weight, endpoint.since_ms * 1_000))
+            addresses[endpoint.name] = address(endpoint.address, f"{key}.address")
+        if notice.pool.snapshot:
+            events.clear()
+        events.append(Listing(notice.rev, tuple(entries), addresses))
+    return whole_list(events)._replace(rev=known.rev)
+
+
+def limits(file: File) -> Limits:
+    """The limits: what the site allows where it says so, the descriptors shared out, the rest by default."""
+    permissions = file.settings.get("Permissions", {})
+    told: dict[str, int] = {}
+    for key, name, least in (("DialTimeout", "dial_timeout", 1), ("ConnIdle", "engine_idle", 1),
+                             ("Multiplex", "engine_open", 1)):
+        if key in permissions:
+            value = permissions[key]
+            if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+                raise BadConfig(f"settings.Permissions.{key}: {value!r} is not a number of at least {least}")
+            told[name] = int(value)
+    if file.limits.sockets < 2 * OWN:
+        raise BadConfig(f"limits.sockets: {file.limits.sockets} is under {2 * OWN}, which the program needs")
+    if file.limits.memory_mb < 64:
+        raise BadConfig(f"limits.memory_mb: {file.limits.memory_mb} is under 64, which the program needs")
+    return Limits(sockets=file.limits.sockets, memory_mb=file.limits.memory_mb,
+                  client_connections=(file.limits.sockets - OWN) // 2,
+                  held_requests=max((file.limits.memory_mb - 64) * 8, 64), **told)
--- /dev/null
+++ b/rackhub/core/__init__.py
@@ -0,0 +1,1 @@
+"""The coordinator without wires: requests and attempts, their answers, deadlines and the drain."""
--- /dev/null
+++ b/rackhub/core/timers.py
@@ -0,0 +1,49 @@
+"""Many timers on one wake-up: the module asks for thousands that it never withdraws."""
+
+import heapq
+from collections.abc import Callable
+from typing import Any, Protocol
+
+
+class Clock(Protocol):
+    def now(self) -> int: ...
+
+
+class Waker(Protocol):
+    """Calls back once after some microseconds; a new call replaces the one before it."""
+
+    def wake_after(self, delay: int, call: Callable[[], None]) -> None: ...
+
+
+class Timers:
+    """Calls at times, in order of time and then of asking."""
+
+    def __init__(self, clock: Clock, waker: Waker):
+        self._clock, self._waker = clock, waker
+        self._heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._asked, self._armed = 0, 0
+
+    def at(self, when: int, call: Callable[..., None], *args: Any) -> None:
+        self._asked += 1
+        heapq.heappush(self._heap, (when, self._asked, call, args))
+        if not self._armed or when < self._armed:
+            self._arm()
+
+    def _arm(self) -> None:
+        self._armed = self._heap[0][0] if self._heap else 0
+        if self._armed:
+            self._waker.wake_after(max(self._armed - self._clock.now(), 0), self.run_due)
+
+    def run_due(self) -> None:
+        """Make the calls that are due; those asked for meanwhile wait for the next turn of the loop."""
+        now, last = self._clock.now(), self._asked
+        held = []
+        while self._heap and self._heap[0][0] <= now:
+            due = heapq.heappop(self._heap)
+            if due[1] > last:
+                held.append(due)
+                continue
+            due[2](*due[3])
+        for due in held:
+            heapq.heappush(self._heap, due)
+        self._arm()
--- /dev/null
+++ b/rackhub/counters.py
@@ -0,0 +1,28 @@
+"""Counts of what the program takes in, sends and answers; printed on request and at exit."""
+
+
+class Counters(dict[str, int]):
+    """A tally by name. Only names in `NAMES` count, so that a misspelt one shows at once in a test."""
+
+    NAMES = (
+        "clients_accepted", "clients_refused", "clients_closed", "lines_in", "requests_in", "cancels_in", "alives_in",
+        "bad_json", "bad_request", "bad_method", "bad_params", "too_long", "too_many_open", "notifications_ignored",
+        "served", "refused", "failed", "left", "backstop_answers", "module_errors", "over_held",
+        "attempts", "attempts_not_sent", "out_good", "out_bad", "out_full", "out_late", "out_noconn", "out_rst",
+        "out_cxl", "out_nop", "notes_in", "hurries",
+        "engine_dials", "engine_dial_failures", "engine_losses", "engine_frames", "engine_bad_frames", "engine_strays",
+        "pages_in", "silent_connections",
+        "dns_sent", "dns_in", "dns_same", "dns_bad", "dns_old", "lists_told",
+        "tds_connections", "tds_refused", "tds_logins", "tds_bad_logins", "tds_requests", "tds_attentions", "tds_bad",
+        "tds_unsupported",
+    )
+
+    def __init__(self) -> None:
+        super().__init__(dict.fromkeys(self.NAMES, 0))
+
+    def add(self, name: str, count: int = 1) -> None:
+        self[name] = self[name] + count
+
+    def line(self) -> str:
+        """All that happened, as name=count; what never did is left off."""
+        return " ".join(f"{name}={count}" for name, count in self.items() if count) or "nothing"
--- /dev/null
+++ b/rackhub/daemon.py
@@ -0,0 +1,91 @@
+"""Puts the parts together on Twisted's reactor, and ends them in order."""
+
+import logging
+import signal
+import sys
+
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+
+from rackhub.clock import UnixClock
+from rackhub.config import Config
+from rackhub.core.coordinator import Coordinator
+from rackhub.core.timers import Timers
+from rackhub.counters import Counters
+from rackhub.net.jsonrpc import JsonRpcFront
+from rackhub.net.loop import ReactorWaker
+from rackhub.net.resolver import Listing, Resolver
+from rackhub.net.resp import resp_pools
+
+log = logging.getLogger(__name__)
+
+
+class Daemon:
+    """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
+
+    def __init__(self, config: Config):
+        self.config, self.counters = config, Counters()
+        clock = UnixClock()
+        self.core = Coordinator(config.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)),
+                                config.limits, self.counters)
+        self.engines = resp_pools(reactor, clock, config.limits, self.counters, self.core)
+        self.front = JsonRpcFront(self.core, config.limits, self.counters)
+        self.resolver = Resolver(reactor, config.nameserver, config.engines, self._listed, config.limits, self.counters)
+        self._port = None
+        self._draining = self._closing = False
+
+    def run(self) -> None:
+        limits, engines = self.config.limits, self.config.engines
+        self.engines.listed(engines.addresses)
+        self.core.start(self.engines, engines.entries, engines.rev)
+        host, port = self.config.listen
+        reactor.listenUDP(0, self.resolver, interface="", maxPacketSize=limits.packet)
+        self._port = reactor.listenTCP(port, self.front, backlog=512, interface=host)
+        LoopingCall(self.engines.sweep).start(1.0, now=False)
+        for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell)):
+            signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
+        log.info("%s serves on %s:%d, %d engines known", self.config.name, host, port, len(engines.entries))
+        reactor.run(installSignalHandlers=False)
+        self.tell()
+
+    def _listed(self, listing: Listing) -> None:
+        # the module first: once it knows of a drain it sends nothing there, whatever the pools still hold
+        self.core.listed(listing.entries, listing.rev)
+        self.engines.listed(listing.addresses)
+
+    def tell(self) -> None:
+        print(f"counters: {self.counters.line()}", file=sys.stderr, flush=True)
+
+    # ---- the end
+
+    def _term(self) -> None:
+        """Go on taking requests while clients still come, then answer what is open and leave."""
+        if not self._draining:
+            self._draining = self.front.draining = True
+            log.info("told to end: %d requests open", len(self.core.queries))
+            reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
+
+    def _close(self) -> None:
+        self._closing = True
+        self._port.stopListening()
+        self.core.on_idle = self._idle
+        if not self.core.queries:
+            self._idle()
+
+    def _idle(self) -> None:
+        """Every request has its answer: let the last bytes out. Called while the last answer is being written."""
+        reactor.callLater(0, self._let_out)
+
+    def _let_out(self) -> None:
+        if self.core.queries:  # one came on an open connection meanwhile: it is answered too
+            return
+        self.core.on_idle = None
+        self.front.end()
+        self.engines.close_all()
+        self._wait_for_clients(self.config.limits.linger)
+
+    def _wait_for_clients(self, left: int) -> None:
+        if self.front.connections and left > 0:
+            reactor.callLater(0.02, self._wait_for_clients, left - 20_000)
+        else:
+            reactor.stop()
--- /dev/null
+++ b/rackhub/limits.py
@@ -0,0 +1,40 @@
+"""Every size, count and time that the program holds itself to, in one type filled at start and handed down."""
+
+import msgspec
+
+MS, SECOND = 1_000, 1_000_000
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Times are microseconds, sizes bytes. What a site tells replaces the default (see `config`)."""
+
+    sockets: int = 1_024  # file descriptors over all processes
+    memory_mb: int = 192
+
+    # clients
+    request_line: int = 262_144  # one request with its statement in base64
+    open_requests: int = 32  # on one client connection
+    backstop: int = 10 * MS  # after a deadline the core answers for a module that did not; 50 ms are allowed
+    held_requests: int = 1_000  # in the whole program: what memory allows
+    client_connections: int = 400  # a third of 1,024 is promised; more leaves too little for engines
+    linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes
+
+    # engines
+    dial_timeout: int = 250 * MS
+    engine_idle: int = 30 * SECOND
+    engine_open: int = 100  # attempts on one connection
+    engine_connections: int = 8  # to one engine
+    head: int = 64  # a RESP head line
+    frame: int = 65_536  # one bulk string of an engine
+    result: int = 65_536  # all pages of a result
+    pages: int = 64
+    silence: int = 1_500 * MS  # nothing heard for so long with work out: new work takes a new connection
+    stale: int = 30 * SECOND  # for so long an id given up on a connection is not used on it again
+
+    # resolver
+    poll: int = 250 * MS
+    packet: int = 8_192
+    polls_open: int = 16  # queries whose answers are still taken
+
+    # the end
+    accept_after_term: int = 900 * MS  # 0.7 s are promised; the rest is slack for a late scheduler
--- /dev/null
+++ b/rackhub/net/__init__.py
@@ -0,0 +1,1 @@
+"""The wires: fronts that clients speak to, clients of engines, and the resolver."""
--- /dev/null
+++ b/rackhub/net/pool.py
@@ -0,0 +1,103 @@
+"""Connections to engines by engine: which one carries an attempt, and what the list of engines does to them.
+
+The same for every protocol that engines speak; a connection is asked through `Link`.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from rackhub.core.coordinator import Attempt, Coordinator
+from rackhub.core.timers import Clock
+from rackhub.counters import Counters
+from rackhub.limits import Limits
+
+Address = tuple[str, int]
+
+
+class Link(Protocol):
+    """One connection as the pool sees it."""
+
+    closed: bool
+
+    def takes(self, attempt: Attempt) -> bool: ...
+    def carry(self, attempt: Attempt) -> None: ...
+    def give_up(self, attempt: Attempt) -> None: ...
+    def hurry(self, attempt: Attempt) -> None: ...
+    def close_if_idle(self) -> None: ...
+    def idle_since(self) -> int: ...
+    def refused(self) -> None: ...
+
+
+class Pool:
+    """The connections to one engine. An engine is its name: another one may come to have its address."""
+
+    def __init__(self, name: str, address: Address, counters: Counters):
+        self.name, self.address, self.counters = name, address, counters
+        self.links: list[Link] = []
+
+    def lost(self, link: Link) -> None:
+        if link in self.links:
+            self.links.remove(link)
+
+    def dial_failed(self, link: Link) -> None:
+        self.counters.add("engine_dial_failures")
+        self.lost(link)
+        link.refused()
+
+
+class Pools:
+    """The engine port: one pool for each engine that the list names."""
+
+    def __init__(self, dial: Callable[[Pool, str, int], Link], clock: Clock, limits: Limits, counters: Counters,
+                 core: Coordinator):
+        self._dial, self._clock, self._limits, self._counters, self._core = dial, clock, limits, counters, core
+        self.pools: dict[str, Pool] = {}
+
+    def listed(self, addresses: Mapping[str, Address]) -> None:
+        """The list as it is now. What an engine that is gone still has open ends on its own; the rest closes."""
+        for name in [name for name in self.pools if name not in addresses]:
+            self.close_idle(name)
+            if not self.pools[name].links:
+                del self.pools[name]
+        for name, address in addresses.items():
+            pool = self.pools.get(name)
+            if pool is None:
+                self.pools[name] = Pool(name, address, self._counters)
+            elif pool.address != address:  # connections to the old address are never used for the new one
+                self.close_idle(name)
+                self.pools[name] = Pool(name, address, self._counters)
+
+    def send(self, attempt: Attempt) -> None:
+        pool = self.pools.get(attempt.engine)
+        link = next((link for link in pool.links if link.takes(attempt)), None) if pool else None
+        if link is None:
+            if pool is None or len(pool.links) >= self._limits.engine_connections:
+                return self._core.ended(attempt, "NOCONN")
+            self._counters.add("engine_dials")
+            link = self._dial(pool, *pool.address)
+            pool.links.append(link)
+        link.carry(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        if attempt.link is not None:
+            attempt.link.give_up(attempt)
+
+    def hurry(self, attempt: Attempt) -> None:
+        if attempt.link is not None:
+            attempt.link.hurry(attempt)
+
+    def close_idle(self, engine: str) -> None:
+        for link in list(self.pools[engine].links) if engine in self.pools else ():
+            link.close_if_idle()
+
+    def sweep(self) -> None:
+        """Close what has idled for most of the time after which engines close it: a request would cross that."""
+        edge = self._clock.now() - self._limits.engine_idle * 2 // 3
+        for pool in self.pools.values():
+            for link in list(pool.links):
+                if link.idle_since() < edge:
+                    link.close_if_idle()
+
+    def close_all(self) -> None:
+        for name in list(self.pools):
+            self.close_idle(name)
--- /dev/null
+++ b/rackhub/net/resp.py
@@ -0,0 +1,352 @@
+"""Engines over TCP: RESP arrays of bulk strings, many attempts on a connection, results in pages.
+
+A connection keeps what the wire alone can't tell: which ids were given up on it. A further attempt of a
+request bears the same id, so an answer that crossed the give-up would pass for the new attempt's: such an
+id is not sent on that connection again, and what still comes under it is ignored.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+
+from rackhub.core.coordinator import Attempt, Coordinator
+from rackhub.core.timers import Clock
+from rackhub.counters import Counters
+from rackhub.limits import Limits
+from rackhub.net.pool import Pools
+
+log = logging.getLogger(__name__)
+TOPICS = {b"advance": 1, b"disk": 2, b"stall": 3}
+# the wire's words of a load report -> the module's
+REPORT_WORDS = {"inflight": "busy_reqs", "queue": "pending", "util": "cpu_share", "latency_ms": "svc_ms",
+                "qps": "served_ps", "eps": "failed_ps"}
+
+
+class BadFrame(ValueError):
+    """Bytes that no engine of this protocol sends: nothing after them on the connection can be trusted."""
+
+
+def command(*words: bytes) -> list[bytes]:
+    """The pieces of one array of bulk strings, for a gathered write."""
+    pieces = [b"*%d\r\n" % len(words)]
+    for word in words:
+        pieces += (b"$%d\r\n" % len(word), word, b"\r\n")
+    return pieces
+
+
+def fields_of(text: bytes) -> dict[bytes, bytes]:
+    if text == b"-":
+        return {}
+    fields = {}
+    for part in text.split(b","):
+        name, mark, value = part.partition(b"=")
+        if not mark:
+            raise BadFrame(f"field {part[:40]!r} has no value")
+        fields[name] = value
+    return fields
+
+
+def figure(fields: dict[bytes, bytes], name: bytes, reader: Callable[[bytes], float]) -> float:
+    try:
+        value = reader(fields[name])
+    except KeyError:
+        raise BadFrame(f"field {name.decode()} is missing") from None
+    except ValueError:
+        raise BadFrame(f"field {name.decode()} has the bad value {fields[name][:40]!r}") from None
+    if not -1e18 < value < 1e18:  # also no NaN: a figure goes into the module's means
+        raise BadFrame(f"field {name.decode()} has the bad value {fields[name][:40]!r}")
+    return value
+
+
+def report_of(fields: dict[bytes, bytes]) -> dict[str, float]:
+    """A load report in the words of the module; one that can't be read is left out, not the answer with it."""
+    report = {}
+    for part in fields.get(b"report", b"").split(b";"):
+        name, _, value = part.partition(b":")
+        try:
+            told = float(value)
+        except ValueError:
+            continue
+        if 0 <= told < 1e12:
+            word = name.decode("ascii", "replace")
+            report[REPORT_WORDS.get(word, word)] = told
+    return report
+
+
+class Paging:
+    """A result on its way in: its pages by number, and the report that came with page 0."""
+
+    __slots__ = ("pages", "missing", "size", "report")
+
+    def __init__(self, first: bytes, count: int, report: dict[str, float]):
+        self.pages: list[bytes | None] = [first, *[None] * (count - 1)]
+        self.missing, self.size, self.report = count - 1, len(first), report
+
+
+class EngineConnection(LineReceiver):
+    """One connection to an engine and the attempts on it, by the id of their request.
+
+    States: dialling (attempts wait in `open`, unsent), up, closing (lost or dropped). The reader's state
+    is in `_due`: how many bulk strings the present array still needs, 0 between arrays.
+    """
+
+    MAX_LENGTH = 65_536  # per instance from the limits: see __init__
+    delimiter = b"\r\n"
+
+    def __init__(self, pool: "object", clock: Clock, limits: Limits, counters: Counters, core: Coordinator):
+        self.pool, self.clock, self.limits, self.counters, self.core = pool, clock, limits, counters, core
+        self.MAX_LENGTH = limits.head
+        self.open: dict[bytes, Attempt] = {}
+        self.paging: dict[bytes, Paging] = {}
+        self.stale: dict[bytes, int] = {}  # ids given up here -> when; oldest first
+        self.up = self.closed = self.silent = False
+        self.heard = self.used = clock.now()
+        self._due, self._parts, self._need, self._got, self._got_size = 0, [], -1, [], 0
+
+    # ---- what the pool asks
+
+    def takes(self, attempt: Attempt) -> bool:
+        """Whether a new attempt may go on this connection."""
+        self._forget()
+        id = attempt.query.id.encode()
+        return not (self.closed or self.silent or len(self.open) >= self.limits.engine_open
+                    or id in self.open or id in self.stale)
+
+    def carry(self, attempt: Attempt) -> None:
+        attempt.link = self
+        self.open[attempt.query.id.encode()] = attempt
+        if self.up:
+            self._write(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        id, now = attempt.query.id.encode(), self.clock.now()
+        if self.open.pop(id, None) is None:
+            return
+        if self.up and not self.closed:
+            self.transport.writeSequence(command(b"shut" if id in self.paging else b"never_mind", id))
+            self.stale[id] = now
+            # a vanished host gives no sign. Without this, all that follows would wait on the dead connection
+            # for its deadline, where a new one fails in the time to dial and proves that nothing ran.
+            if self.heard <= attempt.sent and now - attempt.sent >= self.limits.silence and not self.silent:
+                self.silent = True
+                self.counters.add("silent_connections")
+        self.paging.pop(id, None)
+        self._let_go()
+
+    def hurry(self, attempt: Attempt) -> None:
+        id = attempt.query.id.encode()
+        if self.up and not self.closed and id in self.open and id not in self.paging:
+            self.transport.writeSequence(command(b"hurry", id, b"%d" % attempt.query.level))
+
+    def close_if_idle(self) -> None:
+        if self.up and not self.closed and not self.open:
+            self.closed = True
+            self.transport.loseConnection()
+
+    def idle_since(self) -> int:
+        return self.used
+
+    def drop(self) -> None:
+        """End it at once: whatever is open on it is lost."""
+        if self.up:
+            self.transport.abortConnection()
+
+    def refused(self) -> None:
+        """The dial failed: nothing that waited for it ever left."""
+        self.closed = True
+        self._end_all("NOCONN")
+
+    def _forget(self) -> None:
+        edge = self.clock.now() - self.limits.stale
+        while self.stale and (oldest := next(iter(self.stale))) and self.stale[oldest] < edge:
+            del self.stale[oldest]
+
+    def _let_go(self) -> None:
+        self.used = self.clock.now()
+        if self.silent and not self.open:
+            self.closed = True
+            self.drop()
+
+    def _write(self, attempt: Attempt) -> None:
+        query = attempt.query
+        left = max((query.deadline - self.clock.now()) // 1_000, 1)
+        fields = b"profile=%s,max=%d,level=%d" % (query.cls.encode(), left, query.level)
+        if query.token:
+            fields += b",replay=" + query.token.encode()
+        self.used = self.clock.now()
+        self.transport.writeSequence(command(b"want", query.id.encode(), fields, query.statement))
+
+    # ---- Twisted
+
+    def connectionMade(self) -> None:
+        self.up, self.heard = True, self.clock.now()
+        self.transport.setTcpNoDelay(True)
+        for attempt in self.open.values():
+            self._write(attempt)
+
+    def connectionLost(self, reason: object = None) -> None:
+        if self.open:
+            self.counters.add("engine_losses")
+        self.up, self.closed = False, True
+        self.pool.lost(self)
+        self._end_all("RST")
+
+    def _end_all(self, how: str) -> None:
+        ended, self.open = list(self.open.values()), {}
+        self.paging.clear()
+        for attempt in ended:
+            self.core.ended(attempt, how)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard = self.clock.now()
+        try:
+            super().dataReceived(data)
+        except BadFrame as bad:
+            self._malformed(bad)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        raise BadFrame("a head line is too long")
+
+    def _malformed(self, bad: BadFrame) -> None:
+        self.counters.add("engine_bad_frames")
+        log.warning("engine %s: %s: connection dropped", self.pool.name, bad)
+        self.closed = True
+        self.clearLineBuffer()
+        self.drop()
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.closed:
+            return
+        if not self._due:
+            self._due, self._parts = self._count(line, b"*", 16), []
+            if not self._due:
+                raise BadFrame("an empty array")
+        else:
+            self._need = self._count(line, b"$", self.limits.frame) + 2
+            self._got, self._got_size = [], 0
+            self.setRawMode()
+
+    @staticmethod
+    def _count(line: bytes, mark: bytes, most: int) -> int:
+        if line[:1] != mark or not line[1:].isdigit() or len(line) > 10 or int(line[1:]) > most:
+            raise BadFrame(f"a head {line[:40]!r}")
+        return int(line[1:])
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self.closed:
+            return
+        took = data[:self._need - self._got_size]
+        self._got.append(took)
+        self._got_size += len(took)
+        if self._got_size < self._need:
+            return
+        bulk = b"".join(self._got) if len(self._got) > 1 else took
+        if bulk[-2:] != b"\r\n":
+            raise BadFrame("a bulk string without its end")
+        self._parts.append(bulk[:-2])
+        self._due -= 1
+        if not self._due:
+            self.counters.add("engine_frames")
+            self._answer(self._parts)
+        self.setLineMode(data[len(took):])
+
+    # ---- answers
+
+    def _answer(self, parts: list[bytes]) -> None:
+        if len(parts) != 4:
+            if len(parts) == 2 and parts[1] == b"alive":  # not asked for here, but no fault
+                return
+            raise BadFrame(f"an answer of {len(parts)} parts")
+        id, word, text, body = parts
+        if word not in (b"200", b"503", b"500", b"504", b"status", b"chunk", b"alive"):
+            raise BadFrame(f"an answer {word[:40]!r}")
+        fields = fields_of(text)
+        attempt = self.open.get(id)
+        if attempt is None:  # given up before; the end is on its way, and no more comes under this id
+            self.counters.add("engine_strays")
+        elif word == b"200":
+            self._result(id, attempt, fields, body)
+        elif word == b"chunk":
+            self._page(id, attempt, fields, body)
+        elif word == b"status":
+            topic = TOPICS.get(fields.get(b"remark", b""))
+            if topic:
+                self.core.noted(attempt, topic, figure(fields, b"amount", float))
+        elif word == b"503" and id not in self.paging:
+            self._over(id, attempt, "FULL", report_of(fields))
+        elif word == b"504" and id not in self.paging:  # over before it was read: there is no time to try again
+            self._over(id, attempt, "NOP", report_of(fields))
+        elif word != b"alive":  # an error, or a page that is gone: the result can't be whole any more
+            self._over(id, attempt, "BAD", report_of(fields))
+
+    def _result(self, id: bytes, attempt: Attempt, fields: dict[bytes, bytes], body: bytes) -> None:
+        if id in self.paging:
+            raise BadFrame("a second result for one request")
+        count = int(figure(fields, b"chunks", int)) if b"chunks" in fields else 1
+        if not 1 <= count:
+            raise BadFrame(f"a result of {count} pages")
+        report = report_of(fields)
+        if count == 1:
+            return self._over(id, attempt, "GOOD", report, (body,))
+        self.paging[id] = Paging(body, count, report)
+        if count > self.limits.pages:
+            return self._too_large(id, attempt)
+        pieces = []
+        for page in range(1, count):
+            pieces += command(b"turn", id, b"%d" % page)
+        self.transport.writeSequence(pieces)
+
+    def _page(self, id: bytes, attempt: Attempt, fields: dict[bytes, bytes], body: bytes) -> None:
+        paging, at = self.paging.get(id), int(figure(fields, b"at", int))
+        if paging is None or not 0 < at < len(paging.pages) or paging.pages[at] is not None:
+            raise BadFrame(f"a page {at} that was not asked for")
+        self.counters.add("pages_in")
+        paging.pages[at] = body
+        paging.missing -= 1
+        paging.size += len(body)
+        if paging.size > self.limits.result:
+            self._too_large(id, attempt)
+        elif not paging.missing:
+            self._over(id, attempt, "GOOD", paging.report, tuple(paging.pages))
+
+    def _too_large(self, id: bytes, attempt: Attempt) -> None:
+        """More than a result may hold: memory is bounded, so the attempt has failed after it ran."""
+        log.warning("engine %s: a result is over the limit", self.pool.name)
+        self.give_up(attempt)
+        self.core.ended(attempt, "BAD")
+
+    def _over(self, id: bytes, attempt: Attempt, reason: str, report: dict[str, float],
+              rows: Iterable[bytes] = ()) -> None:
+        del self.open[id]
+        self.paging.pop(id, None)
+        self._let_go()
+        self.core.ended(attempt, reason, report, rows)
+
+
+class EngineFactory(ClientFactory):
+    """Carries one dial: Twisted reports its failure here."""
+
+    noisy = False
+
+    def __init__(self, connection: EngineConnection):
+        self.connection = connection
+
+    def buildProtocol(self, addr: object) -> EngineConnection:
+        return self.connection
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self.connection.pool.dial_failed(self.connection)
+
+
+def resp_pools(reactor: IReactorTCP, clock: Clock, limits: Limits, counters: Counters, core: Coordinator) -> Pools:
+    """The engine port over RESP."""
+
+    def dial(pool: object, host: str, port: int) -> EngineConnection:
+        connection = EngineConnection(pool, clock, limits, counters, core)
+        reactor.connectTCP(host, port, EngineFactory(connection), timeout=limits.dial_timeout / 1_000_000)
+        return connection
+
+    return Pools(dial, clock, limits, counters, core)
--- /dev/null
+++ b/rackhub/settings.py
@@ -0,0 +1,139 @@
+"""The one reader of a site's settings: nested JSON or the pairs of START in, `interface.Settings` out.
+
+Both carry the same names and units; START flattens the tree to path=value text. The nested form is
+flattened the same way here, so that one table says what each name means and how it is checked.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from rackhub import interface as t
+
+
+class BadLine(ValueError):
+    """A message or setting that lacks a needed field or holds a value that cannot be read."""
+
+
+Reader = Callable[[str], Any]
+
+
+def whole(text: str) -> int:
+    return int(text)
+
+
+def truth(text: str) -> bool:
+    if text not in ("0", "1", "true", "false"):
+        raise ValueError(text)
+    return text in ("1", "true")
+
+
+def word(text: str) -> str:
+    if not text:
+        raise ValueError(text)
+    return text
+
+
+def number(text: str) -> float:
+    value = float(text)
+    if value != value or value in (float("inf"), float("-inf")):
+        raise ValueError(text)
+    return value
+
+
+def names(text: str) -> tuple[str, ...]:
+    return tuple(part for part in text.split(",") if part)
+
+
+# settings: path on the wire -> (attribute, reader)
+PLAIN = {
+    "Instances": ("gateways", whole), "Me": ("me", whole), "Zone": ("zone", str),
+    "Discovery": ("discovery", str), "Period": ("period", whole),
+    "FamilyInfo.Grants": ("grants", truth),
+    "FamilyInfo.RanksHeeded": ("priorities", truth),
+    "FamilyInfo.NotePeriod": ("note_period", whole),
+    "Permissions.Cancel": ("cancel", truth), "Permissions.MaxAttempts": ("max_attempts", whole),
+    "Permissions.MaxRetryAfter": ("max_retry_after", whole),
+    "Permissions.SecondCopies": ("second_copies", truth), "Permissions.Peers": ("peers", truth),
+    "Permissions.Probes": ("probes", truth), "Report.Source": ("report_source", str),
+    "Obligations.FreeResends": ("free_resends", number), "Obligations.RepeatRatio": ("repeat_ratio", number),
+    "Obligations.CountedOver": ("counted_over", whole), "Obligations.ColdFrom": ("cold_from", number),
+    "Obligations.RampTime": ("ramp_time", whole), "Obligations.FallMultiple": ("fall_multiple", number),
+    "Obligations.Fall": ("fall", whole), "Obligations.TurnGap": ("turn_gap", whole),
+}
+CLASS = {
+    "Name": ("name", word), "Deadline": ("deadline", whole), "Objective": ("objective", whole),
+    "AimStretch": ("aim_stretch", number), "Worth": ("worth", number), "Effect": ("effect", str),
+    "DedupScope": ("dedup_scope", str), "Window": ("window", whole), "SerialByKey": ("serial_by_key", truth),
+    "StaysIn": ("stays_in", names), "ServedOn": ("served_on", names),
+}
+BY_CLASS = {"FamilyInfo.Dop": ("threads", whole), "FamilyInfo.HoldsTables": ("holds_tables", truth),
+            "FamilyInfo.BlockedByLoads": ("blocked_by_loads", truth)}
+TENANT = {"Name": ("name", word), "Fraction": ("fraction", number), "AllowancePerS": ("allowance_per_s", number)}
+
+
+def read(message: str, pairs: Mapping[str, str], field: str, reader: Reader) -> Any:
+    try:
+        return reader(pairs[field])
+    except (ValueError, TypeError):
+        raise BadLine(f"{message}: field {field} has the bad value {pairs[field]!r}") from None
+
+
+def settings_of(pairs: Mapping[str, str], source: str = "START") -> t.Settings:
+    """Settings from path=value pairs; `source` is what a message about a bad one calls their origin."""
+
+    def known(table: Mapping[str, tuple[str, Reader]], prefix: str = "") -> dict[str, Any]:
+        found = ((attribute, prefix + path, reader) for path, (attribute, reader) in table.items())
+        return {attribute: read(source, pairs, path, reader)
+                for attribute, path, reader in found if path in pairs}
+
+    def count(path: str) -> int:
+        return read(source, pairs, path, whole) if path in pairs else 0
+
+    def column(path: str, reader: Reader) -> list[Any]:
+        parts = pairs.get(path, "").split(",") if pairs.get(path) else []
+        return [read(source, {path: part}, path, reader) for part in parts]
+
+    classes = [known(CLASS, f"Services.{i}.") for i in range(count("Services.count"))]
+    for path, (attribute, reader) in BY_CLASS.items():
+        for values, value in zip(classes, column(path, reader), strict=False):
+            values[attribute] = value
+    tenants = [known(TENANT, f"Tenants.{i}.") for i in range(count("Tenants.count"))]
+    for path, rows in (("Services", classes), ("Tenants", tenants)):
+        for i, values in enumerate(rows):
+            if "name" not in values:
+                raise BadLine(f"{source}: field {path}.{i}.Name is missing")
+    kinds = names(pairs.get("HostTypes", ""))
+    return t.Settings(
+        classes=tuple(t.ClassSettings(**values) for values in classes),
+        tenants=tuple(t.TenantSettings(**values) for values in tenants),
+        kind_cores=dict(zip(kinds, column("FamilyInfo.KindCores", number), strict=False)),
+        kind_memory=dict(zip(kinds, column("FamilyInfo.RamOfKindMb", number), strict=False)),
+        **known(PLAIN))
+
+
+def flatten(tree: Mapping[str, Any]) -> dict[str, str]:
+    """The pairs of START for a nested JSON object: plain lists joined, lists of objects counted."""
+    pairs: dict[str, str] = {}
+
+    def text(value: Any) -> str:
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        if isinstance(value, float) and value.is_integer():
+            return str(int(value))
+        return str(value)
+
+    def walk(path: str, value: Any) -> None:
+        if isinstance(value, Mapping):
+            for name, inner in value.items():
+                walk(f"{path}.{name}" if path else name, inner)
+        elif isinstance(value, list) and any(isinstance(item, Mapping) for item in value):
+            pairs[f"{path}.count"] = str(len(value))
+            for i, item in enumerate(value):
+                walk(f"{path}.{i}", item)
+        elif isinstance(value, list):
+            pairs[path] = ",".join(text(item) for item in value)
+        elif value is not None:
+            pairs[path] = text(value)
+
+    walk("", tree)
+    return pairs
--- /dev/null
+++ b/rackhub/version.py
@@ -0,0 +1,3 @@
+"""The version, in one place; pyproject reads it from here."""
+
+VERSION = "0.2.0"
