--- a/rackhub/cli.py
+++ b/rackhub/cli.py
@@ -1,37 +1,41 @@
 """rackhub: the coordinator of a fleet of query engines.
 
 Usage:
-  rackhub serve [--config FILE]
-  rackhub check-config [--config FILE]
+  rackhub serve [--config FILE] [--operator FILE]
+  rackhub check-config [--config FILE] [--operator FILE]
+  rackhub hash-password
   rackhub version
   rackhub (-h | --help)
 
 Commands:
   serve         Serve until SIGTERM. SIGUSR1 prints the counters.
   check-config  Read and check the configuration, print a summary, serve nothing.
+  hash-password Read a password from standard input, print what the operator's file holds for it.
   version       Print the version.
 
 Options:
-  --config FILE  The configuration [default: the file that BALANCER_CONFIG names].
-  -h --help      Show this.
+  --config FILE    The configuration; without it the file that BALANCER_CONFIG names.
+  --operator FILE  The operator's file, which sets up TDS; without it TDS is off.
+  -h --help        Show this.
 """
 
 import logging
 import os
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 
 from docopt import docopt
 
 from rackhub import config as configuration
+from rackhub.operatorfile import hashed
 from rackhub.version import VERSION
 
 
 def main(words: Sequence[str] | None = None) -> int:
     """Run one sub-command; 2 for a bad command line or configuration."""
     try:
-        options = docopt(__doc__.replace(" [default: the file that BALANCER_CONFIG names]", ""),
-                         list(sys.argv[1:] if words is None else words))
+        options = docopt(__doc__, list(sys.argv[1:] if words is None else words))
     except SystemExit as end:
         if end.code and end.code != 0:
             print(end.code, file=sys.stderr)
@@ -40,8 +44,13 @@
     if options["version"]:
         print(f"rackhub {VERSION}")
         return 0
+    if options["hash-password"]:
+        print(hashed(sys.stdin.readline().rstrip("\r\n")))
+        return 0
     try:
         config = configuration.load(configuration.path_of(os.environ, options["--config"]))
+        operator = configuration.load_operator(Path(options["--operator"]) if options["--operator"] else None)
+        configuration.check_operator(operator, config.settings)
     except configuration.BadConfig as bad:
         print(f"rackhub: bad configuration: {bad}", file=sys.stderr)
         return 2
@@ -52,5 +61,5 @@
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     from rackhub.daemon import Daemon  # here: it takes hold of the reactor, which the other commands don't need
 
-    Daemon(config).run()
+    Daemon(config, operator).run()
     return 0
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -15,6 +15,7 @@
 from rackhub import interface as t
 from rackhub.limits import Limits
 from rackhub.net.resolver import Listing, whole_list
+from rackhub.operatorfile import Operator
 from rackhub.settings import BadLine, flatten, settings_of
 
 STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
@@ -128,6 +129,34 @@
                   engines(file.known), settings, limits(file))
 
 
+def load_operator(path: Path | None) -> Operator:
+    """The operator's file; without one all that it sets up is off."""
+    if path is None:
+        return Operator()
+    try:
+        operator = msgspec.toml.decode(path.read_bytes(), type=Operator)
+    except OSError as fault:
+        raise BadConfig(f"--operator: {path}: {os.strerror(fault.errno or 0)}") from None
+    except msgspec.MsgspecError as bad:
+        raise BadConfig(f"operator file: {bad}") from None
+    if operator.tds_front is not None:
+        address(operator.tds_front.listen, "tds_front.listen")
+        if not operator.tds_front.login:
+            raise BadConfig("tds_front.login: no login is set up")
+    return operator
+
+
+def check_operator(operator: Operator, settings: t.Settings) -> None:
+    """What the operator's file names must be there in the site's settings."""
+    classes, tenants = {told.name for told in settings.classes}, {told.name for told in settings.tenants}
+    for i, login in enumerate(operator.tds_front.login if operator.tds_front else ()):
+        if login.cls not in classes:
+            raise BadConfig(f"tds_front.login[{i}].class: the site has no class {login.cls!r}")
+        for tenant in login.tenants:
+            if tenant not in tenants:
+                raise BadConfig(f"tds_front.login[{i}].tenants: the site has no tenant {tenant!r}")
+
+
 def engines(known: Known) -> Listing:
     events = []
     for i, notice in enumerate(known.notices):
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -54,7 +54,7 @@
 
 
 class EnginePort(Protocol):
-    """The way to the engines. It reports by `Coordinator.ended` and `.noted`, never from inside `send`."""
+    """The way to the engines. It reports by `Coordinator.ended` and `.noted`."""
 
     def send(self, attempt: Attempt) -> None: ...
     def give_up(self, attempt: Attempt) -> None: ...
@@ -93,6 +93,10 @@
     def known(self, id: str) -> bool:
         return id in self.queries
 
+    def out_of_time(self, query: Query) -> bool:
+        """Whether an answer given now is given for want of time: the module ends a request two periods early."""
+        return self.clock.now() >= query.deadline - 2 * self.settings.period
+
     def submit(self, query: Query) -> None:
         """Take a request on: from here it is owed exactly one answer."""
         self.counters.add("requests_in")
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -8,14 +8,17 @@
 from twisted.internet.task import LoopingCall
 
 from rackhub.clock import UnixClock
-from rackhub.config import Config
+from rackhub.config import Config, address
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
-from rackhub.net.jsonrpc import JsonRpcFront
+from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.loop import ReactorWaker
 from rackhub.net.resolver import Listing, Resolver
 from rackhub.net.resp import resp_pools
+from rackhub.net.tds.engine import tds_pools
+from rackhub.net.tds.front import tds_front
+from rackhub.operatorfile import Operator
 
 log = logging.getLogger(__name__)
 
@@ -23,28 +26,34 @@
 class Daemon:
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
-    def __init__(self, config: Config):
+    def __init__(self, config: Config, operator: Operator):
         self.config, self.counters = config, Counters()
         clock = UnixClock()
         self.core = Coordinator(config.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)),
                                 config.limits, self.counters)
-        self.engines = resp_pools(reactor, clock, config.limits, self.counters, self.core)
-        self.front = JsonRpcFront(self.core, config.limits, self.counters)
+        shared = clock, config.limits, self.counters, self.core
+        self.engines = tds_pools(reactor, operator.tds_engines, *shared) if operator.tds_engines else \
+            resp_pools(reactor, *shared)
+        self.fronts = [(config.listen, jsonrpc_front(self.core, config.limits, self.counters))]
+        if operator.tds_front:
+            self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
+                                tds_front(operator.tds_front, self.core, config.limits, self.counters)))
         self.resolver = Resolver(reactor, config.nameserver, config.engines, self._listed, config.limits, self.counters)
-        self._port = None
+        self._ports = []
         self._draining = self._closing = False
 
     def run(self) -> None:
         limits, engines = self.config.limits, self.config.engines
         self.engines.listed(engines.addresses)
         self.core.start(self.engines, engines.entries, engines.rev)
-        host, port = self.config.listen
         reactor.listenUDP(0, self.resolver, interface="", maxPacketSize=limits.packet)
-        self._port = reactor.listenTCP(port, self.front, backlog=512, interface=host)
+        for (host, port), front in self.fronts:
+            self._ports.append(reactor.listenTCP(port, front, backlog=512, interface=host))
         LoopingCall(self.engines.sweep).start(1.0, now=False)
         for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell)):
             signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
-        log.info("%s serves on %s:%d, %d engines known", self.config.name, host, port, len(engines.entries))
+        log.info("%s serves on %s, %d engines known", self.config.name,
+                 ", ".join(f"{host}:{port}" for (host, port), _ in self.fronts), len(engines.entries))
         reactor.run(installSignalHandlers=False)
         self.tell()
 
@@ -61,13 +70,16 @@
     def _term(self) -> None:
         """Go on taking requests while clients still come, then answer what is open and leave."""
         if not self._draining:
-            self._draining = self.front.draining = True
+            self._draining = True
+            for _, front in self.fronts:
+                front.draining = True
             log.info("told to end: %d requests open", len(self.core.queries))
             reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
 
     def _close(self) -> None:
         self._closing = True
-        self._port.stopListening()
+        for port in self._ports:
+            port.stopListening()
         self.core.on_idle = self._idle
         if not self.core.queries:
             self._idle()
@@ -80,12 +92,13 @@
         if self.core.queries:  # one came on an open connection meanwhile: it is answered too
             return
         self.core.on_idle = None
-        self.front.end()
+        for _, front in self.fronts:
+            front.end()
         self.engines.close_all()
         self._wait_for_clients(self.config.limits.linger)
 
     def _wait_for_clients(self, left: int) -> None:
-        if self.front.connections and left > 0:
+        if left > 0 and any(front.connections for _, front in self.fronts):
             reactor.callLater(0.02, self._wait_for_clients, left - 20_000)
         else:
             reactor.stop()
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -31,6 +31,13 @@
     silence: int = 1_500 * MS  # nothing heard for so long with work out: new work takes a new connection
     stale: int = 30 * SECOND  # for so long an id given up on a connection is not used on it again
 
+    # TDS
+    tds_connections: int = 100
+    tds_login: int = 10 * SECOND  # to log in
+    tds_message: int = 262_144  # one request
+    tds_token: int = 65_536  # one token of an engine's answer
+    tds_engine_connections: int = 32  # to one engine: each carries one attempt at a time
+
     # resolver
     poll: int = 250 * MS
     packet: int = 8_192
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -6,13 +6,12 @@
 from typing import Any
 
 import msgspec
-from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineOnlyReceiver
 
 from rackhub.core.coordinator import Coordinator, Query
 from rackhub.counters import Counters
 from rackhub.limits import Limits
-from rackhub.statement import table_group
+from rackhub.net.front import Front, Unusable, request
 
 log = logging.getLogger(__name__)
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
@@ -46,21 +45,6 @@
 
 
 DECODE, ASK, STOP = msgspec.json.Decoder(Message), msgspec.json.Decoder(Ask), msgspec.json.Decoder(Stop)
-NAME = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+")
-MOST_MS = 3_600_000  # of a budget or an estimate: beyond it no class has a deadline
-
-
-def usable(ask: Ask) -> str:
-    """What is wrong with a request's figures and names, or nothing. Names go into heads of the engine's wire."""
-    if len(ask.rid) != 16 or not set(ask.rid) <= set("0123456789abcdef"):
-        return "rid is not 16 hex digits"
-    if not 0 < ask.budget <= MOST_MS:
-        return "budget is out of range"
-    if not 0 <= ask.est <= 1e9 or not 0 <= ask.ram <= 1e9:
-        return "est or ram is out of range"
-    if len(ask.token) > 256 or not NAME.issuperset(ask.token):
-        return "token holds what a key can't"
-    return "acct is too long" if len(ask.acct) > 256 else ""
 
 
 class JsonRpcConnection(LineOnlyReceiver):
@@ -69,7 +53,7 @@
 
     delimiter = b"\n"
 
-    def __init__(self, front: "JsonRpcFront"):
+    def __init__(self, front: Front):
         self.front, self.core, self.counters = front, front.core, front.counters
         self.MAX_LENGTH = front.limits.request_line
         self.open: dict[Any, Query] = {}
@@ -83,8 +67,7 @@
         self.front.connected(self)
 
     def connectionLost(self, reason: object = None) -> None:
-        self.counters.add("clients_closed")
-        self.front.connections.discard(self)
+        self.front.lost(self)
         left, self.open = list(self.open.values()), {}
         for query in left:
             self.core.leave(query)
@@ -141,22 +124,16 @@
         if cls is None:
             self.counters.add("bad_method")
             return self._error(id, NO_METHOD, "no such method")
-        try:
-            ask = ASK.decode(message.params)
-            fault = usable(ask)
-        except msgspec.MsgspecError as bad:
-            fault = str(bad)
-        if not fault and self.core.known(ask.rid):
-            fault = "rid is in use"
-        if fault:
-            self.counters.add("bad_params")
-            return self._error(id, BAD_PARAMS, fault)
         if len(self.open) >= self.front.limits.open_requests:
             self.counters.add("too_many_open")
             return self._error(id, INVALID, "too many open requests")
-        query = Query(ask.rid, cls.name, ask.body, self.core.clock.now() + int(ask.budget * 1_000), self, tag=id,
-                      tenant=ask.acct, token=ask.token if cls.effect == "dedup" else "",
-                      estimate=int(ask.est * 1_000), memory_mb=ask.ram, tables=table_group(ask.body))
+        try:
+            ask = ASK.decode(message.params)
+            query = request(self.core, self, id=ask.rid, cls=cls.name, statement=ask.body, budget_ms=ask.budget,
+                            tenant=ask.acct, token=ask.token, est_ms=ask.est, ram_mb=ask.ram, tag=id)
+        except (msgspec.MsgspecError, Unusable) as bad:
+            self.counters.add("bad_params")
+            return self._error(id, BAD_PARAMS, str(bad))
         self.open[id] = query
         self.core.submit(query)
 
@@ -211,31 +188,5 @@
             self.transport.loseConnection()
 
 
-class JsonRpcFront(ServerFactory):
-    """The listening side: its connections, and whether the program is on its way out."""
-
-    noisy = False
-
-    def __init__(self, core: Coordinator, limits: Limits, counters: Counters):
-        self.core, self.limits, self.counters = core, limits, counters
-        self.connections: set[JsonRpcConnection] = set()
-        self.draining = False
-
-    def buildProtocol(self, addr: object) -> JsonRpcConnection | None:
-        if len(self.connections) >= self.limits.client_connections:
-            self.counters.add("clients_refused")
-            return None  # closed at once: descriptors for engines are kept free
-        return JsonRpcConnection(self)
-
-    def connected(self, connection: JsonRpcConnection) -> None:
-        self.counters.add("clients_accepted")
-        self.connections.add(connection)
-
-    def end(self) -> None:
-        """Close every connection once what is open on it is answered."""
-        for connection in list(self.connections):
-            connection.end()
-
-    def abort(self) -> None:
-        for connection in list(self.connections):
-            connection.transport.abortConnection()
+def jsonrpc_front(core: Coordinator, limits: Limits, counters: Counters) -> Front:
+    return Front(JsonRpcConnection, core, limits, counters, limits.client_connections)
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import ClientFactory
+
 from rackhub.core.coordinator import Attempt, Coordinator
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
@@ -45,12 +48,40 @@
         link.refused()
 
 
+class DialFactory(ClientFactory):
+    """Carries one dial: Twisted reports its failure here."""
+
+    noisy = False
+
+    def __init__(self, pool: Pool, link: Link):
+        self._pool, self._link = pool, link
+
+    def buildProtocol(self, addr: object) -> Link:
+        return self._link
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self._pool.dial_failed(self._link)
+
+
+class Dial:
+    """Opens connections of one protocol."""
+
+    def __init__(self, reactor: IReactorTCP, make: Callable[[Pool], Link], limits: Limits):
+        self._reactor, self._make, self._timeout = reactor, make, limits.dial_timeout / 1_000_000
+
+    def __call__(self, pool: Pool) -> Link:
+        link = self._make(pool)
+        self._reactor.connectTCP(*pool.address, DialFactory(pool, link), timeout=self._timeout)
+        return link
+
+
 class Pools:
     """The engine port: one pool for each engine that the list names."""
 
-    def __init__(self, dial: Callable[[Pool, str, int], Link], clock: Clock, limits: Limits, counters: Counters,
-                 core: Coordinator):
+    def __init__(self, dial: Callable[[Pool], Link], clock: Clock, limits: Limits, counters: Counters,
+                 core: Coordinator, most: int):
         self._dial, self._clock, self._limits, self._counters, self._core = dial, clock, limits, counters, core
+        self._most = most  # connections to one engine
         self.pools: dict[str, Pool] = {}
 
     def listed(self, addresses: Mapping[str, Address]) -> None:
@@ -71,10 +102,10 @@
         pool = self.pools.get(attempt.engine)
         link = next((link for link in pool.links if link.takes(attempt)), None) if pool else None
         if link is None:
-            if pool is None or len(pool.links) >= self._limits.engine_connections:
+            if pool is None or len(pool.links) >= self._most:
                 return self._core.ended(attempt, "NOCONN")
             self._counters.add("engine_dials")
-            link = self._dial(pool, *pool.address)
+            link = self._dial(pool)
             pool.links.append(link)
         link.carry(attempt)
 
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -9,14 +9,13 @@
 from collections.abc import Callable, Iterable
 
 from twisted.internet.interfaces import IReactorTCP
-from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
 
 from rackhub.core.coordinator import Attempt, Coordinator
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
-from rackhub.net.pool import Pools
+from rackhub.net.pool import Dial, Pool, Pools
 
 log = logging.getLogger(__name__)
 TOPICS = {b"advance": 1, b"disk": 2, b"stall": 3}
@@ -96,7 +95,7 @@
     MAX_LENGTH = 65_536  # per instance from the limits: see __init__
     delimiter = b"\r\n"
 
-    def __init__(self, pool: "object", clock: Clock, limits: Limits, counters: Counters, core: Coordinator):
+    def __init__(self, pool: Pool, clock: Clock, limits: Limits, counters: Counters, core: Coordinator):
         self.pool, self.clock, self.limits, self.counters, self.core = pool, clock, limits, counters, core
         self.MAX_LENGTH = limits.head
         self.open: dict[bytes, Attempt] = {}
@@ -326,27 +325,10 @@
         self.core.ended(attempt, reason, report, rows)
 
 
-class EngineFactory(ClientFactory):
-    """Carries one dial: Twisted reports its failure here."""
-
-    noisy = False
-
-    def __init__(self, connection: EngineConnection):
-        self.connection = connection
-
-    def buildProtocol(self, addr: object) -> EngineConnection:
-        return self.connection
-
-    def clientConnectionFailed(self, connector: object, reason: object) -> None:
-        self.connection.pool.dial_failed(self.connection)
-
-
 def resp_pools(reactor: IReactorTCP, clock: Clock, limits: Limits, counters: Counters, core: Coordinator) -> Pools:
     """The engine port over RESP."""
 
-    def dial(pool: object, host: str, port: int) -> EngineConnection:
-        connection = EngineConnection(pool, clock, limits, counters, core)
-        reactor.connectTCP(host, port, EngineFactory(connection), timeout=limits.dial_timeout / 1_000_000)
-        return connection
+    def make(pool: Pool) -> EngineConnection:
+        return EngineConnection(pool, clock, limits, counters, core)
 
-    return Pools(dial, clock, limits, counters, core)
+    return Pools(Dial(reactor, make, limits), clock, limits, counters, core, limits.engine_connections)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,153 @@
+"""Configuration: the platform's file, the operator's file, and messages that name the faulty key."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from rackhub import config
+from rackhub.cli import main
+from rackhub.operatorfile import hashed
+from rackhub.settings import flatten, settings_of
+
+SETTINGS = {
+    "Services": [{"Name": "lookup", "Deadline": 3_000_000, "Effect": "retryable", "Worth": 1.0}],
+    "FamilyInfo": {"Dop": [2], "HoldsTables": [True], "KindCores": [8, 16], "RanksHeeded": True},
+    "HostTypes": ["std-8", "std-16"], "Permissions": {"DialTimeout": 250_000, "MaxAttempts": 3, "Cancel": True},
+    "Tenants": [{"Name": "acme", "Fraction": 0.5}], "Obligations": {"Fall": 3_000_000.0},
+    "Instances": 3, "Period": 5000}
+
+
+def endpoint(name, **more):
+    return {"name": name, "address": "127.0.0.1:5050", "zone": "east", "type": "std-8", "group": 2, "status": "ready",
+            "weight": 4, "since_ms": 0} | more
+
+
+def notice(rev, *endpoints, snapshot=False):
+    return {"rev": rev, "pool": {"index": 7, "snapshot": snapshot, "endpoints": list(endpoints)}}
+
+
+def told(**more):
+    return {"name": "n3", "listen": "127.0.0.1:5050", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "nameserver": "127.0.0.2:5300",
+            "known": {"rev": 3, "notices": [notice(3, endpoint("a"))]}, "settings": SETTINGS} | more
+
+
+def test_the_nested_form_reads_like_the_pairs_of_start():
+    pairs = flatten(SETTINGS)
+    assert pairs["Services.count"] == "1" and pairs["FamilyInfo.Dop"] == "2" and pairs["Permissions.Cancel"] == "true"
+    settings = settings_of(pairs)
+    assert settings.classes[0].threads == 2 and settings.classes[0].holds_tables and settings.gateways == 3
+    assert settings.kind_cores == {"std-8": 8.0, "std-16": 16.0} and settings.fall == 3_000_000
+
+
+def test_a_whole_file_is_read():
+    here = config.read(json.dumps(told()).encode())
+    assert here.seed == 0x8C1F30D27A5BE964 and here.listen == ("127.0.0.1", 5050)
+    assert here.engines.addresses == {"a": ("127.0.0.1", 5050)} and here.engines.entries[0].kind == "std-8"
+    assert here.limits.dial_timeout == 250_000 and here.limits.sockets == 1024
+
+
+def test_the_events_of_the_start_come_to_one_list():
+    known = {"rev": 5, "notices": [
+        notice(3, endpoint("a"), endpoint("b"), endpoint("c")), notice(4, endpoint("a", status="gone")),
+        notice(5, endpoint("b", status="draining"), endpoint("d", since_ms=12))]}
+    engines = config.read(json.dumps(told(known=known)).encode()).engines
+    assert [(e.engine, e.state, e.came_up) for e in engines.entries] == [
+        ("b", "Terminating", 0), ("c", "Ready", 0), ("d", "Ready", 12_000)]
+    assert engines.rev == 5 and set(engines.addresses) == {"b", "c", "d"}
+
+
+@pytest.mark.parametrize("change, key", [
+    ({"listen": 5}, "$.listen"), ({"listen": "nowhere"}, "listen"), ({"nameserver": "127.0.0.1:99999"}, "nameserver"),
+    ({"seed": "xyz"}, "seed"), ({"known": {"rev": 1}}, "notices"), ({"limits": {"sockets": 10}}, "limits.sockets"),
+    ({"limits": {"sockets": 1024, "memory_mb": 8}}, "limits.memory_mb"), ({"settings": {}}, "settings.Services"),
+    ({"known": {"rev": 1, "notices": [notice(1, endpoint("a", status="odd"))]}}, "endpoints[0].status"),
+    ({"known": {"rev": 1, "notices": [notice(1, endpoint("a", address="a"))]}}, "endpoints[0].address"),
+    ({"settings": SETTINGS | {"Permissions": {"MaxAttempts": "many"}}}, "Permissions.MaxAttempts"),
+    ({"settings": SETTINGS | {"Permissions": {"MaxAttempts": 0}}}, "max_attempts"),
+    ({"settings": SETTINGS | {"Permissions": {"DialTimeout": "soon"}}}, "settings.Permissions.DialTimeout"),
+    ({"settings": SETTINGS | {"Services": [{"Deadline": 5}]}}, "Services.0.Name")])
+def test_a_bad_file_ends_in_one_line_that_names_the_key(change, key, tmp_path, capsys):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told(**change)))
+    assert main(["check-config", "--config", str(path)]) == 2
+    said = capsys.readouterr().err
+    assert said.count("\n") == 1 and key in said and "Traceback" not in said
+
+
+def test_a_file_that_is_not_there_or_not_json_is_named(tmp_path, capsys, monkeypatch):
+    monkeypatch.delenv("BALANCER_CONFIG", raising=False)
+    assert main(["serve"]) == 2 and "BALANCER_CONFIG" in capsys.readouterr().err
+    assert main(["serve", "--config", str(tmp_path / "none")]) == 2 and "none" in capsys.readouterr().err
+    (tmp_path / "odd").write_bytes(b"\xff{")
+    assert main(["check-config", "--config", str(tmp_path / "odd")]) == 2 and "not JSON" in capsys.readouterr().err
+    assert main(["dance"]) == 2
+
+
+OPERATOR = f'''[tds_front]
+listen = "127.0.0.1:1433"
+database = "rides"
+[[tds_front.login]]
+user = "desk"
+password = "{hashed("open sesame", b"0123456789abcdef")}"
+class = "lookup"
+tenants = ["acme"]
+'''
+
+
+@pytest.mark.parametrize("old, new, key", [
+    ("", "", ""), ('"lookup"', '"other"', "login[0].class"), ('"acme"', '"nobody"', "login[0].tenants"),
+    ("scrypt:", "plain:", "password"), ("127.0.0.1:1433", "desk", "tds_front.listen"), ("user", "usr", "usr"),
+    ("database", "data", "data")])
+def test_the_operators_file_is_checked_against_the_site(old, new, key, tmp_path, capsys):
+    (tmp_path / "c.json").write_text(json.dumps(told()))
+    (tmp_path / "o.toml").write_text(OPERATOR.replace(old, new) if old else OPERATOR)
+    code = main(["check-config", "--config", str(tmp_path / "c.json"), "--operator", str(tmp_path / "o.toml")])
+    said = capsys.readouterr().err
+    assert (code, said) == (0, "") if not key else code == 2 and key in said and said.count("\n") == 1
+
+
+def test_the_operators_file_in_deploy_is_sound():
+    operator = config.load_operator(Path(__file__).parent.parent / "deploy" / "operator.toml")
+    assert operator.tds_front.login[0].cls == "report" and operator.tds_engines is None
+    assert config.load_operator(None).tds_front is None  # off unless set up
+
+
+def test_the_program_serves_drains_on_sigterm_and_prints_its_counters(tmp_path):
+    """A process as the platform runs it. It waits for events, never for a while: the ends of pipes and sockets."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    (tmp_path / "c.json").write_text(json.dumps(told(listen=f"127.0.0.1:{port}")))
+    process = subprocess.Popen([sys.executable, "-m", "rackhub", "serve"], stderr=subprocess.PIPE, text=True,
+                               env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "c.json")})
+    try:
+        assert f"serves on 127.0.0.1:{port}" in process.stderr.readline()
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            lines = client.makefile("rwb")
+
+            def ask(text):
+                lines.write(text + b"\n")
+                lines.flush()
+                return json.loads(lines.readline())
+
+            assert ask(b'{"jsonrpc":"2.0","id":1,"method":"alive"}') == {
+                "jsonrpc": "2.0", "id": 1, "result": {"pass": True}}
+            process.send_signal(signal.SIGUSR1)
+            assert "alives_in=1" in process.stderr.readline()
+            process.send_signal(signal.SIGTERM)
+            assert "told to end" in process.stderr.readline()
+            assert ask(b'{"jsonrpc":"2.0","id":2,"method":"alive"}')["result"] == {"pass": False}
+            assert lines.readline() == b""  # the connection is closed in order
+        assert "counters: clients_accepted=1" in process.stderr.read()
+        assert process.wait() == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,185 @@
+"""The core with a clock, engines and clients that the tests play: what must hold whatever the module decides."""
+
+import pytest
+from stands import CLASSES, LIMITS, MS, SETTINGS, FakeClock, S
+
+from rackhub import interface as t
+from rackhub.core.coordinator import Coordinator, Query
+from rackhub.core.timers import Timers
+from rackhub.counters import Counters
+
+
+class Port:
+    """Engines and client in one: notes what it is told."""
+
+    def __init__(self):
+        self.sent, self.given_up, self.hurried, self.answers = [], [], [], []
+
+    def send(self, attempt):
+        self.sent.append(attempt)
+
+    def give_up(self, attempt):
+        self.given_up.append(attempt)
+
+    def hurry(self, attempt):
+        self.hurried.append((attempt, attempt.query.level))
+
+    def close_idle(self, engine):
+        pass
+
+    def served(self, query, rows):
+        self.answers.append(("served", query.id, b"".join(rows)))
+
+    def refused(self, query, backoff):
+        self.answers.append(("refused", query.id, backoff))
+
+    def failed(self, query, why):
+        self.answers.append(("failed", query.id, why))
+
+
+class Scripted:
+    """A module that does what the test says, right or wrong."""
+
+    def __init__(self):
+        self.events, self.acts = [], {}
+
+    def handle(self, now, event):
+        self.events.append(event)
+        found = self.acts.get(type(event), ())
+        return found(event) if callable(found) else found
+
+
+class Core:
+    def __init__(self, module=None, limits=LIMITS, settings=SETTINGS):
+        self.clock, self.counters, self.port = FakeClock(), Counters(), Port()
+        self.core = Coordinator(settings, 7, self.clock, Timers(self.clock, self.clock), limits, self.counters)
+        if module:
+            self.core._control = module
+        self.core.start(self.port, [t.EngineEntry("e0", "z", "std"), t.EngineEntry("e1", "z", "std")], 1)
+        self.made = 0
+
+    def ask(self, cls="lookup", budget=S, **more):
+        self.made += 1
+        query = Query(f"{self.made:016x}", cls, b"x", self.clock.now() + budget, self.port, tenant="acme", **more)
+        self.core.submit(query)
+        return query
+
+
+def test_a_served_request_has_one_answer_and_nothing_is_left():
+    here = Core()
+    here.ask()
+    attempt, = here.port.sent
+    here.core.ended(attempt, "GOOD", {"busy_reqs": 3.0}, (b"a", b"b"))
+    here.core.ended(attempt, "RST")  # a second end crosses: it counts for nothing
+    here.clock.advance(30 * S)
+    assert here.port.answers == [("served", f"{1:016x}", b"ab")]
+    assert not here.core.queries and not here.core.out and here.counters["out_rst"] == 0
+
+
+def test_an_unanswered_request_is_answered_before_its_deadline():
+    here = Core()
+    here.ask(budget=900 * MS)
+    here.clock.advance(900 * MS)
+    (kind, _, back_off), = here.port.answers
+    assert kind == "refused" and back_off > 0 and here.port.given_up == here.port.sent
+    assert here.counters["backstop_answers"] == 0
+
+
+def test_a_refusal_of_the_module_is_passed_on_at_once():
+    """Never held back, so that a client asks less often: the issue forbids it."""
+    here = Core()
+    here.core.listed([], 2)
+    here.ask()
+    (kind, _, back_off), = here.port.answers
+    assert kind == "refused" and 0 < back_off <= SETTINGS.max_retry_after
+
+
+def test_a_module_that_forgets_a_request_does_not_keep_its_client_waiting():
+    here = Core(Scripted())
+    here.ask(budget=900 * MS)
+    here.clock.advance(900 * MS + LIMITS.backstop)
+    assert [kind for kind, *_ in here.port.answers] == ["failed"] and here.counters["backstop_answers"] == 1
+    assert isinstance(here.core._control.events[-1], t.ClientLeft)
+
+
+def test_a_module_that_breaks_ends_no_daemon():
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: 1 / 0
+    here = Core(module)
+    here.ask(budget=S)
+    here.clock.advance(2 * S)
+    assert here.counters["module_errors"] == 1 and len(here.port.answers) == 1
+
+
+def test_never_two_attempts_at_once_nor_more_than_allowed_nor_two_answers():
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0"), t.Send(event.query, "e1")]
+    here = Core(module)
+    query = here.ask(budget=9 * S)
+    assert len(here.port.sent) == 1 and here.counters["out_nop"] == 1
+    module.acts[t.AttemptEnded] = lambda event: [] if event.reason == "NOP" else [t.Send(event.query, "e0")]
+    for _ in range(5):
+        if query.out:
+            here.core.ended(query.out, "BAD")
+    assert len(here.port.sent) == SETTINGS.max_attempts
+    module.acts[t.TimerFired] = [t.Refuse(query.id, 5), t.Fail(query.id), t.Refuse(query.id), t.Send(query.id, "e0")]
+    here.core._due(1)
+    assert len(here.port.answers) == 1 and len(here.port.sent) == SETTINGS.max_attempts
+
+
+def test_a_time_out_gives_the_attempt_up_and_tells_the_module():
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0", 200 * MS)]
+    here = Core(module)
+    here.ask(budget=9 * S)
+    here.clock.advance(200 * MS)
+    assert here.port.given_up == here.port.sent
+    assert [event.reason for event in module.events if isinstance(event, t.AttemptEnded)] == ["LATE"]
+
+
+def test_a_client_that_leaves_is_owed_nothing_and_its_work_stops():
+    here = Core()
+    query = here.ask()
+    here.core.leave(query)
+    here.core.leave(query)
+    here.clock.advance(30 * S)
+    assert here.port.answers == [] and here.port.given_up == here.port.sent and here.counters["left"] == 1
+    assert here.counters["out_cxl"] == 1 and not here.core.out
+
+
+def test_a_priority_holds_for_what_is_out():
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: [t.Terms(event.query, 0, 2), t.Send(event.query, "e0")]
+    here = Core(module)
+    query = here.ask()
+    assert here.port.sent[0].query.level == 2 and here.port.hurried == []
+    module.acts[t.TimerFired] = [t.Terms(query.id, 0, 3)]
+    here.core._due(1)
+    assert here.port.hurried == [(here.port.sent[0], 3)]
+
+
+def test_memory_is_bounded_by_refusing_at_once():
+    import msgspec
+    here = Core(limits=msgspec.structs.replace(LIMITS, held_requests=2))
+    for _ in range(3):
+        here.ask()
+    assert [kind for kind, *_ in here.port.answers] == ["refused"] and here.counters["over_held"] == 1
+
+
+@pytest.mark.parametrize("cls", CLASSES, ids=lambda told: told.name)
+def test_a_timer_far_off_does_not_hold_up_a_near_one(cls):
+    here = Core()
+    here.ask(cls.name, budget=cls.deadline)
+    here.ask(cls.name, budget=400 * MS)
+    here.clock.advance(400 * MS)
+    assert [id for _, id, _ in here.port.answers] == [f"{2:016x}"]
+
+
+def test_on_idle_is_told_after_the_last_answer():
+    here, told = Core(), []
+    here.core.on_idle = lambda: told.append(len(here.port.answers))
+    here.ask()
+    here.ask()
+    for attempt in list(here.port.sent):
+        here.core.ended(attempt, "GOOD")
+    assert len(told) == 1
--- /dev/null
+++ b/tests/test_resolver.py
@@ -0,0 +1,119 @@
+"""The list of engines by DNS: what an answer means, and packets that must change nothing."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from stands import LIMITS
+from twisted.internet.task import Clock
+from twisted.names import dns
+
+from rackhub.counters import Counters
+from rackhub.net.resolver import SERVICE, BadAnswer, Listing, Resolver, listing_of, question
+
+
+def answer(number, serial, *engines, rcode=0, drop=()):
+    """A packet as the resolver sends it, names compressed; an engine is (name, address, priority, started)."""
+    message = dns.Message(id=number, answer=1, rCode=rcode)
+    message.queries = [dns.Query(SERVICE, dns.SRV, dns.IN)]
+    for name, address, priority, started in engines:
+        host = f"{name}.east.hosts".encode()
+        message.answers.append(dns.RRHeader(SERVICE, dns.SRV, dns.IN, 0, dns.Record_SRV(priority, 40, 5050, host)))
+        message.additional += [
+            dns.RRHeader(host, dns.A, dns.IN, 0, dns.Record_A(address)),
+            dns.RRHeader(host, dns.TXT, dns.IN, 0, dns.Record_TXT(b"kind=std", b"cell=2", b"started=%d" % started))]
+    message.authority = [dns.RRHeader(b"cluster.lan", dns.SOA, dns.IN, 0, dns.Record_SOA(b"a", b"b", serial))]
+    for section in ("answers", "authority", "additional"):
+        setattr(message, section, [record for record in getattr(message, section) if record.type not in drop])
+    return message.toStr()
+
+
+A, B = ("a", "127.0.0.1", 0, 0), ("b", "127.0.0.2", 1, 1_700_000_000_123)
+
+
+class Asked:
+    """A resolver's client on a wire in memory."""
+
+    def __init__(self):
+        self.clock, self.counters, self.lists, self.sent = Clock(), Counters(), [], []
+        self.resolver = Resolver(self.clock, ("127.0.0.9", 53), Listing(3, (), {}), self.lists.append, LIMITS,
+                                 self.counters)
+        self.transport, self.resolver.transport = self, self
+        self.resolver.startProtocol()
+
+    def connect(self, host, port):
+        self.server = (host, port)
+
+    def write(self, packet):
+        self.sent.append(packet)
+
+    @property
+    def number(self):
+        return int.from_bytes(self.sent[-1][:2], "big")
+
+    def hear(self, packet):
+        self.resolver.datagramReceived(packet, self.server)
+        return self.lists
+
+
+def test_the_question_is_one_that_a_resolver_reads():
+    message = dns.Message()
+    message.fromStr(question(513))
+    assert message.id == 513 and message.recDes and len(message.queries) == 1
+    assert (message.queries[0].name.name, message.queries[0].type) == (SERVICE, dns.SRV)
+
+
+def test_an_answer_is_the_whole_list():
+    listing = listing_of(answer(1, 41, A, B))
+    first, second = listing.entries
+    assert (first.engine, first.zone, first.kind, first.cell, first.state, first.size, first.came_up) == (
+        "a", "east", "std", 2, "Ready", 4.0, 0)
+    assert (second.state, second.came_up) == ("Terminating", 1_700_000_000_123_000)
+    assert listing.rev == 41 and listing.addresses == {"a": ("127.0.0.1", 5050), "b": ("127.0.0.2", 5050)}
+
+
+def test_an_empty_list_is_an_answer_too():
+    assert listing_of(answer(1, 41)).entries == ()
+
+
+@pytest.mark.parametrize("packet", [
+    answer(1, 41, A, rcode=2), answer(1, 41, A, drop=(dns.SOA,)), answer(1, 41, A, drop=(dns.A,)),
+    answer(1, 41, A, drop=(dns.TXT,)), answer(1, 41, ("a", "127.0.0.1", 7, 0)), question(1), b"", b"\0" * 12])
+def test_half_an_answer_is_none(packet):
+    with pytest.raises(BadAnswer):
+        listing_of(packet)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None, database=None)
+@given(st.data())
+def test_bytes_changed_or_cut_never_raise_anything_else(data):
+    packet = bytearray(answer(1, 41, A, B))
+    for _ in range(data.draw(st.integers(0, 4))):
+        packet[data.draw(st.integers(0, len(packet) - 1))] = data.draw(st.integers(0, 255))
+    try:
+        listing_of(bytes(packet[:data.draw(st.integers(0, len(packet)))]))
+    except BadAnswer:
+        pass
+
+
+def test_it_asks_again_and_again_and_takes_the_answer_to_any_recent_query():
+    """A lost packet must not cost the seconds after which news counts as told."""
+    here = Asked()
+    first = here.number
+    for _ in range(5):
+        here.clock.advance(LIMITS.poll / 1e6)
+    assert len(here.sent) == 6 and here.server == ("127.0.0.9", 53)
+    assert len(here.hear(answer(first, 4, A))) == 1
+
+
+def test_what_was_not_asked_for_is_older_or_the_same_changes_nothing():
+    here = Asked()
+    here.hear(answer(here.number ^ 1, 9, A))
+    assert here.lists == [] and here.counters["dns_bad"] == 1
+    here.hear(answer(here.number, 5, A))
+    here.hear(answer(here.number, 5, A))
+    here.hear(answer(here.number, 4, A, B))  # overtaken by the newer one
+    here.hear(answer(here.number, 6, A)[:-9])
+    assert [listing.rev for listing in here.lists] == [5]
+    assert (here.counters["dns_same"], here.counters["dns_old"], here.counters["dns_bad"]) == (1, 1, 2)
+    here.hear(answer(here.number, 6, A, B))
+    assert [listing.rev for listing in here.lists] == [5, 6]
--- /dev/null
+++ b/tests/test_wire_models.py
@@ -0,0 +1,501 @@
+"""Connections against models of their states: random steps (hypothesis, always the same ones), a fake clock,
+bytes split anywhere. What a connection writes and reports must be what its model says, and nothing else."""
+
+import base64
+import itertools
+import json
+import logging
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from stands import CLASSES, LIMITS, LOGIN, MS, TDS, FakeClock, S, TdsClient
+from twisted.internet.testing import StringTransport
+
+from rackhub.core.coordinator import Attempt, Query
+from rackhub.core.timers import Timers
+from rackhub.counters import Counters
+from rackhub.net.jsonrpc import jsonrpc_front
+from rackhub.net.pool import Pool
+from rackhub.net.resp import EngineConnection, command
+from rackhub.net.tds import codec
+from rackhub.net.tds import front as tds
+
+STEPS = settings(derandomize=True, max_examples=25, stateful_step_count=40, deadline=None, database=None)
+CUTS = st.lists(st.integers(1, 40), max_size=3)
+BACK = (("served", [b"a\tb\tc\n", b"d\te\tf\n"]), ("refused", 250_500), ("failed", "why"))
+
+
+class Transport(StringTransport):
+    """A transport in memory that keeps what was done to it."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def abortConnection(self):
+        self.aborted = self.disconnecting = True
+
+    def take(self):
+        said = self.value()
+        self.clear()
+        return said
+
+
+class PlayedCore:
+    """The core as a front or an engine connection sees it; what it is told is kept."""
+
+    def __init__(self):
+        self.clock, self.classes = FakeClock(), {told.name: told for told in CLASSES}
+        self.timers = Timers(self.clock, self.clock)
+        self.open, self.left, self.ends, self.notes = {}, [], [], []
+        self.late = False
+
+    def known(self, id):
+        return id in self.open
+
+    def submit(self, query):
+        self.open[query.id] = query
+
+    def leave(self, query):
+        self.left.append(query.id)
+        del self.open[query.id]
+
+    def out_of_time(self, query):
+        return self.late
+
+    def ended(self, attempt, reason, report=None, rows=()):
+        self.ends.append((attempt.query.id, reason, b"".join(rows)))
+
+    def noted(self, attempt, topic, value):
+        self.notes.append((attempt.query.id, topic, value))
+
+
+def feed(connection, data, cuts):
+    """The bytes in pieces."""
+    for cut in (*cuts, len(data)):
+        if data:
+            connection.dataReceived(data[:cut])
+            data = data[cut:]
+    if data:
+        connection.dataReceived(data)
+
+
+class JsonRpcModel(RuleBasedStateMachine):
+    """Model: the open ids, and whether the connection takes lines still."""
+
+    def __init__(self):
+        super().__init__()
+        self.core, self.counters = PlayedCore(), Counters()
+        self.front = jsonrpc_front(self.core, LIMITS, self.counters)
+        self.connection, self.wire = self.front.buildProtocol(None), Transport()
+        self.connection.makeConnection(self.wire)
+        self.open, self.numbers, self.taking, self.lost = {}, itertools.count(1), True, False
+
+    def say(self, message, cuts, raw=False):
+        feed(self.connection, (message if raw else json.dumps(message).encode()) + b"\n", cuts)
+        return [json.loads(line) for line in self.wire.take().splitlines()]
+
+    def ask(self, id, rid, method="lookup", **params):
+        body = base64.b64encode(b"SELECT 1 FROM a_3.b").decode()
+        given = {"rid": rid, "budget": 900, "acct": "acme", "body": body, "token": "k"} | params
+        return {"jsonrpc": "2.0", "id": id, "method": given.pop("method", method), "params": given}
+
+    @precondition(lambda self: self.taking)
+    @rule(cuts=CUTS, method=st.sampled_from([told.name for told in CLASSES]))
+    def request(self, cuts, method):
+        id = next(self.numbers)
+        said = self.say(self.ask(id, f"{id:016x}", method), cuts)
+        if len(self.open) >= LIMITS.open_requests:
+            assert [answer["error"]["code"] for answer in said] == [-32600] and said[0]["id"] == id
+        else:
+            self.open[id] = f"{id:016x}"
+            assert said == []
+            query = self.core.open[f"{id:016x}"]
+            assert (query.tables, query.deadline) == (3, self.core.clock.now() + 900 * MS)
+            assert query.token == ("k" if method == "depot-load" else "")
+
+    @precondition(lambda self: self.taking)
+    @rule(cuts=CUTS, fault=st.sampled_from([
+        (b"{not json", -32700), (b"\xff\xfe", -32700), (b"[]", -32600), (b'[{"jsonrpc":"2.0"}]', -32600),
+        (b'{"jsonrpc":"1.0","id":900,"method":"lookup"}', -32600), (b'{"jsonrpc":"2.0","id":900}', -32600),
+        (b'{"jsonrpc":"2.0","id":900,"method":"dance"}', -32601),
+        (b'{"jsonrpc":"2.0","id":900,"method":"lookup"}', -32602),
+        (b'{"jsonrpc":"2.0","id":1.5,"method":"lookup"}', -32600), (b"", -32700),
+        ({"rid": "XYZ"}, -32602), ({"budget": 0}, -32602), ({"budget": "soon"}, -32602), ({"est": -1}, -32602),
+        ({"body": "%%"}, -32602), ({"acct": "a" * 300}, -32602),
+        ({"method": "depot-load", "token": ""}, -32602), ({"method": "depot-load", "token": "a,level=3"}, -32602)]))
+    def fault(self, cuts, fault):
+        line, code = fault
+        if isinstance(line, dict):
+            line = json.dumps(self.ask(900, **{"rid": "00000000000000ff"} | line)).encode()
+        said, = self.say(line, cuts, raw=True)
+        assert len(self.open) >= LIMITS.open_requests or said["error"]["code"] == code
+
+    @precondition(lambda self: self.taking and self.open)
+    @rule(cuts=CUTS, data=st.data())
+    def repeated(self, cuts, data):
+        id = data.draw(st.sampled_from(sorted(self.open)))
+        said, = self.say(self.ask(id, "00000000000000fe"), cuts)
+        assert said["error"]["code"] == -32600 and said["id"] is None  # under its id it would pass for the answer
+        if len(self.open) < LIMITS.open_requests:
+            said, = self.say(self.ask(901, self.open[id]), cuts)
+            assert said["error"]["code"] == -32602 and said["id"] == 901
+
+    @precondition(lambda self: self.open)
+    @rule(data=st.data(), how=st.sampled_from(BACK))
+    def answered(self, data, how):
+        id = data.draw(st.sampled_from(sorted(self.open)))
+        query = self.core.open.pop(self.open.pop(id))
+        getattr(query.reply, how[0])(query, how[1])
+        said, = (json.loads(line) for line in self.wire.take().splitlines())
+        assert said["id"] == id
+        if how[0] == "served":
+            assert base64.b64decode(said["result"]["body"]) == b"".join(how[1])
+        elif how[0] == "refused":
+            assert said["error"]["code"] == -32008 and said["error"]["data"] == {"backoff": 251}
+        else:
+            assert said["error"]["code"] == -32000
+
+    @precondition(lambda self: self.taking)
+    @rule(cuts=CUTS, id=st.integers(1, 40))
+    def cancel(self, cuts, id):
+        assert self.say({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": id}}, cuts) == []
+        if id in self.open:
+            assert self.core.left[-1] == self.open.pop(id)
+
+    @precondition(lambda self: self.taking)
+    @rule(cuts=CUTS)
+    def alive(self, cuts):
+        assert self.say({"jsonrpc": "2.0", "id": 950, "method": "alive"}, cuts)[0]["result"] == {"pass": True}
+
+    @precondition(lambda self: self.taking)
+    @rule(how=st.integers(0, 9))
+    def stop_taking(self, how):
+        if how == 0:
+            assert self.say(b"x" * (LIMITS.request_line + 1), [], raw=True)[0]["error"]["code"] == -32600
+        elif how == 1:
+            self.connection.end()
+        self.taking = how > 1
+
+    @precondition(lambda self: not self.taking)
+    @rule()
+    def deaf(self):
+        assert self.say(self.ask(990, "00000000000000fd"), []) == []
+
+    @precondition(lambda self: not self.lost)
+    @rule(how=st.integers(0, 19))
+    def lose(self, how):
+        if how == 0:
+            self.connection.connectionLost()
+            assert sorted(self.core.left[len(self.core.left) - len(self.open):]) == sorted(self.open.values())
+            self.open, self.taking, self.lost = {}, False, True
+            self.connection.ending = True  # a lost connection is fed nothing
+
+    @invariant()
+    def agrees(self):
+        assert {query.tag for query in self.core.open.values()} == set(self.open)
+        assert self.lost or self.wire.disconnecting == (not self.taking and not self.open)
+        assert (self.connection in self.front.connections) != self.lost
+
+
+class RespModel(RuleBasedStateMachine):
+    """Model: the attempts on the connection with the pages each still needs, the ids given up on it, its state, and
+    whether it has gone silent: then it takes nothing new and is dropped when nothing is open on it."""
+
+    def __init__(self):
+        super().__init__()
+        self.core, self.counters = PlayedCore(), Counters()
+        self.pool = Pool("e0", ("127.0.0.1", 1), self.counters)
+        self.connection = EngineConnection(self.pool, self.core.clock, LIMITS, self.counters, self.core)
+        self.pool.links.append(self.connection)
+        self.wire, self.state = Transport(), "dialling"
+        self.attempts, self.stale, self.pages, self.expected = {}, set(), {}, []
+        self.numbers, self.heard, self.silent = itertools.count(1), 0, False
+
+    def say(self, *words, cuts=()):
+        self.heard = self.core.clock.now()
+        feed(self.connection, b"".join(command(*words)), cuts)
+
+    def pick(self, data, where):
+        return data.draw(st.sampled_from(sorted(where)))
+
+    def over(self, id, reason, rows=b""):
+        del self.attempts[id]
+        self.pages.pop(id, None)
+        self.expected.append((id, reason, rows))
+
+    @precondition(lambda self: self.state in ("dialling", "up") and len(self.attempts) < 20)
+    @rule()
+    def carry(self):
+        id = f"{next(self.numbers):016x}"
+        query = Query(id, "depot-load", b"INSERT", self.core.clock.now() + 9 * S, None, token="key")
+        attempt = self.attempts[id] = Attempt(query, 0, "e0", self.core.clock.now())
+        assert self.connection.takes(attempt) != self.silent
+        if self.silent:
+            return self.attempts.__delitem__(id)
+        self.connection.carry(attempt)
+        assert not self.connection.takes(Attempt(query, 1, "e0", 0))  # its id is in use here
+        want = b"".join(command(b"want", id.encode(), b"profile=depot-load,max=9000,level=1,replay=key", b"INSERT"))
+        assert self.wire.take() == (want if self.state == "up" else b"")
+
+    @precondition(lambda self: self.state == "dialling")
+    @rule(works=st.integers(0, 9))
+    def dialled(self, works):
+        if works:
+            self.state, self.heard = "up", self.core.clock.now()
+            self.connection.makeConnection(self.wire)
+            assert self.wire.take().count(b"$4\r\nwant\r\n") == len(self.attempts)
+        else:
+            self.state = "lost"
+            self.pool.dial_failed(self.connection)
+            for id in list(self.attempts):
+                self.over(id, "NOCONN")
+
+    @precondition(lambda self: self.state == "up" and self.attempts)
+    @rule(data=st.data(), cuts=CUTS, count=st.integers(1, 4))
+    def result(self, data, cuts, count):
+        id = self.pick(data, self.attempts)
+        if id in self.pages:
+            return
+        self.say(id.encode(), b"200", b"chunks=%d,report=inflight:7;queue:2" % count, b"p0\n", cuts=cuts)
+        asked = b"".join(b"".join(command(b"turn", id.encode(), b"%d" % page)) for page in range(1, count))
+        assert self.wire.take() == asked  # success waits for all pages
+        if count == 1:
+            self.over(id, "GOOD", b"p0\n")
+        else:
+            self.pages[id] = {0: b"p0\n"} | dict.fromkeys(range(1, count))
+
+    @precondition(lambda self: self.state == "up" and self.pages)
+    @rule(data=st.data(), cuts=CUTS)
+    def page(self, data, cuts):
+        id = self.pick(data, self.pages)
+        pages = self.pages[id]
+        at = data.draw(st.sampled_from([number for number, page in pages.items() if page is None]))
+        pages[at] = b"p%d\n" % at
+        self.say(id.encode(), b"chunk", b"at=%d" % at, pages[at], cuts=cuts)
+        if all(pages.values()):
+            self.over(id, "GOOD", b"".join(pages[number] for number in sorted(pages)))
+
+    @precondition(lambda self: self.state == "up" and self.attempts)
+    @rule(data=st.data(), cuts=CUTS, word=st.sampled_from([b"503", b"500", b"504"]))
+    def ends(self, data, cuts, word):
+        id = self.pick(data, self.attempts)
+        reason = "BAD" if id in self.pages else {b"503": "FULL", b"500": "BAD", b"504": "NOP"}[word]
+        self.say(id.encode(), word, b"-", b"", cuts=cuts)
+        self.over(id, reason)
+
+    @precondition(lambda self: self.state == "up" and self.attempts)
+    @rule(data=st.data(), cuts=CUTS)
+    def note(self, data, cuts):
+        id, before = self.pick(data, self.attempts), len(self.core.notes)
+        self.say(id.encode(), b"status", b"remark=stall,amount=2", b"", cuts=cuts)
+        assert self.core.notes[before:] == [(id, 3, 2.0)]
+
+    @precondition(lambda self: self.attempts)
+    @rule(data=st.data())
+    def give_up(self, data):
+        id = self.pick(data, self.attempts)
+        word = b"shut" if id in self.pages else b"never_mind"
+        attempt = self.attempts.pop(id)
+        self.pages.pop(id, None)
+        self.connection.give_up(attempt)
+        assert self.wire.take() == (b"".join(command(word, id.encode())) if self.state == "up" else b"")
+        if self.state == "up":
+            self.stale.add(id)
+            now = self.core.clock.now()
+            self.silent |= self.heard <= attempt.sent and now - attempt.sent >= LIMITS.silence
+            assert not self.connection.takes(attempt)  # an answer that crossed would pass for a later attempt's
+
+    @precondition(lambda self: self.state == "up" and self.stale)
+    @rule(data=st.data(), cuts=CUTS, word=st.sampled_from([b"200", b"500", b"chunk", b"status"]))
+    def crossed(self, data, cuts, word):
+        self.say(self.pick(data, self.stale).encode(), word, b"chunks=3,at=1", b"old\n", cuts=cuts)
+        assert self.wire.take() == b""
+
+    @precondition(lambda self: self.attempts)
+    @rule(data=st.data())
+    def hurry(self, data):
+        id = self.pick(data, self.attempts)
+        self.connection.hurry(self.attempts[id])
+        heard = self.state == "up" and id not in self.pages
+        assert self.wire.take() == (b"".join(command(b"hurry", id.encode(), b"1")) if heard else b"")
+
+    @precondition(lambda self: self.state == "up")
+    @rule(how=st.integers(0, 11), cuts=CUTS, bad=st.sampled_from([
+        b"hello\r\n", b"*99\r\n", b"*0\r\n", b"*4\r\n:4\r\n", b"*4\r\n$999999\r\n", b"*1\r\n$1\r\nabc",
+        b"*4" + b"4" * 99,
+        b"".join(command(b"1", b"999", b"-", b"")), b"".join(command(b"1", b"200", b"chunks", b"")),
+        b"".join(command(b"1", b"200", b"-"))]))
+    def broken(self, how, cuts, bad):
+        if how > 1:
+            return
+        if how:
+            feed(self.connection, bad, cuts)
+            assert self.wire.aborted and self.counters["engine_bad_frames"] == 1
+        self.connection.connectionLost()
+        self.state = "lost"
+        for id in list(self.attempts):
+            self.over(id, "RST")
+
+    @rule(span=st.sampled_from([MS, S, 31 * S]))
+    def time(self, span):
+        self.core.clock.advance(span)
+        if span > LIMITS.stale:
+            self.stale.clear()
+
+    @invariant()
+    def agrees(self):
+        if self.silent and not self.attempts and self.state == "up":
+            assert self.wire.aborted
+            self.connection.connectionLost()
+            self.state = "lost"
+        assert sorted(self.core.ends) == sorted(self.expected)
+        assert {attempt.query.id for attempt in self.connection.open.values()} == set(self.attempts)
+        assert (self.connection in self.pool.links) == (self.state != "lost")
+
+
+class TdsModel(RuleBasedStateMachine):
+    """Model: the state of the front's connection, and the request that runs on it."""
+
+    def __init__(self):
+        super().__init__()
+        self.core, self.counters, numbers = PlayedCore(), Counters(), itertools.count(1)
+        self.front = tds.tds_front(TDS, self.core, LIMITS, self.counters, lambda: f"{next(numbers):016x}")
+        self.connection, self.wire, self.client = self.front.buildProtocol(None), Transport(), TdsClient()
+        self.connection.makeConnection(self.wire)
+        self.state, self.kind, self.pages = "prelogin", codec.DONE, 0
+
+    def say(self, kind, body, cuts=()):
+        feed(self.connection, b"".join(codec.message(kind, body, 600)), cuts)
+        return self.heard()
+
+    def heard(self):
+        self.client.dataReceived(self.wire.take())
+        answers, self.client.answers = self.client.answers, []
+        return answers
+
+    @precondition(lambda self: self.state == "prelogin")
+    @rule(cuts=CUTS)
+    def prelogin(self, cuts):
+        assert self.say(codec.PRELOGIN, codec.prelogin(), cuts) == [[]]
+        self.state = "login"
+
+    @precondition(lambda self: self.state == "login")
+    @rule(cuts=CUTS, right=st.integers(0, 9))
+    def login(self, cuts, right):
+        body = codec.login7("desk", "open sesame" if right else "wrong", "rides", 512)
+        answer, = self.say(codec.LOGIN7, body, cuts)
+        if right:
+            assert codec.LOGINACK in [kind for kind, _ in answer]
+        else:
+            assert answer[0][1].number == 18456 and self.wire.disconnecting
+        self.state = "ready" if right else "closed"
+
+    @precondition(lambda self: self.state == "ready")
+    @rule(cuts=CUTS, batch=st.booleans())
+    def request(self, cuts, batch):
+        kind, body = (codec.SQL_BATCH, codec.batch("SELECT 'é' FROM a_3.b")) if batch else (codec.RPC, codec.rpc(
+            "rackhub_query", {"@statement": "x", "@class": "depot-load", "@key": "k", "@est_ms": 1.5, "@ram_mb": 7}))
+        assert self.say(kind, body, cuts) == []
+        query, = self.core.open.values()
+        assert query.deadline == self.core.clock.now() + (3 * S if batch else 25 * S) and query.tenant == "acme"
+        assert (query.cls, query.token, query.estimate, query.memory_mb, query.statement) == (
+            ("lookup", "", 0, 0, "SELECT 'é' FROM a_3.b".encode()) if batch else ("depot-load", "k", 1500, 7, b"x"))
+        self.state, self.kind = "busy", codec.DONE if batch else codec.DONEPROC
+
+    @precondition(lambda self: self.state == "ready")
+    @rule(cuts=CUTS, fault=st.sampled_from([
+        (codec.RPC, codec.rpc("sp_who", {}), 50005), (codec.BULK, b"", 50005), (codec.TRANSACTION, b"abc", 50005),
+        (codec.RPC, codec.rpc("rackhub_query", {}), 50004), (codec.SQL_BATCH, codec.batch(" "), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@class": "depot-load"}), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@class": "none"}), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@tenant": "other"}), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@budget_ms": -5}), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@budget_ms": "5"}), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@other": "5"}), 50004),
+        (codec.RPC, codec.rpc("rackhub_query", {}) + b"\x00\x00\x24\x10\x00", 50005)]))
+    def fault(self, cuts, fault):
+        kind, body, number = fault
+        answer, = self.say(kind, body, cuts)
+        assert answer[0][1].number == number and answer[-1][1].status == codec.DONE_ERROR and not self.core.open
+
+    @precondition(lambda self: self.state == "busy")
+    @rule(how=st.sampled_from(BACK), late=st.booleans())
+    def answered(self, how, late):
+        _, query = self.core.open.popitem()
+        self.core.late = late
+        getattr(query.reply, how[0])(query, how[1])
+        if how[0] == "served":
+            self.state, self.pages = "rows", len(how[1])
+            return
+        answer, = self.heard()
+        error = answer[0][1]
+        wanted = (50003, 1 if how[0] == "refused" else 2) if late else (50001 if how[0] == "refused" else 50002, 1)
+        assert (error.number, error.state) == wanted and (how[0] != "refused" or "retry after 251 ms" in error.text)
+        assert answer[-1] == (self.kind, codec.Done(codec.DONE_ERROR, 0))
+        self.state = "ready"
+
+    @precondition(lambda self: self.state == "rows")
+    @rule()
+    def rows(self):
+        """The client has read what was written: the transport asks for more."""
+        self.connection.resumeProducing()
+        if self.wire.producer is None:
+            answer, = self.heard()
+            assert [value for kind, value in answer if kind == codec.ROW] == [["a", "b", "c"], ["d", "e", "f"]]
+            assert answer[-1] == (self.kind, codec.Done(codec.DONE_COUNT, 2))
+            self.state = "ready"
+
+    @precondition(lambda self: self.state in ("ready", "busy", "rows"))
+    @rule(cuts=CUTS)
+    def attention(self, cuts):
+        left = list(self.core.open)
+        answer, = self.say(codec.ATTENTION, b"", cuts)
+        assert answer[-1] == (codec.DONE, codec.Done(codec.DONE_ATTN, 0))
+        assert self.core.left[len(self.core.left) - len(left):] == left and not self.core.open
+        assert self.wire.producer is None
+        self.state = "ready"
+
+    @precondition(lambda self: self.state == "ready")
+    @rule(cuts=CUTS)
+    def broken_off(self, cuts):
+        packet = codec.HEADER.pack(codec.SQL_BATCH, codec.EOM | codec.IGNORE, 12, 0, 1, 0) + b"abcd"
+        feed(self.connection, packet, cuts)
+        assert self.heard() == [] and not self.core.open
+
+    @precondition(lambda self: self.state not in ("closed", "lost"))
+    @rule(how=st.integers(0, 19), bad=st.sampled_from([
+        b"\x01\x01\x00\x04\0\0\0\0", b"\x63\x01\x00\x08\0\0\0\0", b"\x12\x01\x00\x09\0\0\0\0\x05",
+        b"".join(codec.message(codec.SQL_BATCH, b"\xff\xff\xff\xff")), b"".join(codec.message(codec.RPC, b"abc"))]))
+    def ended(self, how, bad):
+        if how == 0:
+            feed(self.connection, bad, ())
+            if self.state in ("busy", "rows") and not self.wire.aborted:
+                return
+            assert self.wire.aborted and self.counters["tds_bad"] == 1
+        if how <= 1:
+            left = list(self.core.open)
+            self.connection.connectionLost()
+            assert self.core.left[len(self.core.left) - len(left):] == left and not self.core.open
+            self.state = "lost"
+
+    @rule()
+    def time(self):
+        self.core.clock.advance(11 * S)
+        if self.state in ("prelogin", "login"):
+            assert self.wire.aborted  # who does not log in holds no descriptor
+            self.state = "closed"
+
+    @invariant()
+    def agrees(self):
+        assert len(self.core.open) == (self.state == "busy")
+        assert self.state not in ("ready", "busy", "rows") or self.connection.state == self.state
+
+
+logging.getLogger("rackhub").setLevel(logging.ERROR)
+for model in (JsonRpcModel, RespModel, TdsModel):
+    model.TestCase.settings = STEPS
+TestJsonRpc, TestResp, TestTds = JsonRpcModel.TestCase, RespModel.TestCase, TdsModel.TestCase
+assert LOGIN.accepts("open sesame") and not LOGIN.accepts("wrong")
