Count told load in threads of live attempts, so that crowded engines show as pressure

Checked: reports arrive and are read, yet on_note moved slow attempts, so pressed was false with engines crowded. At fault: control.py report(): threads an attempt was threads / len(attempts), but free() takes the threads of attempts given up for lost and leaves them in attempts, so each told query weighed next to nothing.

--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -123,7 +123,7 @@
         self.tenants = {told.name: new_tenant(told.fraction) for told in settings.tenants}
         self.key_rest, self.taken, self.further, self.granted = {}, deque(), deque(), 1.0
         self.granting, self.memory, self.held, self.codes, self.aside = 0.0, 0.0, Aged(), {}, 0.0
-        self.threads, self.peak, self.slice, self.even = 0, 0, 0.0, 0.0
+        self.threads, self.live, self.peak, self.slice, self.even = 0, 0, 0, 0.0, 0.0
         self.lag, self.over, self.lost, self.kind, self.sure_until = Aged(), Aged(), Aged(), 0, 0
         self.probes, self.stalled, self.tick_due, self.refs = (math.inf, 0), 0, math.inf, 0
 
@@ -320,6 +320,7 @@
         query, engine = attempt.query, attempt.engine
         engine.threads += sign * attempt.threads
         self.threads += sign * attempt.threads
+        self.live += sign * (attempt.threads > 0)
         self.peak = max(self.peak, self.threads)
         self.granting += sign * attempt.memory
         query.tenant.threads += sign * attempt.threads
@@ -518,7 +519,7 @@
         engine, values = self.engines.get(event.engine), event.report
         if engine and ("busy_reqs" in values or "cpu_share" in values):
             self.granted += (values.get("x0", 1) - self.granted) / 8
-            each = self.threads / max(len(self.attempts), 1) / engine.cores / CROWDED
+            each = max(self.threads, 1) / max(self.live, 1) / engine.cores / CROWDED  # of those not freed
             over = values["busy_reqs"] * each - 1 if "busy_reqs" in values else \
                 4 * (max(values["cpu_share"], values.get("x0", 0)) - BUSY)
             self.weigh(2, over)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1035,6 +1035,18 @@
     assert all(send.query == query for send in silence())
 
 
+def test_attempts_given_up_for_lost_do_not_hide_what_engines_say_they_hold():
+    """Their threads counted as none, which made each query in hand look light: on overloaded days no report of a
+    crowded engine was pressure, and all that came was sent."""
+    gateway = Gateway(engines=1)
+    gateway.teach()
+    first, *others = crowd(gateway, 20)
+    for send in others:
+        gateway.control.free(gateway.control.attempts[send.query, 0])
+    gateway.end(first, report={"busy_reqs": 300.0})
+    assert gateway.control.pressed
+
+
 def test_under_pressure_a_slow_attempt_is_not_moved_and_a_hopeless_one_is_refused_at_once():
     """On overloaded days each query was moved once or twice for nothing: its work was lost and came again."""
     gateway = Gateway(engines=2, note_period=S)
