Put settings and engine lists behind one port, guard timers and the drain, write the README

- core/source.py is the one port for settings and lists; the platform's file and resolver stand behind it.
- A timer's call that failed kept all later timers from theirs, deadlines among them (core/timers.py run_due).
- An answer that emptied the core twice would have stopped the reactor twice at the drain (daemon.py _let_out).
- Faults inside the reactor's callbacks went to no log; an address that is taken ended in a trace.
The process test now has a request open at SIGTERM: it is answered before the program leaves.

--- a/rackhub/cli.py
+++ b/rackhub/cli.py
@@ -59,7 +59,14 @@
               f"{len(config.settings.classes)} classes, {len(config.engines.entries)} engines known")
         return 0
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    logging.getLogger("twisted").setLevel(logging.WARNING)
+    from twisted.internet.error import CannotListenError
+
     from rackhub.daemon import Daemon  # here: it takes hold of the reactor, which the other commands don't need
 
-    Daemon(config, operator).run()
+    try:
+        Daemon(config, operator).run()
+    except CannotListenError as fault:
+        print(f"rackhub: bad configuration: listen: {fault}", file=sys.stderr)
+        return 2
     return 0
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -13,8 +13,9 @@
 import msgspec
 
 from rackhub import interface as t
+from rackhub.core.source import Listing
 from rackhub.limits import Limits
-from rackhub.net.resolver import Listing, whole_list
+from rackhub.net.resolver import whole_list
 from rackhub.operatorfile import Operator
 from rackhub.settings import BadLine, flatten, settings_of
 
--- /dev/null
+++ b/rackhub/core/source.py
@@ -0,0 +1,26 @@
+"""The port through which settings and lists of engines reach the core, whoever keeps them."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from rackhub import interface as t
+
+Address = tuple[str, int]
+
+
+class Listing(NamedTuple):
+    """The list of engines at one event of its numbering."""
+
+    rev: int
+    entries: tuple[t.EngineEntry, ...]
+    addresses: dict[str, Address]
+
+
+class Source(Protocol):
+    """On the platform its file and its resolver; a store of the program's own would stand here too."""
+
+    settings: t.Settings
+    start: Listing
+
+    def follow(self, told: Callable[[Listing], None]) -> None:
+        """Call back with each list that is new from now on."""
--- a/rackhub/core/timers.py
+++ b/rackhub/core/timers.py
@@ -1,9 +1,12 @@
 """Many timers on one wake-up: the module asks for thousands that it never withdraws."""
 
 import heapq
+import logging
 from collections.abc import Callable
 from typing import Any, Protocol
 
+log = logging.getLogger(__name__)
+
 
 class Clock(Protocol):
     def now(self) -> int: ...
@@ -43,7 +46,10 @@
             if due[1] > last:
                 held.append(due)
                 continue
-            due[2](*due[3])
+            try:
+                due[2](*due[3])
+            except Exception:  # all other timers hang on this walk, deadlines among them: it must reach its end
+                log.exception("a timer's call failed")
         for due in held:
             heapq.heappush(self._heap, due)
         self._arm()
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -7,15 +7,17 @@
 
 from twisted.internet import reactor
 from twisted.internet.task import LoopingCall
+from twisted.python.log import PythonLoggingObserver
 
 from rackhub.clock import UnixClock
 from rackhub.config import Config, address
 from rackhub.core.coordinator import Coordinator
+from rackhub.core.source import Listing, Source
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.loop import ReactorWaker
-from rackhub.net.resolver import Listing, Resolver
+from rackhub.net.resolver import Platform
 from rackhub.net.resp import resp_pools
 from rackhub.net.tds.engine import tds_pools
 from rackhub.net.tds.front import tds_front
@@ -30,7 +32,9 @@
     def __init__(self, config: Config, operator: Operator):
         self.config, self.counters = config, Counters()
         clock = UnixClock()
-        self.core = Coordinator(config.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)),
+        self.source: Source = Platform(reactor, config.settings, config.engines, config.nameserver, config.limits,
+                                       self.counters)
+        self.core = Coordinator(self.source.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)),
                                 config.limits, self.counters)
         shared = clock, config.limits, self.counters, self.core
         self.engines = tds_pools(reactor, operator.tds_engines, *shared) if operator.tds_engines else \
@@ -39,15 +43,15 @@
         if operator.tds_front:
             self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
                                 tds_front(operator.tds_front, self.core, config.limits, self.counters)))
-        self.resolver = Resolver(reactor, config.nameserver, config.engines, self._listed, config.limits, self.counters)
         self._ports = []
-        self._draining = self._closing = False
+        self._draining = self._leaving = False
 
     def run(self) -> None:
-        limits, engines = self.config.limits, self.config.engines
+        engines = self.source.start
         self.engines.listed(engines.addresses)
         self.core.start(self.engines, engines.entries, engines.rev)
-        reactor.listenUDP(0, self.resolver, interface="", maxPacketSize=limits.packet)
+        PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
+        self.source.follow(self._listed)
         for (host, port), front in self.fronts:
             self._ports.append(reactor.listenTCP(port, front, backlog=512, interface=host))
         LoopingCall(self.engines.sweep).start(1.0, now=False)
@@ -82,7 +86,6 @@
             reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
 
     def _close(self) -> None:
-        self._closing = True
         for port in self._ports:
             port.stopListening()
         self.core.on_idle = self._idle
@@ -94,8 +97,9 @@
         reactor.callLater(0, self._let_out)
 
     def _let_out(self) -> None:
-        if self.core.queries:  # one came on an open connection meanwhile: it is answered too
+        if self.core.queries or self._leaving:  # one came on an open connection meanwhile: it is answered too
             return
+        self._leaving = True  # an answer may have called for this more than once
         self.core.on_idle = None
         for _, front in self.fronts:
             front.end()
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -10,12 +10,11 @@
 from twisted.internet.protocol import ClientFactory
 
 from rackhub.core.coordinator import Attempt, Coordinator
+from rackhub.core.source import Address
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 
-Address = tuple[str, int]
-
 
 class Link(Protocol):
     """One connection as the pool sees it."""
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -8,16 +8,15 @@
 import random
 import struct
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
 
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.interfaces import IReactorTime, IReactorUDP
 from twisted.internet.protocol import DatagramProtocol
 from twisted.names import dns
 
 from rackhub import interface as t
+from rackhub.core.source import Address, Listing
 from rackhub.counters import Counters
 from rackhub.limits import Limits
-from rackhub.net.pool import Address
 
 log = logging.getLogger(__name__)
 SERVICE = b"_app._tcp.cluster.lan"
@@ -28,14 +27,6 @@
     """A packet that is no whole answer to what was asked."""
 
 
-class Listing(NamedTuple):
-    """The list of engines at one event of its numbering."""
-
-    rev: int
-    entries: tuple[t.EngineEntry, ...]
-    addresses: dict[str, Address]
-
-
 def question(number: int) -> bytes:
     """A query for the SRV records of the service."""
     labels = b"".join(bytes([len(label)]) + label for label in SERVICE.split(b"."))
@@ -141,3 +132,16 @@
             addresses[entry.engine] = event.addresses[entry.engine]
     there = tuple(entry for _, entry in sorted(entries.items()) if entry.state != "Gone")
     return Listing(known[-1].rev if known else 0, there, {entry.engine: addresses[entry.engine] for entry in there})
+
+
+class Platform:
+    """The platform as the source of settings and lists: what its file told at the start, then its resolver."""
+
+    def __init__(self, reactor: IReactorUDP, settings: t.Settings, start: Listing, server: Address, limits: Limits,
+                 counters: Counters):
+        self.settings, self.start = settings, start
+        self._reactor, self._server, self._limits, self._counters = reactor, server, limits, counters
+
+    def follow(self, told: Callable[[Listing], None]) -> None:
+        resolver = Resolver(self._reactor, self._server, self.start, told, self._limits, self._counters)
+        self._reactor.listenUDP(0, resolver, maxPacketSize=self._limits.packet)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -121,10 +121,12 @@
 
 def test_the_program_serves_drains_on_sigterm_and_prints_its_counters(tmp_path):
     """A process as the platform runs it. It waits for events, never for a while: the ends of pipes and sockets."""
+    silent = socket.create_server(("127.0.0.1", 0))  # an engine that takes connections and never says a word
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
         port = free.getsockname()[1]
-    (tmp_path / "c.json").write_text(json.dumps(told(listen=f"127.0.0.1:{port}")))
+    known = {"rev": 3, "notices": [notice(3, endpoint("a", address=f"127.0.0.1:{silent.getsockname()[1]}"))]}
+    (tmp_path / "c.json").write_text(json.dumps(told(listen=f"127.0.0.1:{port}", known=known)))
     process = subprocess.Popen([sys.executable, "-m", "rackhub", "serve"], stderr=subprocess.PIPE, text=True,
                                env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "c.json")})
     try:
@@ -139,15 +141,36 @@
 
             assert ask(b'{"jsonrpc":"2.0","id":1,"method":"alive"}') == {
                 "jsonrpc": "2.0", "id": 1, "result": {"pass": True}}
+            request = {"jsonrpc": "2.0", "id": 7, "method": "lookup", "params": {
+                "rid": "9b1f03aa5c7e2d41", "budget": 1200, "acct": "acme", "body": "U0VMRUNUIDE="}}
+            lines.write(json.dumps(request).encode() + b"\n")
+            lines.flush()
+            engine, _ = silent.accept()
+            assert engine.recv(100).startswith(b"*4\r\n$4\r\nwant\r\n$16\r\n9b1f03aa5c7e2d41")
             process.send_signal(signal.SIGUSR1)
             assert "alives_in=1" in process.stderr.readline()
             process.send_signal(signal.SIGTERM)
             assert "told to end" in process.stderr.readline()
             assert ask(b'{"jsonrpc":"2.0","id":2,"method":"alive"}')["result"] == {"pass": False}
+            owed = json.loads(lines.readline())  # what was open is answered before the end
+            assert owed["id"] == 7 and owed["error"]["code"] == -32008 and owed["error"]["data"]["backoff"] >= 0
             assert lines.readline() == b""  # the connection is closed in order
+            engine.close()
         assert "counters: clients_accepted=1" in process.stderr.read()
         assert process.wait() == 0
     finally:
         process.kill()
         process.wait()
         process.stderr.close()
+        silent.close()
+
+
+def test_an_address_that_is_taken_is_named(tmp_path):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        (tmp_path / "c.json").write_text(json.dumps(told(listen=listen)))
+        done = subprocess.run([sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "c.json")],
+                              capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and listen in done.stderr and "Traceback" not in done.stderr
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,6 @@
 """The core with a clock, engines and clients that the tests play: what must hold whatever the module decides."""
 
+import msgspec
 import pytest
 from stands import CLASSES, LIMITS, MS, SETTINGS, FakeClock, S
 
@@ -183,7 +184,6 @@
 
 
 def test_memory_is_bounded_by_refusing_at_once():
-    import msgspec
     here = Core(limits=msgspec.structs.replace(LIMITS, held_requests=2))
     for _ in range(3):
         here.ask()
@@ -211,6 +211,16 @@
     assert [id for _, id, _ in here.port.answers] == [f"{2:016x}"]
 
 
+def test_a_timer_that_fails_keeps_no_other_from_its_call():
+    here, called = Core(), []
+    here.core.timers.at(here.clock.now() + 1, lambda: 1 / 0)
+    here.core.timers.at(here.clock.now() + 2, called.append, 1)
+    here.clock.advance(3)
+    here.ask(budget=900 * MS)
+    here.clock.advance(900 * MS)
+    assert called == [1] and len(here.port.answers) == 1
+
+
 def test_on_idle_is_told_after_the_last_answer():
     here, told = Core(), []
     here.core.on_idle = lambda: told.append(len(here.port.answers))
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -7,8 +7,9 @@
 from twisted.internet.task import Clock
 from twisted.names import dns
 
+from rackhub.core.source import Listing
 from rackhub.counters import Counters
-from rackhub.net.resolver import SERVICE, BadAnswer, Listing, Resolver, listing_of, question
+from rackhub.net.resolver import SERVICE, BadAnswer, Resolver, listing_of, question
 
 
 def answer(number, serial, *engines, rcode=0, drop=()):
