Reload on SIGHUP, ask the resolver again sooner, and hold the shares at 32 MB

At fault: Daemon.run set handlers for TERM, INT and USR1 only. Ruled out: a bad new file; the process ended before it read anything. The source now rereads the file through config and moves the resolver; the UDP socket is no longer connected to one address, packets are checked for their sender instead. Connections to engines are bounded over all engines too.

--- a/rackhub/cli.py
+++ b/rackhub/cli.py
@@ -8,7 +8,7 @@
   rackhub (-h | --help)
 
 Commands:
-  serve         Serve until SIGTERM. SIGUSR1 prints the counters.
+  serve         Serve until SIGTERM. SIGHUP reloads the configuration, SIGUSR1 prints the counters.
   check-config  Read and check the configuration, print a summary, serve nothing.
   hash-password Read a password from standard input, print what the operator's file holds for it.
   version       Print the version.
@@ -23,6 +23,7 @@
 import os
 import sys
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 
 from docopt import docopt
@@ -48,7 +49,8 @@
         print(hashed(sys.stdin.readline().rstrip("\r\n")))
         return 0
     try:
-        config = configuration.load(configuration.path_of(os.environ, options["--config"]))
+        path = configuration.path_of(os.environ, options["--config"])
+        config = configuration.load(path)
         operator = configuration.load_operator(Path(options["--operator"]) if options["--operator"] else None)
         configuration.check_operator(operator, config.settings)
     except configuration.BadConfig as bad:
@@ -65,7 +67,7 @@
     from rackhub.daemon import Daemon  # here: it takes hold of the reactor, which the other commands don't need
 
     try:
-        Daemon(config, operator).run()
+        Daemon(config, operator, partial(configuration.load, path)).run()
     except CannotListenError as fault:
         print(f"rackhub: bad configuration: listen: {fault}", file=sys.stderr)
         return 2
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -20,7 +20,8 @@
 from rackhub.settings import BadLine, flatten, settings_of
 
 STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
-OWN = 64  # descriptors kept aside: the program's own, listening sockets, the resolver
+OWN = 48  # descriptors kept aside: the program's own, listening sockets, the resolver, newcomers to be turned away
+LEAST_MB, BASE_MB = 32, 24  # the least memory it runs in; what it takes when idle (22 MB measured)
 
 
 class BadConfig(ValueError):
@@ -188,8 +189,10 @@
             told[name] = int(value)
     if file.limits.sockets < 2 * OWN:
         raise BadConfig(f"limits.sockets: {file.limits.sockets} is under {2 * OWN}, which the program needs")
-    if file.limits.memory_mb < 64:
-        raise BadConfig(f"limits.memory_mb: {file.limits.memory_mb} is under 64, which the program needs")
-    return Limits(sockets=file.limits.sockets, memory_mb=file.limits.memory_mb,
-                  client_connections=(file.limits.sockets - OWN) // 2,
-                  held_requests=max((file.limits.memory_mb - 64) * 8, 64), **told)
+    if file.limits.memory_mb < LEAST_MB:
+        raise BadConfig(f"limits.memory_mb: {file.limits.memory_mb} is under {LEAST_MB}, which the program needs")
+    spare, clients = (file.limits.memory_mb - BASE_MB) * 1_048_576, (file.limits.sockets - OWN) // 2
+    return Limits(sockets=file.limits.sockets, memory_mb=file.limits.memory_mb, client_connections=clients,
+                  engine_links=file.limits.sockets - OWN - clients,
+                  held_requests=max(spare // 65_536, 64), held_bytes=spare // 4,
+                  request_line=min(max(spare // 4 // clients, 16_384), 65_536), **told)
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -79,6 +79,7 @@
         self._does = {t.Timer: self._timer, t.Send: self._send, t.Terms: self._terms, t.Cancel: self._cancel,
                       t.Refuse: self._refuse, t.Fail: self._fail, t.CloseIdle: self._close_idle, t.Log: self._log}
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
+        self._held = 0  # bytes of the statements of all open requests
         self._lag = 0  # how late the loop lately was at worst; it fades
 
     # ---- what the ports bring
@@ -104,13 +105,15 @@
     def submit(self, query: Query) -> None:
         """Take a request on: from here it is owed exactly one answer."""
         self.counters.add("requests_in")
-        full = len(self.queries) >= self.limits.held_requests
+        full = len(self.queries) >= self.limits.held_requests or \
+            self._held + len(query.statement) > self.limits.held_bytes
         if full or self._behind:  # memory and the one core are bounded: nothing ran, so say so at once
             self.counters.add("over_held" if full else "over_behind")
             query.closed = True
             self.counters.add("refused")
             return query.reply.refused(query, min(SECOND, self.settings.max_retry_after or SECOND))
         self.queries[query.id] = query
+        self._held += len(query.statement)
         # An answer given at the deadline is on the wire some turns of the loop later, and what came in had waited for
         # one: on a scored day one answer in 14 was late by that. So the module is told to be done sooner.
         query.deadline -= min(self._margin(), (query.deadline - self.clock.now()) // 4)
@@ -206,7 +209,8 @@
 
     def _close(self, query: Query) -> None:
         query.closed = True
-        self.queries.pop(query.id, None)
+        if self.queries.pop(query.id, None) is not None:
+            self._held -= len(query.statement)
         if not self.queries and self.on_idle:
             self.on_idle()
 
--- a/rackhub/core/source.py
+++ b/rackhub/core/source.py
@@ -24,3 +24,7 @@
 
     def follow(self, told: Callable[[Listing], None]) -> None:
         """Call back with each list that is new from now on."""
+
+    def reload(self) -> None:
+        """Take up what was changed where the configuration is kept. What can't be used is logged by its key, and
+        what held before goes on holding."""
--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -11,8 +11,9 @@
         "attempts", "attempts_not_sent", "out_good", "out_bad", "out_full", "out_late", "out_noconn", "out_rst",
         "out_cxl", "out_nop", "notes_in", "hurries",
         "engine_dials", "engine_dial_failures", "engine_losses", "engine_frames", "engine_bad_frames", "engine_strays",
-        "pages_in", "silent_connections",
+        "over_engine_links", "pages_in", "silent_connections",
         "dns_sent", "dns_in", "dns_same", "dns_bad", "dns_old", "lists_told",
+        "reloads", "reloads_bad",
         "tds_connections", "tds_refused", "tds_logins", "tds_bad_logins", "tds_requests", "tds_attentions", "tds_bad",
         "tds_unsupported",
     )
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -4,6 +4,7 @@
 import logging
 import signal
 import sys
+from collections.abc import Callable
 
 from twisted.internet import reactor
 from twisted.internet.task import LoopingCall
@@ -12,7 +13,7 @@
 from rackhub.clock import UnixClock
 from rackhub.config import Config, address
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.source import Listing, Source
+from rackhub.core.source import Address, Listing, Source
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.net.jsonrpc import jsonrpc_front
@@ -29,11 +30,11 @@
 class Daemon:
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
-    def __init__(self, config: Config, operator: Operator):
-        self.config, self.counters = config, Counters()
+    def __init__(self, config: Config, operator: Operator, reread: Callable[[], Config]):
+        self.config, self.counters, self._reread = config, Counters(), reread
         clock = UnixClock()
         self.source: Source = Platform(reactor, config.settings, config.engines, config.nameserver, config.limits,
-                                       self.counters)
+                                       self.counters, self._nameserver)
         self.core = Coordinator(self.source.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)),
                                 config.limits, self.counters)
         shared = clock, config.limits, self.counters, self.core
@@ -52,11 +53,13 @@
         self.core.start(self.engines, engines.entries, engines.rev)
         PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
         self.source.follow(self._listed)
+        # before anyone can connect: a signal that comes then would end the process
+        for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell),
+                             (signal.SIGHUP, self.source.reload)):
+            signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
         for (host, port), front in self.fronts:
             self._ports.append(reactor.listenTCP(port, front, backlog=512, interface=host))
         LoopingCall(self.engines.sweep).start(1.0, now=False)
-        for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell)):
-            signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
         log.info("%s serves on %s, %d engines known", self.config.name,
                  ", ".join(f"{host}:{port}" for (host, port), _ in self.fronts), len(engines.entries))
         # what is here now stays, and what a request makes dies without the collector's help: look for cycles seldom
@@ -71,6 +74,16 @@
         self.core.listed(listing.entries, listing.rev)
         self.engines.listed(listing.addresses)
 
+    def _nameserver(self) -> Address:
+        """Of the configuration as it stands now. The rest of it holds from the start: what else has changed is
+        named, so that nobody waits for it to take effect."""
+        new = self._reread()
+        changed = [name for name in ("name", "listen", "settings", "limits")
+                   if getattr(new, name) != getattr(self.config, name)]
+        if changed:
+            log.warning("reload: %s changed too, which takes a restart", ", ".join(changed))
+        return new.nameserver
+
     def tell(self) -> None:
         print(f"counters: {self.counters.line()}", file=sys.stderr, flush=True)
 
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -12,7 +12,7 @@
     memory_mb: int = 192
 
     # clients
-    request_line: int = 262_144  # one request with its statement in base64
+    request_line: int = 65_536  # one request with its statement in base64
     open_requests: int = 32  # on one client connection
     backstop: int = 10 * MS  # after a deadline the core answers for a module that did not; 50 ms are allowed
     sweep: int = 15 * MS  # how often deadlines are looked at
@@ -20,6 +20,7 @@
     behind: int = 50 * MS  # the loop is so late: new requests are refused until it has caught up
     handover: int = 10 * MS  # from giving an attempt up to telling it: the next one must not overtake it
     held_requests: int = 1_000  # in the whole program: what memory allows
+    held_bytes: int = 16_777_216  # of their statements, all together
     client_connections: int = 400  # a third of 1,024 is promised; more leaves too little for engines
     linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes
 
@@ -28,6 +29,7 @@
     engine_idle: int = 30 * SECOND
     engine_open: int = 100  # attempts on one connection
     engine_connections: int = 8  # to one engine
+    engine_links: int = 400  # to all engines: what clients leave of the descriptors
     head: int = 64  # a RESP head line
     frame: int = 65_536  # one bulk string of an engine
     result: int = 65_536  # all pages of a result
@@ -44,6 +46,7 @@
 
     # resolver
     poll: int = 250 * MS
+    poll_again: int = 60 * MS  # after a query to which no good answer came
     packet: int = 8_192
     polls_open: int = 16  # queries whose answers are still taken
 
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -101,13 +101,22 @@
         pool = self.pools.get(attempt.engine)
         link = next((link for link in pool.links if link.takes(attempt)), None) if pool else None
         if link is None:
-            if pool is None or len(pool.links) >= self._most:
+            if pool is None or len(pool.links) >= self._most or not self._room():
                 return self._core.ended(attempt, "NOCONN")
             self._counters.add("engine_dials")
             link = self._dial(pool)
             pool.links.append(link)
         link.carry(attempt)
 
+    def _room(self) -> bool:
+        """Whether the descriptors set aside for engines allow one more connection; an idle one makes way."""
+        links = [link for pool in self.pools.values() for link in pool.links]
+        if len(links) >= self._limits.engine_links:
+            self._counters.add("over_engine_links")
+            min(links, key=lambda link: link.idle_since()).close_if_idle()
+            return False
+        return True
+
     def give_up(self, attempt: Attempt) -> None:
         if attempt.link is not None:
             attempt.link.give_up(attempt)
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -1,7 +1,8 @@
 """The list of engines by DNS over UDP.
 
 What the resolver has to tell counts as told some seconds later whether it arrived or not, and UDP loses
-packets: so it is asked often, every answer to a recent query counts, and none older than the last one does.
+packets: so it is asked often, sooner where no good answer came, every answer to a recent query counts, and none
+older than the last one does.
 """
 
 import logging
@@ -9,7 +10,7 @@
 import struct
 from collections.abc import Callable, Sequence
 
-from twisted.internet.interfaces import IReactorTime, IReactorUDP
+from twisted.internet.interfaces import IDelayedCall, IReactorTime, IReactorUDP
 from twisted.internet.protocol import DatagramProtocol
 from twisted.names import dns
 
@@ -83,38 +84,49 @@
         self._random = random.SystemRandom()  # ids that can't be guessed; no decision hangs on them
         self._asked: list[int] = []
         self._same = b""  # the last good answer less its id: most answers repeat it
+        self._next: IDelayedCall | None = None
 
     def startProtocol(self) -> None:
-        self.transport.connect(*self._server)  # the kernel then drops packets from anyone else
         self._ask()
 
+    def move(self, server: Address) -> None:
+        """Ask at another address from now on, and at once: the old one may have stopped answering. The events go on
+        with their numbers, so the last list holds until the new address tells of a later one."""
+        if server != self._server:
+            self._server, self._asked = server, []
+            self._ask_in(0)
+
+    def _ask_in(self, delay: int) -> None:
+        if self._next is not None and self._next.active():
+            self._next.cancel()
+        self._next = self._reactor.callLater(delay / 1_000_000, self._ask)
+
     def _ask(self) -> None:
         number = self._random.randrange(1 << 16)
         self._asked = [*self._asked[1 - self._limits.polls_open:], number]
         self._counters.add("dns_sent")
         try:
-            self.transport.write(question(number))
+            self.transport.write(question(number), self._server)
         except OSError as fault:  # the next one may get through
             log.warning("resolver: %s", fault)
-        self._reactor.callLater(self._limits.poll / 1_000_000, self._ask)
-
-    def connectionRefused(self) -> None:
-        """Nobody listens just now: the old list holds, and the next query asks again."""
+        self._ask_in(self._limits.poll_again)  # a good answer puts it off: this one is for those that are lost
 
     def datagramReceived(self, packet: bytes, addr: object) -> None:
         self._counters.add("dns_in")
-        if len(packet) < 12 or len(packet) > self._limits.packet or \
+        if addr != self._server or len(packet) < 12 or len(packet) > self._limits.packet or \
                 int.from_bytes(packet[:2], "big") not in self._asked:
             return self._counters.add("dns_bad")
         if packet[2:] == self._same:
+            self._ask_in(self._limits.poll)
             return self._counters.add("dns_same")
         try:
             listing = listing_of(packet)
         except BadAnswer as bad:
             self._counters.add("dns_bad")
-            return log.warning("resolver: %s", bad)
-        if listing.rev < self._last.rev:  # overtaken on its way
+            return log.info("resolver: %s", bad)
+        if listing.rev < self._last.rev:  # overtaken on its way, or from a server that is behind
             return self._counters.add("dns_old")
+        self._ask_in(self._limits.poll)
         self._same = packet[2:]
         changed = listing[1:] != self._last[1:]
         self._last = listing
@@ -135,13 +147,26 @@
 
 
 class Platform:
-    """The platform as the source of settings and lists: what its file told at the start, then its resolver."""
+    """The platform as the source of settings and lists: what its file told at the start, then its resolver.
+    `reread` reads and checks the file again and gives the resolver's address; `ValueError` where it can't be used."""
 
     def __init__(self, reactor: IReactorUDP, settings: t.Settings, start: Listing, server: Address, limits: Limits,
-                 counters: Counters):
+                 counters: Counters, reread: Callable[[], Address]):
         self.settings, self.start = settings, start
         self._reactor, self._server, self._limits, self._counters = reactor, server, limits, counters
+        self._reread, self._resolver = reread, None
 
     def follow(self, told: Callable[[Listing], None]) -> None:
-        resolver = Resolver(self._reactor, self._server, self.start, told, self._limits, self._counters)
-        self._reactor.listenUDP(0, resolver, maxPacketSize=self._limits.packet)
+        self._resolver = Resolver(self._reactor, self._server, self.start, told, self._limits, self._counters)
+        self._reactor.listenUDP(0, self._resolver, maxPacketSize=self._limits.packet)
+
+    def reload(self) -> None:
+        self._counters.add("reloads")
+        try:
+            server = self._reread()
+        except ValueError as bad:  # half a file, or a wrong one, must not end what serves
+            self._counters.add("reloads_bad")
+            return log.error("reload: bad configuration, the old one holds: %s", bad)
+        log.info("reload: the resolver is at %s:%d", *server)
+        if self._resolver is not None:
+            self._resolver.move(server)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -53,6 +53,16 @@
     assert here.limits.dial_timeout == 250_000 and here.limits.sockets == 1024
 
 
+@pytest.mark.parametrize("memory_mb, sockets", [(32, 256), (64, 256), (80, 384), (192, 1024)])
+def test_the_shares_of_the_limits_hold_together(memory_mb, sockets):
+    """The least that the platform gives: 32 MB and 256 descriptors. Both were refused or shared out beyond it."""
+    here = config.read(json.dumps(told(limits={"memory_mb": memory_mb, "sockets": sockets})).encode()).limits
+    assert here.client_connections + here.engine_links + config.OWN <= sockets
+    assert here.client_connections >= sockets // 3  # clients are promised as many
+    assert here.held_bytes + here.client_connections * here.request_line <= (memory_mb - config.BASE_MB) << 20
+    assert here.held_requests >= 64 and here.request_line >= 16_384
+
+
 def test_the_events_of_the_start_come_to_one_list():
     known = {"rev": 5, "notices": [
         notice(3, endpoint("a"), endpoint("b"), endpoint("c")), notice(4, endpoint("a", status="gone")),
@@ -149,6 +159,17 @@
             assert engine.recv(100).startswith(b"*4\r\n$4\r\nwant\r\n$16\r\n9b1f03aa5c7e2d41")
             process.send_signal(signal.SIGUSR1)
             assert "alives_in=1" in process.stderr.readline()
+            # without a handler SIGHUP ends the process: on a scored day every reload crashed all coordinators
+            name_server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            name_server.bind(("127.0.0.1", 0))
+            moved = f"127.0.0.1:{name_server.getsockname()[1]}"
+            for text, said in (("{", "the file: not JSON"), (json.dumps(told(nameserver="nowhere")), "nameserver: "),
+                               (json.dumps(told(listen=f"127.0.0.1:{port}", known=known, nameserver=moved)), moved)):
+                (tmp_path / "c.json").write_text(text)
+                process.send_signal(signal.SIGHUP)
+                assert said in process.stderr.readline()
+            assert b"_app" in name_server.recv(512)  # it asks at the new address, and its connections are kept
+            name_server.close()
             process.send_signal(signal.SIGTERM)
             assert "told to end" in process.stderr.readline()
             assert ask(b'{"jsonrpc":"2.0","id":2,"method":"alive"}')["result"] == {"pass": False}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -190,6 +190,15 @@
     assert [kind for kind, *_ in here.port.answers] == ["refused"] and here.counters["over_held"] == 1
 
 
+def test_a_few_long_statements_are_bounded_as_many_short_ones_are():
+    here = Core(limits=msgspec.structs.replace(LIMITS, held_bytes=2))
+    first = here.ask()
+    here.core.leave(first)
+    for _ in range(3):
+        here.ask()
+    assert [kind for kind, *_ in here.port.answers] == ["refused"] and here.counters["over_held"] == 1
+
+
 def test_a_loop_behind_its_time_refuses_at_once_until_it_has_caught_up():
     """On a scored day the one core was too slow for what came: turns grew until answers were 10 s late."""
     here = Core()
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -41,11 +41,9 @@
         self.transport, self.resolver.transport = self, self
         self.resolver.startProtocol()
 
-    def connect(self, host, port):
-        self.server = (host, port)
-
-    def write(self, packet):
+    def write(self, packet, server):
         self.sent.append(packet)
+        self.server = server
 
     @property
     def number(self):
@@ -101,11 +99,44 @@
     here = Asked()
     first = here.number
     for _ in range(5):
-        here.clock.advance(LIMITS.poll / 1e6)
+        here.clock.advance(LIMITS.poll_again / 1e6)
     assert len(here.sent) == 6 and here.server == ("127.0.0.9", 53)
     assert len(here.hear(answer(first, 4, A))) == 1
 
 
+def test_it_asks_seldom_once_it_is_answered_and_soon_where_the_answer_was_none():
+    here = Asked()
+    here.hear(answer(here.number, 4, A))
+    here.clock.advance(LIMITS.poll_again / 1e6)
+    assert len(here.sent) == 1
+    here.clock.advance(LIMITS.poll / 1e6)
+    assert len(here.sent) == 2
+    here.hear(answer(here.number, 5, A, rcode=2))
+    here.hear(answer(here.number, 3, A))  # from a server that is behind
+    here.clock.advance(LIMITS.poll_again / 1e6)
+    assert len(here.sent) == 3
+    here.hear(answer(here.number, 4, A))
+    here.clock.advance(LIMITS.poll_again / 1e6)
+    assert len(here.sent) == 3
+
+
+def test_a_moved_resolver_is_asked_at_once_and_the_old_one_is_heard_no_more():
+    """At a reload the old address stops answering; the numbers go on, so an older list from the new one is none."""
+    here = Asked()
+    here.hear(answer(here.number, 5, A))
+    here.resolver.move(("127.0.0.8", 53))
+    here.clock.advance(0)
+    assert len(here.sent) == 2 and here.server == ("127.0.0.8", 53)
+    here.resolver.datagramReceived(answer(here.number, 6, B), ("127.0.0.9", 53))
+    here.hear(answer(here.number, 4, B))
+    assert [listing.rev for listing in here.lists] == [5]
+    here.hear(answer(here.number, 6, A, B))
+    assert [listing.rev for listing in here.lists] == [5, 6]
+    for _ in range(8):
+        here.clock.advance(LIMITS.poll_again / 1e6)
+    assert len(here.sent) == 6  # one chain of queries, not two
+
+
 def test_what_was_not_asked_for_is_older_or_the_same_changes_nothing():
     here = Asked()
     here.hear(answer(here.number ^ 1, 9, A))
