--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -98,8 +98,8 @@
         self._tell(t.EngineList("Complete", tuple(entries), rev))
 
     def known(self, id: str) -> bool:
-        """Whether a request of this id is open, or was answered or withdrawn lately. Ids are new with each request, also with a
-        client's retry; one that comes again is none of a client that keeps to the protocol."""
+        """Whether a request of this id is open, or was answered or withdrawn lately. Ids are new with each request,
+        also with a client's retry; one that comes again is none of a client that keeps to the protocol."""
         return id in self.queries or id in self._recent
 
     def out_of_time(self, query: Query) -> bool:
