--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -17,6 +17,9 @@
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
 FAILED, REFUSED = -32000, -32008
 NO_ID = msgspec.UNSET
+# what the decoder raises on bytes that are no JSON it can read. Brackets inside brackets by the thousand are a
+# RecursionError: let through, it ended the connection, and with it requests that were owed an answer
+UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class Message(msgspec.Struct):
@@ -97,7 +100,7 @@
         except msgspec.ValidationError:
             self.counters.add("bad_request")
             return self._error(None, INVALID, "not a request")
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except UNREADABLE:
             self.counters.add("bad_json")
             return self._error(None, PARSE, "not JSON")
         if message.jsonrpc != "2.0" or isinstance(message.id, float):
@@ -139,7 +142,7 @@
             ask = ASK.decode(message.params)
             query = request(self.core, self, id=ask.rid, cls=cls.name, statement=ask.body, budget_ms=ask.budget,
                             tenant=ask.acct, token=ask.token, est_ms=ask.est, ram_mb=ask.ram, tag=id)
-        except (msgspec.MsgspecError, Unusable) as bad:
+        except (*UNREADABLE, Unusable) as bad:
             self.counters.add("bad_params")
             return self._error(id, BAD_PARAMS, str(bad))
         self.open[id], self.asked = query, True
@@ -148,9 +151,9 @@
     def _cancel(self, message: Message) -> None:
         try:
             id = STOP.decode(message.params).id
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             self.counters.add("bad_params")
-            return self._error(message.id, BAD_PARAMS, "no id to cancel") if message.id is not NO_ID else None
+            return self._error(message.id, BAD_PARAMS, "no id to cancel")
         self.counters.add("cancels_in")
         query = self.open.pop(id, None)
         if query is not None:
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -158,6 +158,10 @@
         (b'{"jsonrpc":"2.0","id":1.5,"method":"lookup"}', -32600), (b"", -32700),
         # nothing was said to these: on a scored day such clients waited for an answer that never came
         (b'{"jsonrpc":"2.0","method":"lookup"}', -32600), (b'{"jsonrpc":"2.0","method":"alive"}', -32600),
+        (b'{"jsonrpc":"2.0","method":"cancelRequest"}', -32602),
+        # these ended the connection, and all that was open on it had no answer
+        (b'{"jsonrpc":"2.0","id":900,"method":"lookup","params":' + b"[" * 5_000, -32700),
+        (b'{"jsonrpc":"2.0","id":900,"method":"lookup","params":{"a":' + b"[" * 2_000 + b"]" * 2_000 + b"}}", -32700),
         ({"acct": "nobodys"}, -32602), ({"acct": ""}, -32602), ({"body": "/w=="}, -32602), ({"body": ""}, -32602),
         ({"rid": "XYZ"}, -32602), ({"budget": 0}, -32602), ({"budget": "soon"}, -32602), ({"est": -1}, -32602),
         ({"body": "%%"}, -32602), ({"acct": "a" * 300}, -32602),
