Hold a reset against an engine only if it answers nothing before the next failure

At fault: Control.observe took each reset for illness. Now a reset counts like the first refused connection: a second failure with no answer between rests the engine for certain, and its illness is not raised before.

--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -477,11 +477,12 @@
         elif reason == "NOCONN":  # none listens: the next, with nothing answered since, rests it for certain
             engine.refusals += 1
             self.ail(engine, engine.refusals > 1)
+        elif reason == "RST":  # one connection that breaks ends all that share it, and an engine that goes on
+            alone, engine.reset_at = self.now - engine.reset_at > ONE_RESET, self.now  # answering is sound
+            engine.refusals += alone
+            self.ail(engine, True) if engine.refusals > 1 else None
         elif reason == "BAD":
             self.suspect(engine, attempt.query)
-        elif reason == "RST":  # one connection that breaks ends all that share it: that is one failure
-            alone, engine.reset_at = self.now - engine.reset_at > ONE_RESET, self.now
-            self.ail(engine) if alone else None
         elif reason == "LATE" and event.elapsed > OVERDUE * attempt.query.usual:
             self.ail(engine)
 
