Take told load as pressure from 1.5 threads a core, as the design's share has it

Compared what the module believes of load with what engines tell (probe on wide+reset+stale): told queries in hand and the sum of the nodes' own tallies agree, and reports are a few hundred ms old; but pressure began at 2.2 threads a core (CROWDED) and the share was 2.0 (THREADS_PER_CORE), where the design says 1.5. So work piled up past the point where engines do less of it, and lookups came after their wanted time. Ruled out: late or wrong load reports, descriptors, CPU (under 0.5 of the 0.85 core it may use).

--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -13,10 +13,10 @@
 
 SECOND = 1_000_000
 WINDOWS, WINDOW_MULTIPLE = (SECOND, 5 * SECOND, 20 * SECOND), 2  # burst, surge, habit; twice the whole share
-THREADS_PER_CORE, CORES_UNTOLD = 2.0, 8  # the share of an engine (the design leaves it open); a small one
+THREADS_PER_CORE, CORES_UNTOLD = 1.5, 8  # the share of an engine (the design's); a small one
 PRESSED = 1.6              # latency this many times the class's best is pressure
 SMOOTH, DRIFT = 30, 0.0005  # answers that recent latency is smoothed over; how fast the best is forgotten
-BUSY, CROWDED = 0.95, 2.2  # told use, told threads a core that are pressure
+BUSY, CROWDED = 0.95, 1.5  # told use, told threads a core that are pressure
 FULL_OVER, SILENT_OVER = 2.0, 1.0  # how far over the mark a FULL is, and a probe not answered
 EVIDENCE, SURE = 3 * SECOND // 2, 4 * SECOND  # age at which evidence of pressure fades; the surest kind rules
 DENSE, LOST, DOUBT = 20, 0.04, 0.4  # answers in that age to trust latency; part unanswered: lost; a doubt
