--- a/rackhub/cli.py
+++ b/rackhub/cli.py
@@ -26,6 +26,7 @@
 from functools import partial
 from pathlib import Path
 
+import msgspec
 from docopt import docopt
 
 from rackhub import config as configuration
@@ -50,9 +51,10 @@
         return 0
     try:
         path = configuration.path_of(os.environ, options["--config"])
-        config = configuration.load(path)
+        told = configuration.load(path)
         operator = configuration.load_operator(Path(options["--operator"]) if options["--operator"] else None)
-        configuration.check_operator(operator, config.settings)
+        configuration.check_operator(operator, told.settings)
+        config = msgspec.structs.replace(told, limits=configuration.shared(told.limits, operator))
     except configuration.BadConfig as bad:
         print(f"rackhub: bad configuration: {bad}", file=sys.stderr)
         return 2
@@ -67,7 +69,7 @@
     from rackhub.daemon import Daemon  # here: it takes hold of the reactor, which the other commands don't need
 
     try:
-        Daemon(config, operator, partial(configuration.load, path)).run()
+        Daemon(config, operator, told, partial(configuration.load, path)).run()
     except CannotListenError as fault:
         print(f"rackhub: bad configuration: listen: {fault}", file=sys.stderr)
         return 2
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -161,6 +161,15 @@
                 raise BadConfig(f"tds_front.login[{i}].tenants: the site has no tenant {tenant!r}")
 
 
+def shared(limits: Limits, operator: Operator) -> Limits:
+    """The limits with a share of the clients' descriptors for the TDS front where there is one. Without it both fronts
+    together took more than the platform gives, out of what engines need."""
+    if operator.tds_front is None:
+        return limits
+    tds = min(limits.tds_connections, limits.client_connections // 2)
+    return msgspec.structs.replace(limits, tds_connections=tds, client_connections=limits.client_connections - tds)
+
+
 def engines(known: Known) -> Listing:
     events = []
     for i, notice in enumerate(known.notices):
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -30,8 +30,9 @@
 class Daemon:
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
-    def __init__(self, config: Config, operator: Operator, reread: Callable[[], Config]):
-        self.config, self.counters, self._reread = config, Counters(), reread
+    def __init__(self, config: Config, operator: Operator, told: Config, reread: Callable[[], Config]):
+        """`config` as it is used, `told` as the file has it: what a reload compares with."""
+        self.config, self.counters, self._reread, self._told = config, Counters(), reread, told
         clock = UnixClock()
         self.source: Source = Platform(reactor, config.settings, config.engines, config.nameserver, config.limits,
                                        self.counters, self._nameserver)
@@ -82,7 +83,7 @@
         named, so that nobody waits for it to take effect."""
         new = self._reread()
         changed = [name for name in ("name", "listen", "settings", "limits")
-                   if getattr(new, name) != getattr(self.config, name)]
+                   if getattr(new, name) != getattr(self._told, name)]
         if changed:
             log.warning("reload: %s changed too, which takes a restart", ", ".join(changed))
         return new.nameserver
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -61,6 +61,9 @@
     assert here.client_connections >= sockets // 3  # clients are promised as many
     assert here.held_bytes + here.client_connections * here.request_line <= (memory_mb - config.BASE_MB) << 20
     assert here.held_requests >= 64 and here.request_line >= 16_384
+    both = config.shared(here, config.load_operator(Path(__file__).parent.parent / "deploy" / "operator.toml"))
+    assert both.client_connections + both.tds_connections == here.client_connections and both.tds_connections > 0
+    assert config.shared(here, config.load_operator(None)) == here
 
 
 def test_the_events_of_the_start_come_to_one_list():
