--- /dev/null
+++ b/rackhub/store/__init__.py
@@ -0,0 +1,42 @@
+"""An embedded, crash-safe, multi-version key-value store on a directory of ordinary files.
+
+`from rackhub.store import Store` is the whole interface; the names below are loaded on first use, so that the reader
+of the operator's file can import `rackhub.store.options` without loading the engine of a store that is off.
+Design: docs/design/store.md. Use: docs/operators/store.md.
+"""
+
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from rackhub.store.batch import Batch, When
+    from rackhub.store.engine import Commit, Snapshot, Store
+    from rackhub.store.errors import (
+        BadBatch,
+        Compacted,
+        Corrupt,
+        FutureRevision,
+        Locked,
+        NewerFormat,
+        NoLease,
+        ReadOnly,
+        StoreError,
+    )
+    from rackhub.store.options import Options
+    from rackhub.store.records import Change, KeyValue
+
+_HOMES = {
+    "Batch": "batch", "When": "batch", "Commit": "engine", "Snapshot": "engine", "Store": "engine",
+    "BadBatch": "errors", "Compacted": "errors", "Corrupt": "errors", "FutureRevision": "errors", "Locked": "errors",
+    "NewerFormat": "errors", "NoLease": "errors", "ReadOnly": "errors", "StoreError": "errors", "Options": "options",
+    "Change": "records", "KeyValue": "records",
+}
+
+__all__ = ["BadBatch", "Batch", "Change", "Commit", "Compacted", "Corrupt", "FutureRevision", "KeyValue", "Locked",
+           "NewerFormat", "NoLease", "Options", "ReadOnly", "Snapshot", "Store", "StoreError", "When"]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _HOMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{_HOMES[name]}"), name)
--- /dev/null
+++ b/rackhub/store/batch.py
@@ -0,0 +1,87 @@
+"""What a commit is made of: changes of keys, and the conditions under which they are made."""
+
+from typing import Literal
+
+import msgspec
+
+from rackhub.store.errors import BadBatch
+from rackhub.store.records import KeyValue
+
+MOST_KEY = 65_535
+_WHAT = ("value", "version", "create_revision", "mod_revision", "lease")
+
+
+class Put(msgspec.Struct, frozen=True, gc=False):
+    """Set a key."""
+
+    key: bytes
+    value: bytes
+    lease: int = 0
+
+
+class Delete(msgspec.Struct, frozen=True, gc=False):
+    """Delete the keys from `key` to before `end`; `end` None: all from `key` on; `end` equal to `key`: that key."""
+
+    key: bytes
+    end: bytes | None
+
+
+class When(msgspec.Struct, frozen=True):
+    """A condition on one key as it is before the commit. A key that is not there has the value None and zeros."""
+
+    key: bytes
+    what: Literal["value", "version", "create_revision", "mod_revision", "lease"]
+    compare: Literal["=", "!=", "<", ">"]
+    to: bytes | int | None
+
+    def __post_init__(self) -> None:
+        fits = self.to is None or isinstance(self.to, bytes) if self.what == "value" else isinstance(self.to, int)
+        if self.what not in _WHAT or self.compare not in ("=", "!=", "<", ">") or not fits:
+            raise BadBatch(f"condition on {self.key!r}: {self.what} {self.compare} {self.to!r} can't be compared")
+        if self.to is None and self.compare in "<>":
+            raise BadBatch(f"condition on {self.key!r}: no value has no order")
+
+    def holds(self, found: KeyValue | None) -> bool:
+        """Whether the key as `found` meets it."""
+        have = getattr(found, self.what) if found is not None else None if self.what == "value" else 0
+        if self.compare == "=":
+            return have == self.to
+        if self.compare == "!=":
+            return have != self.to
+        if have is None:
+            return False
+        return have < self.to if self.compare == "<" else have > self.to  # type: ignore[operator]
+
+
+class Batch:
+    """Changes that are made together or not at all. A key may be changed once; a put inside a range that the same
+    batch deletes is refused too, as in etcd's published API."""
+
+    __slots__ = ("changes", "size")
+
+    def __init__(self) -> None:
+        self.changes: list[Put | Delete] = []
+        self.size = 0
+
+    def put(self, key: bytes, value: bytes, lease: int = 0) -> "Batch":
+        """Set `key`; with a lease it goes when that does. `BadBatch` where these are no key and value."""
+        if type(key) is not bytes or type(value) is not bytes:
+            raise BadBatch(f"put of {key!r}: key and value must be bytes")
+        if not 0 < len(key) <= MOST_KEY:
+            raise BadBatch(f"put of {key[:40]!r}: a key has from 1 to {MOST_KEY} bytes, not {len(key)}")
+        self.changes.append(Put(key, value, lease))
+        self.size += len(key) + len(value) + 32
+        return self
+
+    def delete(self, key: bytes) -> "Batch":
+        """Delete one key; nothing happens where it is not there."""
+        self.changes.append(Delete(key, key))
+        self.size += len(key) + 32
+        return self
+
+    def delete_range(self, start: bytes, end: bytes | None) -> "Batch":
+        """Delete all keys from `start` to before `end`, None: to the last one."""
+        if end is None or end > start:
+            self.changes.append(Delete(start, end))
+            self.size += len(start) + 32
+        return self
--- /dev/null
+++ b/rackhub/store/engine.py
@@ -0,0 +1,981 @@
+"""The store: commits, reads, leases, and the work that goes on behind them. Synchronous, for one thread.
+
+What it decides stands in `plan`, `records.kept` and `leases`, which touch no disk; here events meet the port `files`.
+
+Writes go to a memory table and to the log's buffer at once; they are acknowledged when the contract holds. A memory
+table that is full is closed together with its log segment and written out as a sorted table by `work`, in slices;
+tables are merged there too. Reads see what is committed, acknowledged or not; `changes` gives acknowledged
+revisions alone, as what leaves the process through a watch must not be taken back by a crash.
+"""
+
+import heapq
+import time
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from rackhub.store import plan
+from rackhub.store.batch import Batch, Put, When
+from rackhub.store.errors import (
+    BadBatch,
+    Compacted,
+    Corrupt,
+    FutureRevision,
+    NoLease,
+    ReadOnly,
+    StoreError,
+)
+from rackhub.store.files import DiskFiles, File, Files
+from rackhub.store.framing import HEADER_SIZE
+from rackhub.store.leases import Leases
+from rackhub.store.log import Log, following, place_for, read_segment
+from rackhub.store.manifest import NAME, NEW, Manifest, SegmentInfo, install, load, log_name, number_of, table_name
+from rackhub.store.memtable import Memtable
+from rackhub.store.options import Options
+from rackhub.store.records import (
+    ATTACHED,
+    COMPACTED,
+    DATA,
+    LEASE,
+    MOST_REVISION,
+    Change,
+    Entry,
+    KeyValue,
+    LeaseTerms,
+    Record,
+    encode,
+    kept,
+    key_value,
+)
+from rackhub.store.table import BlockCache, Table, TableBuilder, TableInfo
+
+DATA_END = b"l"
+NEWEST = MOST_REVISION
+SYNC_EVERY = 1_048_576  # bytes of a table that is being written, between syncs: one at its end would hold a turn up
+STEP = 64  # entries of a merge between looks at the clock
+BACKLOG = 2  # closed memory tables, from which on each commit does a slice of the work itself
+
+Acknowledged = Callable[[StoreError | None], None]
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """What became of a batch: the store's revision after it, and whether its conditions held."""
+
+    revision: int
+    applied: bool
+
+
+class Recovered(msgspec.Struct, frozen=True):
+    """What an opening had to do."""
+
+    records: int  # replayed from the log
+    torn_bytes: int  # cut off the end of the log: written by a commit that was never acknowledged
+    torn_whole: int  # whole frames among them
+    removed: tuple[str, ...]  # half-made files
+    strange: tuple[str, ...]  # files that are none of a store's, left alone
+
+
+class Info(msgspec.Struct, frozen=True):
+    """A store in figures. Sizes in bytes, times in microseconds."""
+
+    revision: int
+    compacted: int
+    floor: int
+    records: int
+    tables: list[TableInfo]
+    retired: int
+    segments: int
+    log_bytes: int
+    table_bytes: int
+    memory_entries: int
+    leases: int
+    read_only: str
+    recovered: Recovered
+
+
+def unix_clock() -> int:
+    return time.time_ns() // 1_000
+
+
+def monotonic() -> int:
+    return time.monotonic_ns() // 1_000
+
+
+class Store:
+    """An open store. Made by `Store.open`."""
+
+    def __init__(self, files: Files, options: Options, clock: Callable[[], int], ticks: Callable[[], int],
+                 wake: Callable[["Store"], None] | None):
+        self.options = options
+        self._files, self._clock, self._ticks, self._wake = files, clock, ticks, wake
+        self._cache = BlockCache(options.cache_bytes)
+        self._tables: list[Table] = []  # newest first
+        self._frozen: list[Memtable] = []  # newest first
+        self._pins: Counter[int] = Counter()
+        self._places: dict[int, list[tuple[int, int]]] = {}
+        self._waiting: deque[tuple[int, Acknowledged]] = deque()
+        self._job: Iterator[File | None] | None = None
+        self._fault: OSError | None = None
+        self._damage: Corrupt | None = None
+        self._open, self._syncing, self._woken = True, False, False
+        self._compacted_by = 0  # the record that compacted last
+        self._collected = -1
+        self.written_tables = 0  # bytes, for the measure of write amplification
+        self.written_log = 0
+
+    # ---- opening
+
+    @classmethod
+    def open(cls, path: str | Path, options: Options | None = None, *, files: Files | None = None,
+             clock: Callable[[], int] = unix_clock, ticks: Callable[[], int] = monotonic,
+             wake: Callable[["Store"], None] | None = None) -> "Store":
+        """Open the store in the directory `path`, made where it is not there.
+
+        `clock`: Unix microseconds, for leases. `wake` is called when there is something for `flush` or `work` to do,
+        once until they have run; without it commits do that work themselves. Raises `Locked`, `Corrupt`,
+        `NewerFormat`, and `OSError` where the disk can't be used; what is on disk is then as it was.
+        """
+        files = files if files is not None else DiskFiles(path)
+        files.lock()
+        store = cls(files, options or Options(), clock, ticks, wake)
+        try:
+            store._recover()
+        except BaseException:
+            store._release()
+            raise
+        return store
+
+    def _recover(self) -> None:
+        names = self._files.names()
+        if NAME not in names:
+            self._create(names)
+        manifest = load(self._files)
+        sizes = {name: self._size(name) for name in self._files.names()}
+        todo = plan.recovery(manifest, sizes)
+        self._manifest = manifest
+        for info in manifest.tables:
+            name = table_name(info.number)
+            table = Table(name, info.number, self._files.open(name), self._cache)
+            if table.info != info:
+                raise Corrupt(name, 0, "is not the table that the manifest names")
+            self._tables.append(table)
+        self._mem = Memtable(manifest.flushed + 1)
+        replayed, seen = 0, manifest.seen
+        for segment in todo.replay:
+            for record in self._closed_records(segment):
+                if record.number > manifest.flushed:
+                    self._mem.add(record.number, record.revision, record.entries)
+                    replayed, seen = replayed + 1, record.at
+        name = log_name(manifest.active)
+        size = sizes[name]
+        self._log = Log(self._files, manifest.active, manifest.active_first, manifest.active_before,
+                        self.options.frame_bytes, self._files.open(name), size)
+        tail, records = self._log.replay(self._log.file, size)
+        last = records[-1].number if records else manifest.active_first - 1
+        if last < manifest.flushed:
+            raise Corrupt(name, tail.end, f"cut short: it ends with record {last}, and record {manifest.flushed} "
+                                          "was on disk")
+        for record in records:
+            if record.number > manifest.flushed:
+                self._mem.add(record.number, record.revision, record.entries)
+                replayed, seen = replayed + 1, record.at
+        self._refuse_unnamed(todo.later)
+        # From here on the disk is changed, each step so that a crash after it leads here again.
+        if tail.torn:
+            self._log.file.truncate(tail.end)
+        self._log.written = self._log.durable = tail.end
+        self._log.replayed(last, records[-1].revision if records else manifest.active_before)
+        self._log.file.sync()  # what is served from now on must not be lost: it may have been in memory only
+        removed = (*todo.remove, *(log_name(number) for number in todo.later))
+        for gone in removed:
+            self._files.remove(gone)
+        if removed:
+            self._files.sync_names()
+        self._number = last
+        self.revision = max(self._log.revision, manifest.flushed_revision)
+        self.recovered = Recovered(replayed, tail.torn, tail.later, removed, todo.strange)
+        self._restore_own(seen)
+
+    def _create(self, names: Sequence[str]) -> None:
+        """A new store. A crash while one was made leaves at most these two names, with nothing in them yet."""
+        left = {log_name(1), NEW}
+        for name in names:
+            if name not in left and number_of(name) or name == log_name(1) and self._size(name) > HEADER_SIZE:
+                raise Corrupt(NAME, 0, f"is not there, and {name} is")
+        for name in left.intersection(names):
+            self._files.remove(name)
+        log = Log(self._files, 1, 1, 0, self.options.frame_bytes)
+        log.file.close()
+        install(self._files, Manifest(2, 1, 1, 0, HEADER_SIZE, seen=self._clock()))
+
+    def _size(self, name: str) -> int:
+        file = self._files.open(name)
+        try:
+            return file.size()
+        finally:
+            file.close()
+
+    def _refuse_unnamed(self, numbers: Iterable[int]) -> None:
+        """A segment is named in the manifest before a record goes into it, so one that is not has none."""
+        for number in numbers:
+            if self._size(log_name(number)) > HEADER_SIZE:
+                raise Corrupt(log_name(number), HEADER_SIZE, "holds records, and the manifest does not name it")
+
+    def _closed_records(self, segment: SegmentInfo) -> Iterator[Record]:
+        name, due, revision = log_name(segment.number), segment.first, segment.before
+        file = self._files.open(name)
+        try:
+            for start, some in read_segment(name, segment.number, file, HEADER_SIZE, segment.size):
+                for record in some:
+                    due, revision = following(name, start, record, due, revision)
+                    yield record
+        finally:
+            file.close()
+        if due != segment.last + 1:
+            raise Corrupt(name, segment.size, f"ends with record {due - 1}, not {segment.last}")
+
+    def _restore_own(self, seen: int) -> None:
+        """Leases and the compacted revision, from the store's own keys."""
+        self.leases = Leases(seen)
+        for entry in self._visible(LEASE, LEASE + b"\xff" * 9, NEWEST):
+            self.leases.restore(int.from_bytes(entry.key[1:], "big"),
+                                msgspec.msgpack.decode(entry.value or b"", type=LeaseTerms))
+        for entry in self._visible(ATTACHED, b"b", NEWEST):
+            self.leases.attach(int.from_bytes(entry.key[1:9], "big"), entry.key[9:])
+        told = self._latest(COMPACTED)
+        self.compacted = max(self._manifest.floor, int(told.value) if told and told.value else 0)
+        self.leases.tick(self._clock())
+
+    # ---- writing
+
+    def batch(self) -> Batch:
+        """An empty batch, for `commit`."""
+        return Batch()
+
+    def commit(self, batch: Batch, when: Sequence[When] = (), acknowledged: Acknowledged | None = None) -> Commit:
+        """Make all changes of `batch` as one revision, if all conditions hold.
+
+        Reads see them on return. `acknowledged` is called once: with None when the contract holds for them, or with
+        the error where the disk failed first (then they are in doubt, as after a crash). Under `always` that is
+        before this returns. Raises `BadBatch`, `NoLease`, and `ReadOnly` where nothing was written.
+        """
+        self._writable()
+        if batch.size > self.options.batch_bytes:
+            raise BadBatch(f"a batch of {batch.size} bytes: {self.options.batch_bytes} are allowed")
+        for condition in when:
+            if not condition.holds(self.get(condition.key)):
+                return self._nothing_done(False, acknowledged)
+        entries = self._resolve(batch, self.revision + 1)
+        if not entries:
+            return self._nothing_done(True, acknowledged)
+        self._append(entries, self.revision + 1, batch.size, acknowledged)
+        return Commit(self.revision, True)
+
+    def _nothing_done(self, applied: bool, acknowledged: Acknowledged | None) -> Commit:
+        """Acknowledged all the same only once what it was decided by is on disk."""
+        if acknowledged is not None:
+            self._waiting.append((self._number, acknowledged))
+            self._acknowledge()
+            self._stir()
+        return Commit(self.revision, applied)
+
+    def _resolve(self, batch: Batch, revision: int) -> list[Entry]:
+        """What the batch comes to, as entries: what a replay needs no earlier state for."""
+        entries: list[Entry] = []
+        changed: set[bytes] = set()
+        for change in batch.changes:
+            if not isinstance(change, Put):
+                continue
+            key = DATA + change.key
+            if key in changed:
+                raise BadBatch(f"key {change.key!r} is put twice in one batch")
+            changed.add(key)
+            before = self._latest(key)
+            if before is not None and before.value is not None:
+                entries.append(Entry(key, revision, change.value, before.create, before.version + 1, change.lease))
+                old = before.lease
+            else:
+                entries.append(Entry(key, revision, change.value, revision, 1, change.lease))
+                old = 0
+            if change.lease or old:
+                self._move_lease(entries, change.key, old, change.lease)
+        if len(entries) < len(batch.changes):
+            self._resolve_deletes(batch, revision, entries, changed)
+        return entries
+
+    def _resolve_deletes(self, batch: Batch, revision: int, entries: list[Entry], put: set[bytes]) -> None:
+        gone: set[bytes] = set()
+        for change in batch.changes:
+            if isinstance(change, Put):
+                continue
+            start = DATA + change.key
+            if change.end == change.key:
+                end = start + b"\0"
+                found = self._latest(start)
+                there: Iterable[Entry] = (found,) if found is not None and found.value is not None else ()
+            else:
+                end = DATA_END if change.end is None else DATA + change.end
+                there = list(self._visible(start, end, NEWEST))
+            for key in put:
+                if start <= key < end:
+                    raise BadBatch(f"key {key[1:]!r} is both put and deleted in one batch")
+            for entry in there:
+                if entry.key in gone:
+                    continue
+                gone.add(entry.key)
+                entries.append(Entry(entry.key, revision, None))
+                if entry.lease:
+                    self._move_lease(entries, entry.key[1:], entry.lease, 0)
+
+    def _move_lease(self, entries: list[Entry], key: bytes, old: int, new: int) -> None:
+        if new:
+            self.leases.tick(self._clock())
+            if not self.leases.left(new):
+                raise NoLease(new)
+        number = self._number + 1
+        if old and old != new:
+            entries.append(Entry(ATTACHED + old.to_bytes(8, "big") + key, number, None))
+        if new and old != new:
+            entries.append(Entry(ATTACHED + new.to_bytes(8, "big") + key, number, b""))
+
+    def _append(self, entries: list[Entry], revision: int, size: int, acknowledged: Acknowledged | None) -> None:
+        self._number += 1
+        self.revision = revision
+        record = Record(self._number, revision, self._clock(), entries)
+        self._mem.add(self._number, revision, entries)
+        self._log.add(record, size)
+        for entry in entries:
+            if entry.key[:1] != DATA:
+                self._own(entry)
+        if acknowledged is not None:
+            self._waiting.append((self._number, acknowledged))
+        full = self._log.full or self._mem.bytes >= self.options.memtable_bytes
+        if self.options.contract == "always" or full and self._wake is None:
+            self.flush()
+            if self._fault is not None:
+                raise ReadOnly(self._fault)
+        if self._wake is None or len(self._frozen) > BACKLOG:
+            self.work()
+        self._stir()
+
+    def _own(self, entry: Entry) -> None:
+        """Carry a change of the store's own keys over to what is kept of them in memory."""
+        kind, rest = entry.key[:1], entry.key[1:]
+        if kind == ATTACHED:
+            change = self.leases.attach if entry.value is not None else self.leases.detach
+            change(int.from_bytes(rest[:8], "big"), rest[8:])
+        elif kind == LEASE and entry.value is None:
+            self.leases.drop(int.from_bytes(rest, "big"))
+        elif kind == LEASE:
+            terms = msgspec.msgpack.decode(entry.value or b"", type=LeaseTerms)
+            self.leases.restore(int.from_bytes(rest, "big"), terms)
+        elif entry.key == COMPACTED:
+            self.compacted, self._compacted_by = int(entry.value or 0), self._number
+
+    def _writable(self) -> None:
+        if not self._open:
+            raise StoreError("the store is closed")
+        if self._fault is not None:
+            raise ReadOnly(self._fault)
+
+    def _stir(self) -> None:
+        if self._wake is not None and not self._woken and (self.needs_flush or self.needs_work):
+            self._woken = True
+            self._wake(self)
+
+    # ---- making writes last
+
+    @property
+    def needs_flush(self) -> bool:
+        """Whether commits wait for `flush`."""
+        return self._fault is None and (bool(self._log.waiting) or bool(self._waiting) and not self._syncing)
+
+    def flush(self) -> None:
+        """Make the contract hold for all commits so far and acknowledge them, with one sync. Where the disk fails the
+        store is read-only from here on."""
+        file = self.begin_flush()
+        if file is not None:
+            try:
+                file.sync()
+            except OSError as fault:
+                return self.end_flush(fault)
+            self.end_flush(None)
+
+    def begin_flush(self, sync: bool = False) -> File | None:
+        """The first half of `flush`: the file to be synced, which another thread may do before `end_flush` is called
+        here. None where nothing is to be synced. Commits meanwhile wait for the next one."""
+        self._woken = False
+        if self._fault is not None or self._syncing or not self._open:
+            return None
+        before = self._log.written
+        try:
+            if self.options.contract == "none" and not sync:
+                self._log.write()
+                file = None
+            else:
+                file = self._log.begin_sync()
+        except OSError as fault:
+            self._fail(fault)
+            return None
+        self.written_log += self._log.written - before
+        if file is None:
+            self._acknowledge()
+            self._roll_if_full()
+            return None
+        self._syncing = True
+        return file
+
+    def end_flush(self, fault: OSError | None) -> None:
+        """The second half: the sync came back, well or with `fault`."""
+        self._syncing = False
+        if fault is not None:
+            return self._fail(fault)
+        self._log.end_sync()
+        self._acknowledge()
+        self._roll_if_full()
+        self._stir()
+
+    def _lasting(self, number: int) -> bool:
+        """Whether record `number` is on disk."""
+        return number < self._log.first or number <= self._log.durable_last
+
+    @property
+    def acknowledged_revision(self) -> int:
+        """The last revision for which the contract holds."""
+        return self._log.revision if self.options.contract == "none" else self._log.durable_revision
+
+    def _acknowledge(self) -> None:
+        held = self._log.last if self.options.contract == "none" else self._log.durable_last
+        while self._waiting and self._waiting[0][0] <= held:
+            self._waiting.popleft()[1](None)
+
+    def _fail(self, fault: OSError) -> None:
+        """The disk refused something: nothing is written until `retry`, and whoever waits is told."""
+        self._fault, self._job = fault, None
+        waiting, self._waiting = self._waiting, deque()
+        for _, call in waiting:
+            call(ReadOnly(fault))
+
+    def retry(self) -> None:
+        """Try a read-only store's disk again: what was committed and not on disk is written to a new segment, and
+        the store takes writes again. Raises `ReadOnly` where the disk still fails."""
+        if self._fault is None:
+            return
+        old = self._log
+        try:
+            # What a failed sync left of these bytes is not known, and a second sync may wrongly call them written.
+            old.file.truncate(old.durable)
+            old.file.sync()
+            self._remove_unnamed()
+            again = [*old.unsynced, *old.waiting]
+            old.last, old.revision = old.durable_last, old.durable_revision
+            old.written, old.unsynced, old.waiting, old._syncing = old.durable, [], [], None
+            old.waiting = again  # where the new segment can't be made, they wait for the next try
+            self._next_segment()
+            file = self._log.begin_sync()
+            if file is not None:
+                file.sync()
+                self._log.end_sync()
+        except OSError as fault:
+            self._fault = fault
+            raise ReadOnly(fault) from None
+        self._fault = None
+        self._acknowledge()
+
+    def _remove_unnamed(self) -> None:
+        """Free what half-made files take."""
+        known = plan.named(self._manifest)
+        for name in self._files.names():
+            if name not in known and (number_of(name) or name == NEW):
+                self._files.remove(name)
+
+    def _roll_if_full(self) -> None:
+        if self._mem.bytes >= self.options.memtable_bytes and self._mem.high >= self._mem.low:
+            try:
+                if self._log.durable < self._log.written:  # under `none`: a closed segment is always whole
+                    file = self._log.begin_sync()
+                    assert file is not None
+                    file.sync()
+                    self._log.end_sync()
+                self._next_segment()
+            except OSError as fault:
+                return self._fail(fault)
+            self._frozen.insert(0, self._mem)
+            self._mem = Memtable(self._mem.high + 1)
+            retain = self.options.retain_revisions
+            if retain and self.revision - retain > self.compacted + retain // 4:
+                self.compact(self.revision - retain)
+
+    def _next_segment(self) -> None:
+        """Close the active segment, all of which is on disk, and begin the next."""
+        old, manifest = self._log, self._manifest
+        new = Log(self._files, manifest.next_number, old.last + 1, old.revision, self.options.frame_bytes)
+        closed = (SegmentInfo(old.number, old.first, old.last, old.before, old.revision, old.written),) \
+            if old.last >= old.first else ()
+        self._install(msgspec.structs.replace(
+            manifest, next_number=manifest.next_number + 1, segments=(*manifest.segments, *closed),
+            active=new.number, active_first=new.first, active_before=new.before, active_durable=HEADER_SIZE))
+        new.waiting, new._waiting_bytes = old.waiting, old._waiting_bytes
+        self._places[old.number] = old.places
+        self._log = new
+        old.file.close()
+
+    def _install(self, manifest: Manifest) -> None:
+        manifest = msgspec.structs.replace(manifest, seen=self._clock())
+        install(self._files, manifest)
+        gone = plan.named(self._manifest) - plan.named(manifest)
+        self._manifest = manifest
+        for name in sorted(gone):
+            self._files.remove(name)
+            told = number_of(name)
+            if told is not None:
+                self._places.pop(told[1], None)
+
+    # ---- reading
+
+    def get(self, key: bytes, at: int | None = None) -> KeyValue | None:
+        """The key as it was at revision `at`, now without one. `Compacted`, `FutureRevision`."""
+        if at is not None:
+            self._readable(at)
+        entry = self._latest(DATA + key, NEWEST if at is None else at)
+        return key_value(entry) if entry is not None and entry.value is not None else None
+
+    def range(self, start: bytes = b"", end: bytes | None = None, at: int | None = None, limit: int = 0
+              ) -> list[KeyValue]:
+        """The keys from `start` to before `end` (None: to the last), in order; at most `limit` of them if not 0."""
+        found: list[KeyValue] = []
+        for item in self.scan(start, end, at):
+            found.append(item)
+            if len(found) == limit:
+                break
+        return found
+
+    def scan(self, start: bytes = b"", end: bytes | None = None, at: int | None = None) -> Iterator[KeyValue]:
+        """As `range`, one by one. Without `at` it is of the state at its beginning; a compaction past that ends it
+        with `Compacted`: hold a `snapshot` for a long one."""
+        if at is not None:
+            self._readable(at)
+        revision = self.revision if at is None else at
+        return self._scan(start, end, revision)
+
+    def _scan(self, start: bytes, end: bytes | None, revision: int, pinned: bool = False) -> Iterator[KeyValue]:
+        for entry in self._visible(DATA + start, DATA_END if end is None else DATA + end, revision):
+            if revision < self.compacted and not pinned:
+                raise Compacted(revision, self.compacted)
+            yield key_value(entry)
+
+    def changes(self, since: int) -> Iterator[Change]:
+        """Every change of every acknowledged revision from `since` on, in order. `Compacted` where history does not
+        reach back so far, also if it is compacted away while this is read."""
+        if since <= self.compacted:
+            raise Compacted(since, self.compacted)
+        if since > self.revision + 1:
+            raise FutureRevision(since, self.revision)
+        return self._changes(since)
+
+    def _changes(self, since: int) -> Iterator[Change]:
+        last = self.acknowledged_revision
+        active, end = self._log, self._log.written if self.options.contract == "none" else self._log.durable
+        segments = [segment for segment in self._manifest.segments if segment.revision >= since]
+        for segment in segments:
+            try:
+                file = self._files.open(log_name(segment.number))
+            except FileNotFoundError:
+                raise Compacted(since, self.compacted) from None
+            try:
+                start = place_for(self._places.get(segment.number, []), since)
+                yield from self._changes_in(segment.number, file, start, segment.size, since, last)
+            finally:
+                file.close()
+        if last >= since and last > active.before:
+            try:
+                file = self._files.open(active.name)
+            except FileNotFoundError:
+                raise Compacted(since, self.compacted) from None
+            try:
+                yield from self._changes_in(active.number, file, place_for(active.places, since), end, since, last)
+            finally:
+                file.close()
+
+    @staticmethod
+    def _changes_in(number: int, file: File, start: int, end: int, since: int, last: int) -> Iterator[Change]:
+        for _, records in read_segment(log_name(number), number, file, start, end):
+            for record in records:
+                if not since <= record.revision <= last:
+                    continue
+                for entry in record.entries:
+                    if entry.key[:1] == DATA:
+                        yield Change(record.revision, entry.key[1:],
+                                     key_value(entry) if entry.value is not None else None)
+
+    def snapshot(self, at: int | None = None) -> "Snapshot":
+        """The state at revision `at`, now without one, readable until it is closed whatever is compacted meanwhile."""
+        if at is not None:
+            self._readable(at)
+        return Snapshot(self, self.revision if at is None else at)
+
+    def _readable(self, at: int) -> None:
+        if at < self.compacted:
+            raise Compacted(at, self.compacted)
+        if at > self.revision:
+            raise FutureRevision(at, self.revision)
+
+    def _latest(self, key: bytes, at: int = NEWEST) -> Entry | None:
+        """The newest version up to `at`, a deletion too. Memory and tables hold rows of records that follow one
+        another, so what is found in a newer one is newer than all in older ones."""
+        found = self._mem.find(key, at)
+        if found is not None:
+            return found
+        for memory in self._frozen:
+            found = memory.find(key, at)
+            if found is not None:
+                return found
+        for table in self._tables:
+            found = table.find(key, at)
+            if found is not None:
+                return found
+        return None
+
+    def _visible(self, start: bytes, end: bytes | None, at: int) -> Iterator[Entry]:
+        """What is there at `at` of the keys from `start` to before `end`, in order."""
+        sources: list[Iterator[Entry]] = [memory.scan(start, end) for memory in (self._mem, *self._frozen)
+                                          if memory.count]
+        sources += [table.scan(start, end) for table in self._tables]
+        done = b""
+        for entry in sources[0] if len(sources) == 1 else merged(sources):
+            if entry.order <= at and entry.key != done:
+                done = entry.key
+                if entry.value is not None:
+                    yield entry
+
+    # ---- history
+
+    def compact(self, revision: int, acknowledged: Acknowledged | None = None) -> None:
+        """Give up the history up to `revision`: it stays readable as a state, what lies before it does not.
+        `Compacted` where that is done already, `FutureRevision` where the store is not there yet."""
+        self._writable()
+        if revision <= self.compacted:
+            raise Compacted(revision, self.compacted)
+        if revision > self.revision:
+            raise FutureRevision(revision, self.revision)
+        self._append([Entry(COMPACTED, self._number + 1, str(revision).encode())], self.revision, 32, acknowledged)
+
+    def _floor(self) -> int:
+        """Versions that only revisions before this one can see are free to go."""
+        return min([self.compacted, *self._pins])
+
+    # ---- leases
+
+    def grant(self, ttl: int, id: int = 0, acknowledged: Acknowledged | None = None) -> int:
+        """A new lease of `ttl` microseconds; its id, chosen here where none is asked for."""
+        self._writable()
+        if ttl <= 0 or not 0 <= id < 1 << 63:
+            raise BadBatch(f"a lease of {ttl} microseconds with id {id}: both must be above 0, the id under 2**63")
+        if id and id in self.leases:
+            raise BadBatch(f"lease {id} is there already")
+        self.leases.tick(self._clock())
+        id = self.leases.fresh_id(id, self._number)
+        self._append([self._terms(id, ttl)], self.revision, 64, acknowledged)
+        return id
+
+    def keep_alive(self, id: int, acknowledged: Acknowledged | None = None) -> int:
+        """Begin the lease's time anew; its length. `NoLease` also where it has run out and is not cleared away yet."""
+        self._writable()
+        self.leases.tick(self._clock())
+        if not self.leases.left(id):
+            raise NoLease(id)
+        ttl = self.leases.get(id).ttl
+        self._append([self._terms(id, ttl)], self.revision, 64, acknowledged)
+        return ttl
+
+    def _terms(self, id: int, ttl: int) -> Entry:
+        terms = LeaseTerms(ttl, self.leases.now + ttl)
+        return Entry(LEASE + id.to_bytes(8, "big"), self._number + 1, encode(terms))
+
+    def revoke(self, id: int, acknowledged: Acknowledged | None = None) -> Commit:
+        """End a lease and delete its keys, as one revision where it has any."""
+        self._writable()
+        lease = self.leases.get(id)
+        number, revision = self._number + 1, self.revision + 1
+        name = id.to_bytes(8, "big")
+        entries = [Entry(DATA + key, revision, None) for key in sorted(lease.keys)]
+        entries += [Entry(ATTACHED + name + key, number, None) for key in sorted(lease.keys)]
+        entries.append(Entry(LEASE + name, number, None))
+        self._append(entries, revision if lease.keys else self.revision, 64 * len(entries), acknowledged)
+        return Commit(self.revision, True)
+
+    def expire(self, acknowledged: Acknowledged | None = None) -> list[int]:
+        """Revoke the leases that have run out by the clock; which."""
+        self._writable()
+        self.leases.tick(self._clock())
+        over = self.leases.due()
+        for id in over:
+            self.revoke(id, acknowledged)
+        return over
+
+    # ---- the work behind
+
+    @property
+    def needs_work(self) -> bool:
+        """Whether `work` has something to do."""
+        if self._fault is not None or self._damage is not None or not self._open:
+            return False
+        return self._job is not None or bool(self._frozen) or self._to_merge() is not None or self._to_collect()
+
+    def _to_merge(self) -> tuple[int, int] | None:
+        return plan.merge(self._manifest.tables, self.options.memtable_bytes, self.options.runs, self._floor())
+
+    def _to_collect(self) -> bool:
+        return self._collected != self._floor()
+
+    def work(self, budget: int = 0, sync: Callable[[File], bool] | None = None) -> bool:
+        """Go on for `budget` microseconds (the options' slice without one) with what goes on behind: writing closed
+        memory tables out, merging tables, dropping what nobody needs. True where there is more to do.
+
+        `sync`, where given, is handed each file that is to be synced and says whether it has been; if not, the
+        caller does so elsewhere and calls `work` again after it.
+        """
+        if self._fault is not None or self._damage is not None or not self._open:
+            return False
+        until = self._ticks() + (budget or self.options.slice_us)
+        try:
+            while self._ticks() < until:
+                if self._job is None:
+                    self._job = self._next_job()
+                    if self._job is None:
+                        return False
+                file = next(self._job, self._job)
+                if file is self._job:
+                    self._job = None
+                elif file is not None:
+                    if sync is None:
+                        file.sync()  # type: ignore[union-attr]
+                    elif not sync(file):  # type: ignore[arg-type]
+                        return True
+        except OSError as fault:
+            self._fail(fault)
+            return False
+        except Corrupt as damage:  # merging goes no further; reads of the rest and all writes do
+            self._damage, self._job = damage, None
+            return False
+        return self.needs_work
+
+    @property
+    def damage(self) -> Corrupt | None:
+        """What merging ran into; it has ended with that."""
+        return self._damage
+
+    def settle(self) -> None:
+        """Do all work there is, however long it takes."""
+        self.flush()
+        while self.work(1_000_000):
+            pass
+
+    def _next_job(self) -> Iterator[File | None] | None:
+        if self._frozen:
+            return self._write_out(self._frozen[-1])
+        places = self._to_merge()
+        if places is not None:
+            return self._merge(*places)
+        return self._collect() if self._to_collect() else None
+
+    def _write_out(self, memory: Memtable) -> Iterator[File | None]:
+        """A closed memory table becomes the newest table."""
+        floor, first = self._floor(), not self._tables
+        entries = kept(memory.scan(b"", None), floor, first)
+        for step in self._write_table(entries, memory.count, memory.low, memory.high, memory.revision, floor, ()):
+            if isinstance(step, Table):
+                manifest = self._manifest
+                self._tables.insert(0, step)
+                self._frozen.remove(memory)
+                self._install(plan.without_garbage(msgspec.structs.replace(
+                    manifest, next_number=max(manifest.next_number, step.info.number + 1),
+                    tables=(step.info, *manifest.tables), flushed=memory.high, flushed_revision=memory.revision),
+                    floor, self.options.reserve))
+            else:
+                yield step
+
+    def _merge(self, start: int, end: int) -> Iterator[File | None]:
+        """The tables from place `start` to before `end` become one. Newer ones may come meanwhile, in front."""
+        inputs = self._tables[start:end]
+        infos = tuple(table.info for table in inputs)
+        floor, bottom = self._floor(), end == len(self._tables)
+        sources = [table.scan(keep=False) for table in inputs]
+        entries = kept(merged(sources) if len(sources) > 1 else sources[0], floor, bottom)
+        count = sum(info.entries for info in infos)
+        for step in self._write_table(entries, count, infos[-1].low, infos[0].high, infos[0].revision, floor,
+                                      tuple(info.number for info in infos)):
+            if isinstance(step, Table):
+                manifest = self._manifest
+                at = self._tables.index(inputs[0])
+                self._tables[at:at + len(inputs)] = [step]
+                self._install(plan.without_garbage(msgspec.structs.replace(
+                    manifest, next_number=max(manifest.next_number, step.info.number + 1),
+                    tables=tuple(table.info for table in self._tables),
+                    retired=(*manifest.retired, *infos)), floor, self.options.reserve))
+            else:
+                yield step
+
+    def _write_table(self, entries: Iterator[Entry], count: int, low: int, high: int, revision: int, floor: int,
+                     sources: tuple[int, ...]) -> Iterator[Any]:
+        """Write a table in steps, with files to be synced among them; the open table comes last. It is handed over
+        only once the log holds on disk all that it was made by: no table may be ahead of the log."""
+        number, due = self._manifest.next_number, self._number
+        self._manifest = msgspec.structs.replace(self._manifest, next_number=number + 1)
+        name = table_name(number)
+        file = self._files.create(name)
+        builder = TableBuilder(number, count, self.options.block_bytes)
+        parts, unsynced, steps = [builder.begin()], 0, 0
+        for entry in entries:
+            data = builder.add(entry)
+            steps += 1
+            if data is not None:
+                parts.append(data)
+                file.append(parts)
+                unsynced += sum(map(len, parts))
+                parts = []
+                yield None
+                if unsynced >= SYNC_EVERY:
+                    unsynced = 0
+                    yield file
+            elif not steps % STEP:
+                yield None
+        rest, info = builder.finish(low, high, revision, floor, sources)
+        file.append([*parts, rest])
+        yield file
+        self._files.sync_names()
+        while not self._lasting(due):
+            if self._syncing:
+                yield None
+                continue
+            waiting = self.begin_flush(sync=True)
+            if waiting is not None:
+                try:
+                    waiting.sync()
+                except OSError as fault:
+                    self.end_flush(fault)
+                    raise
+                self.end_flush(None)
+            yield None
+        self.written_tables += info.size
+        yield Table(name, number, file, self._cache)
+
+    def _collect(self) -> Iterator[File | None]:
+        """Drop the files whose history was given up."""
+        floor = self._floor()
+        while not self._lasting(self._compacted_by):
+            self.flush()
+            yield None
+        manifest = plan.without_garbage(self._manifest, floor, self.options.reserve)
+        if manifest != self._manifest:
+            self._install(manifest)
+        self._collected = floor
+
+    # ---- the end
+
+    def info(self) -> Info:
+        """The store in figures."""
+        manifest = self._manifest
+        return Info(self.revision, self.compacted, manifest.floor, self._number, list(manifest.tables),
+                    len(manifest.retired), len(manifest.segments) + 1,
+                    sum(segment.size for segment in manifest.segments) + self._log.written,
+                    sum(table.size for table in (*manifest.tables, *manifest.retired)),
+                    sum(memory.count for memory in (self._mem, *self._frozen)), len(self.leases),
+                    str(self._fault) if self._fault else "", self.recovered)
+
+    def close(self) -> None:
+        """Make all commits last, acknowledge them and let go of the directory. An unfinished merge begins anew at
+        the next opening. `ReadOnly` where the disk failed before."""
+        if not self._open:
+            return
+        fault = self._fault
+        if fault is None:
+            file = self.begin_flush(sync=True) if not self._syncing else None
+            if file is not None:
+                try:
+                    file.sync()
+                    self.end_flush(None)
+                except OSError as bad:
+                    self.end_flush(bad)
+            fault = self._fault
+        if fault is None:
+            try:
+                self._install(msgspec.structs.replace(self._manifest, active_durable=self._log.durable))
+            except OSError as bad:
+                fault = bad
+                self._fail(bad)
+        self._open = False
+        self._release()
+        if fault is not None:
+            raise ReadOnly(fault)
+
+    def _release(self) -> None:
+        self._job = None
+        for table in self._tables:
+            table.close()
+        if hasattr(self, "_log"):
+            self._log.file.close()
+        self._files.unlock()
+
+    def __enter__(self) -> "Store":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+
+class Snapshot:
+    """A state that stays readable. Close it: while it is open, what it can see is kept on disk."""
+
+    def __init__(self, store: Store, revision: int):
+        self._store, self.revision, self._closed = store, revision, False
+        store._pins[revision] += 1
+
+    def get(self, key: bytes) -> KeyValue | None:
+        self._check()
+        entry = self._store._latest(DATA + key, self.revision)
+        return key_value(entry) if entry is not None and entry.value is not None else None
+
+    def scan(self, start: bytes = b"", end: bytes | None = None) -> Iterator[KeyValue]:
+        self._check()
+        return self._store._scan(start, end, self.revision, pinned=True)
+
+    def range(self, start: bytes = b"", end: bytes | None = None, limit: int = 0) -> list[KeyValue]:
+        found: list[KeyValue] = []
+        for item in self.scan(start, end):
+            found.append(item)
+            if len(found) == limit:
+                break
+        return found
+
+    def _check(self) -> None:
+        if self._closed:
+            raise StoreError("the snapshot is closed")
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._store._pins[self.revision] -= 1
+            if not self._store._pins[self.revision]:
+                del self._store._pins[self.revision]
+                self._store._stir()
+
+    def __enter__(self) -> "Snapshot":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+
+def merged(sources: Sequence[Iterator[Entry]]) -> Iterator[Entry]:
+    """Entries of sources (newest first) in order of key, the newest version first."""
+
+    def ranked(source: Iterator[Entry], rank: int) -> Iterator[tuple[bytes, int, int, Entry]]:
+        for entry in source:
+            yield entry.key, rank, -entry.order, entry
+
+    for _, _, _, entry in heapq.merge(*(ranked(source, rank) for rank, source in enumerate(sources))):
+        yield entry
--- /dev/null
+++ b/rackhub/store/plan.py
@@ -0,0 +1,192 @@
+"""What a store decides, without touching a disk: what to merge, what may go, how to recover, what can be saved."""
+
+import math
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from rackhub.store.errors import Corrupt
+from rackhub.store.manifest import NAME, NEW, Manifest, SegmentInfo, log_name, number_of, table_name
+from rackhub.store.table import QUANTILES, TableInfo
+
+STALE_SHARE = 0.5  # of a table's entries that nobody can read any more, before it is rewritten for that alone
+STALE_LEAST = 256  # entries, under which that is not worth a file
+
+
+# ---- what to merge
+
+
+def tier(size: int, base: int, runs: int) -> int:
+    """Which size class a table is in: each holds tables up to `runs` times the one below."""
+    return max(0, math.ceil(math.log(max(size, 1) / base, runs))) if size > base else 0
+
+
+def stale_share(table: TableInfo, floor: int) -> float:
+    """The part of a table's entries that were replaced inside it by revisions up to `floor`."""
+    if not table.stale or not table.entries:
+        return 0.0
+    readable = sum(1 for by in table.stale if by > floor)
+    return table.stale_count / table.entries * (1 - readable / QUANTILES)
+
+
+def merge(tables: Sequence[TableInfo], base: int, runs: int, floor: int) -> tuple[int, int] | None:
+    """Which of `tables` (newest first) to merge next, as a half-open range of places; None: leave them.
+
+    Neighbours only, so that every table holds an unbroken stretch of records, which reads and recovery rely on.
+    """
+    classes = [tier(table.size, base, runs) for table in tables]
+    for level in sorted(set(classes)):
+        start = 0
+        while start < len(tables):
+            end = start
+            while end < len(tables) and classes[end] <= level:
+                end += 1
+            if classes[start:end].count(level) >= runs:  # smaller ones in between go along, and do not count
+                return start, end
+            start = max(end, start + 1)
+    for i, table in enumerate(tables):
+        # a table that was made with this floor already holds what it must: rewriting it would give it again
+        if table.floor < floor and table.stale_count >= STALE_LEAST and stale_share(table, floor) >= STALE_SHARE:
+            return i, i + 1
+    return None
+
+
+# ---- what may go
+
+
+def without_garbage(manifest: Manifest, floor: int, reserve: bool) -> Manifest:
+    """The manifest less the closed segments and the retired tables that nothing needs any more.
+
+    A segment is needed while a record of it is in no table, while its history can be asked for, and, in reserve,
+    while a table that came straight from the log may have come from it.
+    """
+    fresh = [table for table in manifest.tables if not table.sources] if reserve else []
+    segments = [segment for segment in manifest.segments
+                if segment.last > manifest.flushed or segment.revision > floor
+                or any(table.low <= segment.last and segment.first <= table.high for table in fresh)]
+    # history must stay in one piece: nothing before a segment that goes can be asked for
+    gone = [segment for segment in manifest.segments if segment not in segments]
+    lost = max((segment.revision for segment in gone), default=manifest.floor)
+    wanted = {number for table in manifest.tables for number in table.sources} if reserve else set()
+    retired = tuple(table for table in manifest.retired if table.number in wanted)
+    return msgspec.structs.replace(manifest, segments=tuple(segments), retired=retired,
+                                   floor=max(manifest.floor, lost))
+
+
+def named(manifest: Manifest) -> set[str]:
+    """All files that a manifest names, itself among them."""
+    tables = (table_name(table.number) for table in (*manifest.tables, *manifest.retired))
+    logs = (log_name(number) for number in (*(s.number for s in manifest.segments), manifest.active))
+    return {NAME, *tables, *logs}
+
+
+# ---- how to recover
+
+
+class Recovery(msgspec.Struct, frozen=True):
+    """What an opening does once the files it goes by are seen to be there."""
+
+    replay: tuple[SegmentInfo, ...]  # closed segments with records that are in no table
+    remove: tuple[str, ...]  # half-made or done-with files
+    strange: tuple[str, ...]  # names that a store never gives: left alone
+    later: tuple[int, ...]  # logs after the active one: looked into before they are removed
+
+
+def recovery(manifest: Manifest, sizes: Mapping[str, int]) -> Recovery:
+    """How to recover by `manifest` where the directory holds files of `sizes`. `Corrupt` where a file that it names
+    is not there or has not the size it was closed with: no crash does that, so nothing is guessed."""
+    for table in manifest.tables:
+        _whole(table_name(table.number), table.size, sizes)
+    for segment in manifest.segments:
+        _whole(log_name(segment.number), segment.size, sizes)
+    active = log_name(manifest.active)
+    if active not in sizes:
+        raise Corrupt(active, 0, "the manifest names it and it is not there")
+    if sizes[active] < manifest.active_durable:
+        raise Corrupt(active, sizes[active], f"cut short: {manifest.active_durable} bytes of it were on disk")
+    known, remove, strange, later = named(manifest), [], [], []
+    for name in sorted(sizes):
+        told = number_of(name)
+        if name in known:
+            continue
+        if name == NEW or told is not None and (told[0] == "table" or told[1] < manifest.active):
+            remove.append(name)
+        elif told is not None:
+            later.append(told[1])
+        else:
+            strange.append(name)
+    replay = tuple(segment for segment in manifest.segments if segment.last > manifest.flushed)
+    return Recovery(replay, tuple(remove), tuple(strange), tuple(later))
+
+
+def _whole(name: str, size: int, sizes: Mapping[str, int]) -> None:
+    if name not in sizes:
+        raise Corrupt(name, 0, "the manifest names it and it is not there")
+    if sizes[name] != size:
+        raise Corrupt(name, min(sizes[name], size), f"has {sizes[name]} bytes; it was closed with {size}")
+
+
+# ---- what can be saved
+
+
+class Stretch(msgspec.Struct, frozen=True):
+    """Records in a row that were found whole in one log: numbers, and the revisions before and after them."""
+
+    log: int
+    first: int
+    last: int
+    before: int
+    revision: int
+
+
+class Rescue(msgspec.Struct, frozen=True):
+    """What of a damaged store is provably whole: the state after record `end`, a prefix of all that was written."""
+
+    tables: tuple[TableInfo, ...]  # newest first, an unbroken row from the first record
+    logs: tuple[Stretch, ...]  # oldest first, unbroken, up to `end`; those before the tables' end are history
+    end: int
+    revision: int
+    floor: int  # history up to here could not be saved
+    left: tuple[Stretch, ...]  # whole records after a gap: not a prefix, so not taken
+
+
+def rescue(tables: Sequence[TableInfo], stretches: Sequence[Stretch]) -> Rescue:
+    """Choose among tables and log stretches that were read whole. Needs no manifest.
+
+    Every table holds an unbroken row of records, and tables' rows nest or follow one another. So tables are strung
+    together from record 1, at each step the one that reaches furthest (the latest made of those that reach alike, as
+    it has dropped more), and the logs carry on from there. A retired table inside a chosen one's row is passed over:
+    it may hold what a merge dropped together with its deletion.
+    """
+    chosen: list[TableInfo] = []
+    end, revision = 0, 0
+    while True:
+        fitting = [table for table in tables if table.low == end + 1 and table.high > end]
+        if not fitting:
+            break
+        best = max(fitting, key=lambda table: (table.high, table.number))
+        chosen.insert(0, best)
+        end, revision = best.high, best.revision
+    flushed = end
+    ordered = sorted(stretches, key=lambda s: (s.first, -s.last))
+    row: list[Stretch] = []
+    for stretch in ordered:
+        if stretch.last <= end or stretch.first > end + 1:
+            continue
+        row.append(stretch)
+        end, revision = stretch.last, stretch.revision
+    # history: backwards from where the row begins, as far as it is unbroken
+    begin = min((stretch.first for stretch in row), default=flushed + 1)
+    before = row[0].before if row else revision
+    history: list[Stretch] = []
+    for stretch in sorted(stretches, key=lambda s: (s.last, -s.first), reverse=True):
+        if stretch in row or stretch.first >= begin or stretch.last < begin - 1:
+            continue
+        history.insert(0, stretch)
+        begin, before = stretch.first, stretch.before
+    if not chosen and begin > 1:  # the tables' part is gone, and the logs do not go back to the first record
+        return Rescue((), (), 0, 0, 0, tuple(stretches))
+    left = tuple(stretch for stretch in ordered if stretch.first > end)
+    # a merge may have gone by a compaction whose own record is among what could not be saved
+    floor = max([before if begin > 1 else 0, *(table.floor for table in chosen)])
+    return Rescue(tuple(chosen), (*history, *row), end, revision, min(floor, revision), left)
--- /dev/null
+++ b/rackhub/store/salvage.py
@@ -0,0 +1,273 @@
+"""What is whole in a directory, file by file, and a new store made of it. `plan.rescue` decides what is taken."""
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from rackhub.store import plan
+from rackhub.store.errors import Corrupt, NewerFormat, StoreError
+from rackhub.store.files import File, Files
+from rackhub.store.framing import FRAME_SIZE, HEADER_SIZE, LOG, beyond, check_header, frame, frames, header
+from rackhub.store.log import following, read_records, read_tail
+from rackhub.store.manifest import (
+    NAME,
+    Manifest,
+    SegmentInfo,
+    install,
+    load,
+    log_name,
+    number_of,
+    table_name,
+)
+from rackhub.store.records import DATA, Record, encode
+from rackhub.store.table import BlockCache, Table, TableInfo
+
+FRAME_BYTES = 1_048_576
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """Something wrong in one file."""
+
+    file: str
+    offset: int
+    what: str
+
+
+class LogSurvey(msgspec.Struct, frozen=True):
+    """Rows of whole records in one log with the byte ranges of their frames, and what is wrong with the rest."""
+
+    stretches: tuple[plan.Stretch, ...]
+    places: tuple[tuple[int, int], ...]
+    findings: tuple[Finding, ...]
+
+
+class Survey(msgspec.Struct, frozen=True):
+    """All that is whole in a directory."""
+
+    tables: dict[str, TableInfo]
+    logs: dict[str, LogSurvey]
+    findings: tuple[Finding, ...]
+
+
+def survey_table(name: str, number: int, file: File) -> TableInfo:
+    """What a table holds, every byte of it read; `Corrupt` at the first that is not as it was written."""
+    table = Table(name, number, file, BlockCache(0))
+    table.check()
+    return table.info
+
+
+def survey_log(name: str, number: int, file: File) -> LogSurvey:
+    """Whole records of a log wherever they stand: after a bad place the next marker is looked for."""
+    data = memoryview(file.read(0, file.size()))
+    findings: list[Finding] = []
+    try:
+        check_header(name, bytes(data[:HEADER_SIZE]), LOG, number)
+    except NewerFormat:
+        raise
+    except Corrupt as bad:
+        findings.append(Finding(name, bad.offset, bad.why))
+    stretches: list[plan.Stretch] = []
+    places: list[tuple[int, int]] = []
+    at = HEADER_SIZE
+    while at < len(data):
+        end = at
+        for found in frames(data, at):
+            end = found.end
+            try:
+                records = read_records(name, found)
+            except Corrupt as bad:
+                findings.append(Finding(name, found.start, bad.why))
+                continue
+            first, last = records[0], records[-1]
+            if stretches and places[-1][1] == found.start and stretches[-1].last + 1 == first.number:
+                stretches[-1] = msgspec.structs.replace(stretches[-1], last=last.number, revision=last.revision)
+                places[-1] = (places[-1][0], end)
+            else:
+                stretches.append(plan.Stretch(number, first.number, last.number, revision_before(first),
+                                              last.revision))
+                places.append((found.start, end))
+        if end < len(data):
+            findings.append(Finding(name, end, "no whole frame begins here"))
+            later = next(beyond(data, end), None)
+            if later is None:
+                break
+            end = later.start
+        at = end
+    return LogSurvey(tuple(stretches), tuple(places), tuple(findings))
+
+
+def revision_before(record: Record) -> int:
+    """The store's revision before a record: one that changes keys has a revision of its own."""
+    return record.revision - any(entry.key[:1] == DATA for entry in record.entries)
+
+
+def survey(files: Files, progress: Callable[[str], None] = lambda name: None) -> Survey:
+    """Read every file of a directory. Raises `NewerFormat`, as a format that is not known can't be judged."""
+    tables: dict[str, TableInfo] = {}
+    logs: dict[str, LogSurvey] = {}
+    findings: list[Finding] = []
+    for name in files.names():
+        told = number_of(name)
+        if told is None:
+            continue
+        progress(name)
+        file = files.open(name)
+        try:
+            if told[0] == "table":
+                tables[name] = survey_table(name, told[1], file)
+            else:
+                logs[name] = survey_log(name, told[1], file)
+                findings += logs[name].findings
+        except Corrupt as bad:
+            findings.append(Finding(name, bad.offset, bad.why))
+        except OSError as fault:
+            findings.append(Finding(name, 0, str(fault)))
+        finally:
+            file.close()
+    return Survey(tables, logs, tuple(findings))
+
+
+def choose(found: Survey) -> plan.Rescue:
+    """What is taken of it."""
+    return plan.rescue(list(found.tables.values()),
+                       [stretch for log in found.logs.values() for stretch in log.stretches])
+
+
+def write(found: Survey, taken: plan.Rescue, source: Files, target: Files, seen: int) -> None:
+    """Make a store of what is `taken`. `target` must be empty; its manifest comes last, so that a half-written one
+    is never taken for a store."""
+    if target.names():
+        raise StoreError("the directory to write to is not empty")
+    for info in taken.tables:
+        _copy(source.open(table_name(info.number)), target.create(table_name(info.number)))
+    number = max([table.number for table in taken.tables], default=0) + 1
+    segments: list[SegmentInfo] = []
+    due, revision = (taken.logs[0].first, taken.logs[0].before) if taken.logs else (taken.end + 1, taken.revision)
+    for stretch in taken.logs:
+        if stretch.last < due:  # all of it stands in the one before too
+            continue
+        segment = _write_segment(found, stretch, source, target, number, due, revision)
+        segments.append(segment)
+        number, due, revision = number + 1, segment.last + 1, segment.revision
+    file = target.create(log_name(number))
+    file.append([header(LOG, number)])
+    file.sync()
+    file.close()
+    target.sync_names()
+    flushed = taken.tables[0] if taken.tables else None
+    install(target, Manifest(
+        number + 1, number, taken.end + 1, taken.revision, HEADER_SIZE, flushed.high if flushed else 0,
+        flushed.revision if flushed else 0, taken.floor, seen, taken.tables, (), tuple(segments)))
+
+
+def _write_segment(found: Survey, stretch: plan.Stretch, source: Files, target: Files, number: int, due: int,
+                   before: int) -> SegmentInfo:
+    """The records of a stretch from `due` on, in a segment of their own."""
+    name = log_name(stretch.log)
+    log = found.logs[name]
+    start, end = log.places[log.stretches.index(stretch)]
+    parts, size, revision, first = [header(LOG, number)], HEADER_SIZE, before, due
+    old, file = source.open(name), target.create(log_name(number))
+    try:
+        data = memoryview(old.read(0, end))
+        for one in frames(data, start):
+            some = [record for record in read_records(name, one) if record.number >= due]
+            if some:
+                payload = encode(some)
+                parts += [frame(payload, size), payload]
+                size += FRAME_SIZE + len(payload)
+                due, revision = some[-1].number + 1, some[-1].revision
+            if sum(map(len, parts)) > FRAME_BYTES:
+                file.append(parts)
+                parts = []
+        file.append(parts)
+        file.sync()
+    finally:
+        old.close()
+        file.close()
+    return SegmentInfo(number, first, due - 1, before, revision, size)
+
+
+def _copy(old: File, new: File) -> None:
+    at = 0
+    while data := old.read(at, FRAME_BYTES):
+        new.append([data])
+        at += len(data)
+    new.sync()
+    old.close()
+    new.close()
+
+
+def salvage(source: Files, target: Files, seen: int, progress: Callable[[str], None] = lambda name: None
+            ) -> tuple[Survey, plan.Rescue]:
+    """Read all that is in `source`, write what is provably whole to `target`. What could not be taken is told by
+    both results: the findings of the one and what the other has `left`."""
+    found = survey(source, progress)
+    taken = choose(found)
+    write(found, taken, source, target, seen)
+    return found, taken
+
+
+def verify(files: Files, progress: Callable[[str], None] = lambda name: None) -> Iterator[Finding]:
+    """Read everything there is and compare it with the manifest, changing nothing. A tail that a crash has torn off
+    is no fault: the next opening cuts it away."""
+    try:
+        manifest = load(files)
+        sizes = {}
+        for name in files.names():
+            file = files.open(name)
+            sizes[name] = file.size()
+            file.close()
+        todo = plan.recovery(manifest, sizes)
+    except Corrupt as bad:
+        yield Finding(bad.file, bad.offset, bad.why)
+        return
+    except FileNotFoundError:
+        yield Finding(NAME, 0, "is not there")
+        return
+    for number in todo.later:
+        if sizes[log_name(number)] > HEADER_SIZE:
+            yield Finding(log_name(number), HEADER_SIZE, "holds records, and the manifest does not name it")
+    for info in (*manifest.tables, *manifest.retired):
+        name = table_name(info.number)
+        progress(name)
+        try:
+            if survey_table(name, info.number, files.open(name)) != info:
+                yield Finding(name, 0, "is not the table that the manifest names")
+        except Corrupt as bad:
+            yield Finding(bad.file, bad.offset, bad.why)
+        except FileNotFoundError:
+            yield Finding(name, 0, "the manifest names it and it is not there")
+    due, revision = None, 0
+    for segment in manifest.segments:
+        name = log_name(segment.number)
+        progress(name)
+        found = survey_log(name, segment.number, files.open(name))
+        yield from found.findings
+        if not found.findings:
+            one = found.stretches[0] if len(found.stretches) == 1 else None
+            if one is None or (one.first, one.last) != (segment.first, segment.last):
+                yield Finding(name, HEADER_SIZE, f"does not hold records {segment.first} to {segment.last}")
+        if due is not None and (segment.first, segment.before) != (due, revision):
+            yield Finding(name, HEADER_SIZE, f"begins with record {segment.first} where {due} is due")
+        due, revision = segment.last + 1, segment.revision
+    yield from _verify_active(files, manifest)
+
+
+def _verify_active(files: Files, manifest: Manifest) -> Iterator[Finding]:
+    name = log_name(manifest.active)
+    file = files.open(name)
+    data = memoryview(file.read(0, file.size()))
+    file.close()
+    end, due, revision = HEADER_SIZE, manifest.active_first, manifest.active_before
+    try:
+        check_header(name, bytes(data[:HEADER_SIZE]), LOG, manifest.active)
+        for one in frames(data):
+            for record in read_records(name, one):
+                due, revision = following(name, one.start, record, due, revision)
+            end = one.end
+        read_tail(name, data, end)
+        if end < manifest.active_durable:
+            raise Corrupt(name, end, f"cut short: {manifest.active_durable} bytes of it were on disk")
+    except Corrupt as bad:
+        yield Finding(bad.file, bad.offset, bad.why)
--- /dev/null
+++ b/rackhub/store/torture.py
@@ -0,0 +1,496 @@
+"""Tries to make a store lose or invent something: every cut, every byte's flip, every step's power cut.
+
+A seeded workload of puts, deletes, ranges, leases, compactions and merges runs on files in memory, beside a model of
+what each revision holds. Images of the directory are taken as a killed process leaves it, and each is damaged in one
+place at a time. An opening then either gives a state that the model had at some revision, or refuses and names the
+file; then what `salvage` would take of it must be such a state. Nothing may ever be there that was not written.
+
+Writing a salvaged directory out is a function of what was chosen and of nothing else, so it is done and read back
+once for each different choice; the choosing itself runs for each damaged image.
+"""
+
+import hashlib
+import os
+import random
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from typing import Literal
+
+import msgspec
+
+from rackhub.store import plan, salvage
+from rackhub.store.batch import Batch
+from rackhub.store.engine import Store
+from rackhub.store.errors import Corrupt, ReadOnly, StoreError
+from rackhub.store.faulty import MemoryFiles, PowerCut
+from rackhub.store.manifest import NAME, number_of
+from rackhub.store.options import Options
+from rackhub.store.records import KeyValue
+
+Mode = Literal["cut", "flip", "power", "fault"]
+MODES: tuple[Mode, ...] = ("cut", "flip", "power", "fault")
+KEYS = 120
+HISTORY = 900  # revisions, from which on the workload compacts: some third of a megabyte of log is there at a time
+START = 1_800_000_000_000_000  # the workload's clock, Unix microseconds
+SMALL = Options(contract="group", memtable_bytes=24 * 1_024, block_bytes=1_024, cache_bytes=65_536,
+                frame_bytes=8 * 1_024, runs=3)
+TRIES_A_CUT = 3  # states that one power cut is tried in
+PATIENCE = 6  # power cuts in a row during one recovery
+
+
+class Model:
+    """What the store must hold at each revision, kept as plain dictionaries."""
+
+    def __init__(self) -> None:
+        self.states: list[dict[bytes, KeyValue]] = [{}]
+        self.changes: list[list[tuple[bytes, KeyValue | None]]] = [[]]
+
+    @property
+    def revision(self) -> int:
+        return len(self.states) - 1
+
+    def apply(self, puts: dict[bytes, tuple[bytes, int]], deletes: set[bytes]) -> None:
+        """One revision more."""
+        state, revision = dict(self.states[-1]), len(self.states)
+        made: list[tuple[bytes, KeyValue | None]] = []
+        for key, (value, lease) in puts.items():
+            old = state.get(key)
+            state[key] = KeyValue(key, value, old.create_revision if old else revision, revision,
+                                  old.version + 1 if old else 1, lease)
+            made.append((key, state[key]))
+        for key in sorted(deletes):
+            del state[key]
+            made.append((key, None))
+        self.states.append(state)
+        self.changes.append(made)
+
+    def cut(self, revision: int) -> None:
+        """What came after was never acknowledged, and is gone."""
+        del self.states[revision + 1:]
+        del self.changes[revision + 1:]
+
+
+class Workload:
+    """A run of commits against a store and the model, the same from the same seed."""
+
+    def __init__(self, seed: int, files: MemoryFiles, options: Options = SMALL, value: int = 700):
+        self.random, self.files, self.options, self.value = random.Random(seed), files, options, value
+        self.model, self.now, self.acknowledged, self.in_doubt = Model(), START, 0, 0
+        self.written = 0  # bytes of the log
+        self.open()
+
+    def open(self) -> None:
+        self.store = Store.open("memory", self.options, files=self.files, clock=lambda: self.now,
+                                ticks=iter(range(1 << 60)).__next__)
+        # a step that was cut between the log's write and the model's
+        self.acknowledged = min(self.acknowledged, self.store.revision)
+
+    def step(self) -> None:
+        """One commit of some kind, or a flush."""
+        chance, model, self.now = self.random, self.model, self.now + 1_000
+        kind, state = chance.random(), model.states[-1]
+        if kind < 0.04 and state:
+            first, last = sorted((self._key(), self._key()))
+            gone = {key for key in state if first <= key < last}
+            self._commit(Batch().delete_range(first, last), {}, gone)
+        elif kind < 0.14 and state:
+            key = chance.choice(sorted(state))
+            self._commit(Batch().delete(key), {}, {key})
+        elif kind < 0.18:
+            lease = self.store.grant(chance.randrange(1, 400) * 1_000)
+            key = self._key()
+            self._commit(Batch().put(key, b"leased", lease), {key: (b"leased", lease)}, set())
+        elif kind < 0.20:
+            self.store.leases.tick(self.now)
+            for id in self.store.leases.due():
+                keys = set(self.store.leases.get(id).keys)
+                before = self.store.revision
+                self.store.revoke(id, self._told(before + bool(keys)))
+                if keys:
+                    model.apply({}, keys)
+        elif kind < 0.22 and model.revision - self.store.compacted > HISTORY:
+            self.store.compact(model.revision - chance.randrange(HISTORY // 2, HISTORY * 3 // 4))
+        elif kind < 0.26:
+            puts = {self._key(): (self._value(), 0) for _ in range(chance.randrange(2, 8))}
+            batch = Batch()
+            for key, (value, _) in puts.items():
+                batch.put(key, value)
+            self._commit(batch, puts, set())
+        else:
+            key, value = self._key(), self._value()
+            self._commit(Batch().put(key, value), {key: (value, 0)}, set())
+        if chance.random() < 0.3:
+            self.store.flush()
+
+    def _key(self) -> bytes:
+        return b"k%03d" % self.random.randrange(KEYS)
+
+    def _value(self) -> bytes:
+        """Bytes that say which revision wrote them, so that none can pass for another's."""
+        seed = b"%d %d" % (self.model.revision, self.random.randrange(1 << 30))
+        size = self.random.randrange(self.value)
+        return (seed + hashlib.shake_128(seed).digest(size))[:max(size, len(seed))]
+
+    def _told(self, revision: int) -> Callable[[StoreError | None], None]:
+        def call(error: StoreError | None) -> None:
+            if error is None:
+                self.acknowledged = max(self.acknowledged, revision)
+        return call
+
+    def _commit(self, batch: Batch, puts: dict[bytes, tuple[bytes, int]], deletes: set[bytes]) -> None:
+        self.in_doubt = self.model.revision
+        if puts or deletes:
+            self.model.apply(puts, deletes)
+        self.store.commit(batch, acknowledged=self._told(self.model.revision))
+        self.in_doubt = self.model.revision
+        if self.store.revision != self.model.revision:
+            raise AssertionError(f"the store is at revision {self.store.revision}, the model at {self.model.revision}")
+
+    def run(self, log_bytes: int) -> None:
+        """Until the log has had so many bytes written."""
+        while self.store.written_log < log_bytes:
+            self.step()
+
+
+class Tally(msgspec.Struct):
+    """What was tried and what came of it."""
+
+    images: int = 0
+    files: int = 0
+    tried: int = 0  # damaged directories, each opened
+    recovered: int = 0  # openings that gave a state
+    refused: int = 0  # openings that named a fault instead, each salvaged
+    unharmed: int = 0  # of the recovered, those that gave the last state
+    salvaged: int = 0
+    written_out: int = 0  # different choices of a salvage, each written, opened and read back
+    lost_acknowledged: int = 0  # acknowledged revisions missing after a cut of a file that was on disk, at worst
+    violations: list[str] = []
+
+    def add(self, other: "Tally") -> None:
+        for name in ("images", "files", "tried", "recovered", "refused", "unharmed", "salvaged", "written_out"):
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+        self.lost_acknowledged = max(self.lost_acknowledged, other.lost_acknowledged)
+        self.violations = (self.violations + other.violations)[:100]
+
+    def wrong(self, what: str) -> None:
+        if len(self.violations) < 100:
+            self.violations.append(what)
+
+
+def faults_in(store: Store, model: Model, at_least: int, whole_history: bool = True) -> str:
+    """What is wrong with an opened store against the model; nothing: the empty text. Reads all of it."""
+    revision = store.revision
+    if revision > model.revision:
+        return f"revision {revision} was never reached"
+    if revision < at_least:
+        return f"revision {at_least} was acknowledged, and {revision} is the last"
+    state = model.states[revision]
+    found = store.range()
+    if [item.key for item in found] != sorted(state):
+        return f"at revision {revision} the keys are not those that were written"
+    for item in found:
+        if item != state[item.key]:
+            return f"at revision {revision} key {item.key!r} is {item!r:.120}"
+    leases = {lease.id: sorted(lease.keys) for lease in store.leases if lease.keys}
+    held: dict[int, list[bytes]] = {}
+    for item in found:
+        if item.lease:
+            held.setdefault(item.lease, []).append(item.key)
+    if leases != held:
+        return f"at revision {revision} leases hold other keys than were put under them"
+    if whole_history:
+        at = store.compacted
+        past: list[tuple[bytes, KeyValue | None]] = []
+        for change in store.changes(at + 1) if at < revision else ():
+            past.append((change.key, change.now))
+            if not at < change.revision <= revision:
+                return f"history gives revision {change.revision} between {at + 1} and {revision}"
+        wanted = [made for one in model.changes[at + 1:store.acknowledged_revision + 1] for made in one]
+        if past != wanted:
+            return f"the history from revision {at + 1} to {revision} is not what was written"
+    return ""
+
+
+class Bench:
+    """Images of one workload, and the trials on them. Made anew in each process, the same from the same seed."""
+
+    def __init__(self, seed: int, log_bytes: int):
+        self.work = Workload(seed, MemoryFiles(seed))
+        self.images: list[tuple[MemoryFiles, int]] = []  # and the revision acknowledged when it was taken
+        for part in (1, 2, 3):
+            self.work.run(log_bytes * part // 3)
+            self.images.append((self.work.files.copy(), self.work.acknowledged))
+        self.work.store.close()
+        self.images.append((self.work.files.copy(), self.work.acknowledged))
+        self.model = self.work.model
+        self._surveys: list[dict[str, object]] = []
+        for image, _ in self.images:
+            self._surveys.append({name: _survey_one(image, name) for name in image.names() if number_of(name)})
+        self._written: dict[plan.Rescue, str] = {}
+
+    def places(self) -> Iterator[tuple[int, str, int]]:
+        """Every byte of every file of every image: image, file, offset. A file that an earlier image had, the same
+        to the byte, is not gone through again, but for those that each image's opening reads first."""
+        seen: set[bytes] = set()
+        for i, (image, _) in enumerate(self.images):
+            for name in image.names():
+                data = bytes(image.inodes[name].now)
+                print_ = name.encode() + hashlib.sha256(data).digest()
+                if print_ in seen:
+                    continue
+                seen.add(print_)
+                for offset in range(len(data)):
+                    yield i, name, offset
+
+    def try_cut(self, i: int, name: str, offset: int, tally: Tally) -> None:
+        image, _ = self.images[i]
+        self._try(i, name, image.cut(name, offset), f"image {i}, {name} cut at {offset}", tally)
+
+    def try_flip(self, i: int, name: str, offset: int, tally: Tally) -> None:
+        image, _ = self.images[i]
+        self._try(i, name, image.flip(name, offset, (offset * 7 + 3) % 8), f"image {i}, {name} flipped at {offset}",
+                  tally)
+
+    def _try(self, i: int, name: str, files: MemoryFiles, what: str, tally: Tally) -> None:
+        try:
+            self._open_damaged(i, name, files, what, tally)
+        except Exception as bad:  # what is damaged must be named, never stumbled over
+            tally.wrong(f"{what}: {type(bad).__name__}: {bad}")
+
+    def _open_damaged(self, i: int, name: str, files: MemoryFiles, what: str, tally: Tally) -> None:
+        tally.tried += 1
+        acknowledged = self.images[i][1]
+        try:
+            store = Store.open("memory", SMALL, files=files.copy_shared(), clock=lambda: START, ticks=lambda: 0)
+        except StoreError as refused:
+            tally.refused += 1
+            if isinstance(refused, Corrupt) and not refused.file:
+                tally.wrong(f"{what}: refused without naming a file")
+            return self._salvage(i, name, files, what, tally)
+        try:
+            # a closed segment is read by its history alone; in all other trials it is the same bytes as ever
+            wrong = faults_in(store, self.model, 0, whole_history=name.startswith("log-"))
+        except Corrupt:
+            tally.refused += 1
+            return self._salvage(i, name, files, what, tally)
+        tally.recovered += 1
+        tally.unharmed += store.revision >= acknowledged
+        tally.lost_acknowledged = max(tally.lost_acknowledged, acknowledged - store.revision)
+        if wrong:
+            tally.wrong(f"{what}: {wrong}")
+
+    def _salvage(self, i: int, name: str, files: MemoryFiles, what: str, tally: Tally) -> None:
+        """What a salvage takes is checked for each; files that are as they were are not read again for it."""
+        tally.salvaged += 1
+        parts = dict(self._surveys[i])
+        if number_of(name):
+            parts[name] = _survey_one(files, name)
+        tables = {key: part for key, part in parts.items() if isinstance(part, salvage.TableInfo)}
+        logs = {key: part for key, part in parts.items() if isinstance(part, salvage.LogSurvey)}
+        found = salvage.Survey(tables, logs, ())
+        taken = salvage.choose(found)
+        tally.lost_acknowledged = max(tally.lost_acknowledged, self.images[i][1] - taken.revision)
+        if taken not in self._written:
+            tally.written_out += 1
+            target = MemoryFiles()
+            try:
+                salvage.write(found, taken, files, target, START)
+                store = Store.open("memory", SMALL, files=target, clock=lambda: START, ticks=lambda: 0)
+                self._written[taken] = faults_in(store, self.model, taken.revision)
+            except StoreError as bad:
+                self._written[taken] = f"what a salvage wrote can't be used: {bad}"
+        if self._written[taken]:
+            tally.wrong(f"{what}, salvaged: {self._written[taken]}")
+
+
+def _survey_one(files: MemoryFiles, name: str) -> object:
+    told = number_of(name)
+    assert told is not None
+    try:
+        return (salvage.survey_table if told[0] == "table" else salvage.survey_log)(name, told[1], files.open(name))
+    except StoreError as bad:
+        return str(bad)
+
+
+# ---- power cuts and failing disks, at each step
+
+
+def try_power(seed: int, warm_bytes: int, steps: int, every: int = 1, offset: int = 0, lying: bool = False) -> Tally:
+    """Cut the power at each call that changes the disk during `steps` steps of a workload, and again during each
+    recovery. After each cut the machine is tried in several of the states that it may find."""
+    tally = Tally()
+    warm = Workload(seed, MemoryFiles(seed))
+    warm.files.lying = lying
+    warm.run(warm_bytes)
+    warm.store.close()
+    image = warm.files.copy()
+    n = offset
+    while True:
+        n += every
+        # a run of its own to each step: the same commits up to the one that the cut falls in
+        again = Workload.__new__(Workload)
+        again.random, again.options, again.value = random.Random(seed * 1_000 + 1), SMALL, 700
+        again.files, again.now, again.model = image.copy(), warm.now, Model()
+        again.model.states, again.model.changes = list(warm.model.states), list(warm.model.changes)
+        again.acknowledged = again.in_doubt = warm.model.revision
+        again.files.lying = lying
+        again.files.fail_at = n
+        try:
+            again.open()
+            for _ in range(steps):
+                again.step()
+            again.store.close()
+            return tally  # the run has fewer calls than that
+        except PowerCut:
+            pass
+        tally.images += 1
+        for attempt in range(TRIES_A_CUT):
+            _recover_through_cuts(again, seed * 31 + n * 7 + attempt, tally, f"seed {seed}, power cut at call {n}")
+
+
+def _recover_through_cuts(work: Workload, seed: int, tally: Tally, what: str) -> None:
+    chance = random.Random(seed)
+    files = work.files.after_power_cut(seed)
+    for round in range(PATIENCE):
+        tally.tried += 1
+        files.fail_at = chance.randrange(1, 8) if round < PATIENCE - 1 else 0
+        try:
+            store = Store.open("memory", SMALL, files=files, clock=lambda: work.now, ticks=lambda: 0)
+        except PowerCut:
+            files = files.after_power_cut(chance.randrange(1 << 30))
+            continue
+        except StoreError as bad:
+            return tally.wrong(f"{what}, recovery {round}: refused: {bad}")
+        tally.recovered += 1
+        files.fail_at = 0
+        wrong = faults_in(store, work.model, work.acknowledged)
+        if wrong:
+            return tally.wrong(f"{what}, recovery {round}: {wrong}")
+        # what was read must be there still, whatever happens next: the first recovery has served it
+        seen = store.revision
+        store.close()
+        store = Store.open("memory", SMALL, files=files.after_power_cut(seed + 1), clock=lambda: work.now,
+                           ticks=lambda: 0)
+        if store.revision != seen:
+            tally.wrong(f"{what}: revision {seen} was served after a recovery, then {store.revision}")
+        return None
+
+
+def try_faults(seed: int, warm_bytes: int, steps: int, every: int = 1, offset: int = 0) -> Tally:
+    """Let the disk refuse each call that changes it, once (EIO) or from there on until it is mended (ENOSPC)."""
+    tally = Tally()
+    n = offset
+    while True:
+        n += every
+        work = Workload(seed, MemoryFiles(seed))
+        work.run(warm_bytes)
+        work.store.flush()
+        files, before = work.files, work.files.steps
+        files.fail_at, files.lasting = before + n, n % 2 == 0
+        files.fault = OSError(28, os.strerror(28)) if n % 2 == 0 else OSError(5, os.strerror(5))
+        done = 0
+        try:
+            while done < steps:
+                done += 1
+                work.step()
+            if files.steps < files.fail_at:
+                return tally
+        except ReadOnly:
+            work.model.cut(work.store.revision)
+        tally.tried += 1
+        if work.store.info().read_only == "":
+            work.store.flush()
+        if files.lasting:
+            try:
+                work.store.retry()
+                work.store.commit(Batch().put(b"k000", b"x"))
+                tally.wrong(f"seed {seed}: writes are taken while call {n} still fails")
+            except ReadOnly:
+                pass
+        files.fail_at = 0
+        try:
+            work.store.retry()
+            for _ in range(20):
+                work.step()
+            work.store.flush()
+        except StoreError as bad:
+            tally.wrong(f"seed {seed}, call {n} failed: after it was mended: {bad}")
+            continue
+        wrong = faults_in(work.store, work.model, work.model.revision)
+        if not wrong:
+            store = Store.open("memory", SMALL, files=files.after_power_cut(seed + n), clock=_standing(work.now),
+                               ticks=lambda: 0)
+            wrong = faults_in(store, work.model, work.acknowledged)
+        tally.recovered += 1
+        if wrong:
+            tally.wrong(f"seed {seed}, call {n} failed: {wrong}")
+
+
+def _standing(now: int) -> Callable[[], int]:
+    return lambda: now
+
+
+# ---- all of it, over all cores
+
+
+_bench: Bench | None = None
+
+
+def _begin(seed: int, log_bytes: int) -> None:
+    global _bench
+    _bench = Bench(seed, log_bytes)
+
+
+def _slice(mode: Mode, part: int, parts: int) -> Tally:
+    assert _bench is not None
+    tally = Tally()
+    trial = _bench.try_cut if mode == "cut" else _bench.try_flip
+    for i, (image, name, offset) in enumerate(_bench.places()):
+        if i % parts == part:
+            trial(image, name, offset, tally)
+    return tally
+
+
+class Report(msgspec.Struct):
+    """A whole run."""
+
+    seed: int
+    log_bytes: int
+    file_bytes: int  # of all images' files, each counted once
+    revisions: int
+    modes: dict[str, Tally]
+    violations: int = 0
+
+
+def run(log_bytes: int, seed: int, modes: tuple[Mode, ...] = MODES, workers: int = 0,
+        progress: Callable[[str, int, int], None] = lambda mode, done, of: None) -> Report:
+    """The whole torture of one seed, over `workers` processes (all cores without a number)."""
+    workers = workers or os.cpu_count() or 1
+    here = Bench(seed, log_bytes)
+    files = sum(1 for _ in here.places())
+    report = Report(seed, log_bytes, files, here.model.revision, {})
+    count = {(i, name) for i, name, _ in here.places()}
+    parts = workers * 16
+    with ProcessPoolExecutor(workers, get_context("fork"), _begin, (seed, log_bytes)) as pool:
+        for mode in modes:
+            total = Tally()
+            if mode in ("cut", "flip"):
+                waiting = [pool.submit(_slice, mode, part, parts) for part in range(parts)]
+                total.images, total.files = len(here.images), len(count)
+            elif mode == "power":
+                waiting = [pool.submit(try_power, seed + i // workers, 60_000, 300, workers, i % workers)
+                           for i in range(workers * 2)]
+            else:
+                waiting = [pool.submit(try_faults, seed + i // workers, 60_000, 200, workers, i % workers)
+                           for i in range(workers * 2)]
+            for done, future in enumerate(waiting):
+                total.add(future.result())
+                progress(mode, done + 1, len(waiting))
+            report.modes[mode] = total
+            report.violations += len(total.violations)
+    return report
+
+
+__all__ = ["MODES", "NAME", "Bench", "Model", "Report", "Tally", "Workload", "faults_in", "run", "try_faults",
+           "try_power"]
