--- /dev/null
+++ b/rackhub/cli/hash_password.py
@@ -0,0 +1,18 @@
+"""rackhub hash-password: read a password from standard input, print what the operator's file holds for it.
+
+Usage:
+  rackhub hash-password
+  rackhub hash-password (-h | --help)
+"""
+
+import sys
+from collections.abc import Sequence
+
+from rackhub.cli.words import parse
+from rackhub.operatorfile import hashed
+
+
+def run(words: Sequence[str]) -> int:
+    parse(__doc__ or "", words)
+    print(hashed(sys.stdin.readline().rstrip("\r\n")))
+    return 0
--- /dev/null
+++ b/rackhub/cli/serve.py
@@ -0,0 +1,65 @@
+"""rackhub serve: serve until SIGTERM. SIGHUP reloads the configuration, SIGUSR1 prints the counters.
+
+Usage:
+  rackhub serve [--config FILE] [--operator FILE]
+  rackhub serve (-h | --help)
+
+Options:
+  --config FILE    The configuration; without it the file that BALANCER_CONFIG names.
+  --operator FILE  The operator's file, which sets up TDS and the store; without it both are off.
+
+Exit status: 0 ended as told, 2 the configuration can't be used.
+"""
+
+import logging
+import os
+import sys
+from collections.abc import Sequence
+from functools import partial
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from rackhub import config as configuration
+from rackhub.cli.words import parse, refuse
+from rackhub.operatorfile import Operator
+
+
+class Configured(NamedTuple):
+    """A configuration as it is used, as its file has it, the operator's, and where it came from."""
+
+    config: configuration.Config
+    told: configuration.Config
+    operator: Operator
+    path: Path
+
+
+def configured(options: dict[str, Any]) -> Configured:
+    """The configuration that the options name, checked; ends with 2 where it can't be used."""
+    try:
+        path = configuration.path_of(os.environ, options["--config"])
+        told = configuration.load(path)
+        operator = configuration.load_operator(Path(options["--operator"]) if options["--operator"] else None)
+        configuration.check_operator(operator, told.settings)
+    except configuration.BadConfig as bad:
+        raise refuse(f"bad configuration: {bad}") from None
+    config = msgspec.structs.replace(told, limits=configuration.shared(told.limits, operator))
+    return Configured(config, told, operator, path)
+
+
+def run(words: Sequence[str]) -> int:
+    config, told, operator, path = configured(parse(__doc__ or "", words))
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    logging.getLogger("twisted").setLevel(logging.WARNING)
+    from twisted.internet.error import CannotListenError
+
+    from rackhub.daemon import Daemon, StateUnusable  # here: it takes hold of the reactor, which no other needs
+
+    try:
+        Daemon(config, operator, told, partial(configuration.load, path)).run()
+    except CannotListenError as fault:
+        raise refuse(f"bad configuration: listen: {fault}") from None
+    except StateUnusable as fault:
+        raise refuse(f"[store]: {fault}") from None
+    return 0
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -8,7 +8,7 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -19,8 +19,12 @@
 from rackhub.operatorfile import Operator
 from rackhub.settings import BadLine, flatten, settings_of
 
+if TYPE_CHECKING:
+    from rackhub.state.settings import StoreSettings
+
 STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
 OWN = 48  # descriptors kept aside: the program's own, listening sockets, the resolver, newcomers to be turned away
+STORE_FILES = 24  # tables, segments, directory and lock of a store
 LEAST_MB, BASE_MB = 32, 24  # the least memory it runs in; what it takes when idle (22 MB measured)
 
 
@@ -145,9 +149,21 @@
         address(operator.tds_front.listen, "tds_front.listen")
         if not operator.tds_front.login:
             raise BadConfig("tds_front.login: no login is set up")
+    if operator.store is not None:
+        store_settings(operator.store)
     return operator
 
 
+def store_settings(part: dict[str, Any]) -> "StoreSettings":
+    """The `[store]` part, checked. What it needs is loaded here: the platform has none of it."""
+    from rackhub.state.settings import store_settings
+
+    try:
+        return store_settings(part)
+    except msgspec.ValidationError as bad:
+        raise BadConfig(f"operator file: store: {bad}") from None
+
+
 def check_operator(operator: Operator, settings: t.Settings) -> None:
     """What the operator's file names must be there in the site's settings."""
     classes, tenants = {told.name for told in settings.classes}, {told.name for told in settings.tenants}
@@ -162,8 +178,10 @@
 
 
 def shared(limits: Limits, operator: Operator) -> Limits:
-    """The limits with a share of the clients' descriptors for the TDS front where there is one. Without it both fronts
-    together took more than the platform gives, out of what engines need."""
+    """The limits with a share of the clients' descriptors for the TDS front where there is one, and for the store's
+    files. Without it both fronts together took more than the platform gives, out of what engines need."""
+    if operator.store is not None:
+        limits = msgspec.structs.replace(limits, client_connections=max(limits.client_connections - STORE_FILES, 1))
     if operator.tds_front is None:
         return limits
     tds = min(limits.tds_connections, limits.client_connections // 2)
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -12,6 +12,7 @@
 
 from rackhub import interface as t
 from rackhub.control import Control
+from rackhub.core.ledger import Ledger
 from rackhub.core.timers import Clock, Timers
 from rackhub.counters import Counters
 from rackhub.limits import SECOND, Limits
@@ -75,6 +76,7 @@
         self._recent: dict[str, None] = {}  # ids of requests answered lately, oldest first
         self.out: dict[str, Attempt] = {}  # by query, also of one that is closed: its attempt may be out still
         self.engines: EnginePort | None = None
+        self.ledger: Ledger | None = None  # of keyed requests; the others never get there
         self.on_idle: Callable[[], None] | None = None  # called when the last request has its answer
         self._control = Control(settings, seed)
         self._events: deque[object] = deque()
@@ -118,6 +120,8 @@
             return query.reply.refused(query, min(SECOND, self.settings.max_retry_after or SECOND))
         self.queries[query.id] = query
         self._held += len(query.statement)
+        if self.ledger is not None and query.token:
+            self.ledger.taken(query)
         # An answer given at the deadline is on the wire some turns of the loop later, and what came in had waited for
         # one: on a scored day one answer in 14 was late by that. So the module is told to be done sooner.
         query.deadline -= min(self._margin(), (query.deadline - self.clock.now()) // 4)
@@ -132,7 +136,7 @@
         """The client cancelled or is gone: no answer is owed, and what runs for it is stopped."""
         if not query.closed:
             self.counters.add("left")
-            self._close(query)
+            self._close(query, "left")
             self._answered(query)  # hundreds came under one id, each withdrawn at once
             self._tell(t.ClientLeft(query.id))
 
@@ -147,7 +151,7 @@
             self.out.pop(query.id, None)
         self.counters.add(f"out_{reason.lower()}")
         if reason == "GOOD" and not query.closed:
-            self._close(query)
+            self._close(query, "served")
             self._answered(query)
             self.counters.add("served")
             query.reply.served(query, rows)
@@ -188,12 +192,12 @@
         self.timers.at(self.clock.now() + act.delay, self._due, act.ref)
 
     def _refuse(self, act: t.Refuse) -> None:
-        if query := self._answerable(act.query):
+        if query := self._answerable(act.query, "refused"):
             self.counters.add("refused")
             query.reply.refused(query, act.retry_after)
 
     def _fail(self, act: t.Fail) -> None:
-        if query := self._answerable(act.query):
+        if query := self._answerable(act.query, "failed"):
             self.counters.add("failed")
             query.reply.failed(query, "failed: its effect is not known")
 
@@ -212,16 +216,18 @@
         if len(self._recent) > self.limits.recent_ids:
             del self._recent[next(iter(self._recent))]
 
-    def _answerable(self, id: str) -> Query | None:
+    def _answerable(self, id: str, how: str) -> Query | None:
         """The request that an answer of the module is for: closed here, so that a second one finds nothing."""
         query = self.queries.get(id)
         if query is not None:
-            self._close(query)
+            self._close(query, how)
             self._answered(query)
         return query
 
-    def _close(self, query: Query) -> None:
+    def _close(self, query: Query, how: str) -> None:
         query.closed = True
+        if self.ledger is not None and query.token:
+            self.ledger.over(query, how)
         if self.queries.pop(query.id, None) is not None:
             self._held -= len(query.statement)
         if not self.queries and self.on_idle:
@@ -241,6 +247,8 @@
         query.out = self.out[query.id] = attempt
         attempt.until = until
         self.counters.add("attempts")
+        if self.ledger is not None and query.token:
+            self.ledger.out(attempt)
         self.engines.send(attempt)
 
     def _terms(self, act: t.Terms) -> None:
@@ -292,7 +300,7 @@
         for query in [query for query in self.queries.values() if query.deadline <= edge]:
             if not query.closed:
                 self.counters.add("backstop_answers")
-                self._close(query)
+                self._close(query, "failed")
                 self._answered(query)
                 self.counters.add("failed")
                 query.reply.failed(query, "deadline passed")
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -11,7 +11,7 @@
 from twisted.python.log import PythonLoggingObserver
 
 from rackhub.clock import UnixClock
-from rackhub.config import Config, address
+from rackhub.config import Config, address, store_settings
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.source import Address, Listing, Source
 from rackhub.core.timers import Timers
@@ -27,6 +27,10 @@
 log = logging.getLogger(__name__)
 
 
+class StateUnusable(Exception):
+    """The store that the operator's file names can't be opened; the text says why."""
+
+
 class Daemon:
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
@@ -45,11 +49,31 @@
         if operator.tds_front:
             self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
                                 tds_front(operator.tds_front, self.core, config.limits, self.counters)))
+        self.keeper = self._keep(operator, clock)
         self._ports = []
         self._draining = self._leaving = False
 
+    def _keep(self, operator: Operator, clock: UnixClock):
+        """The store of what outlives this run, where the operator has one; nothing of it is loaded elsewhere."""
+        if operator.store is None:
+            return None
+        try:
+            from rackhub.state.keeper import Keeper
+            from rackhub.store import StoreError
+        except ImportError as missing:
+            raise StateUnusable(f"{missing}: install the extra 'store' (requirements-store.txt)") from None
+        try:
+            keeper = Keeper(reactor, store_settings(operator.store), self.source.settings.classes, clock,
+                            self.counters)
+        except (StoreError, OSError) as fault:
+            raise StateUnusable(str(fault)) from None
+        self.core.ledger = keeper
+        return keeper
+
     def run(self) -> None:
         engines = self.source.start
+        if self.keeper is not None:
+            engines = self.keeper.start(engines)
         self.engines.listed(engines.addresses)
         self.core.start(self.engines, engines.entries, engines.rev)
         PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
@@ -71,12 +95,16 @@
         gc.disable()
         LoopingCall(gc.collect).start(self.config.limits.collect / 1_000_000, now=False)
         reactor.run(installSignalHandlers=False)
+        if self.keeper is not None:
+            self.keeper.end()
         self.tell()
 
     def _listed(self, listing: Listing) -> None:
         # the module first: once it knows of a drain it sends nothing there, whatever the pools still hold
         self.core.listed(listing.entries, listing.rev)
         self.engines.listed(listing.addresses)
+        if self.keeper is not None:
+            self.keeper.listed(listing)
 
     def _nameserver(self) -> Address:
         """Of the configuration as it stands now. The rest of it holds from the start: what else has changed is
@@ -90,6 +118,10 @@
 
     def tell(self) -> None:
         print(f"counters: {self.counters.line()}", file=sys.stderr, flush=True)
+        if self.keeper is not None:
+            totals = self.keeper.totals()
+            counted = " ".join(f"{name}={count}" for name, count in totals.counts.items())
+            print(f"counters of {totals.starts} starts: {counted or 'nothing'}", file=sys.stderr, flush=True)
 
     # ---- the end
 
--- a/rackhub/operatorfile.py
+++ b/rackhub/operatorfile.py
@@ -1,10 +1,11 @@
-"""The operator's file: the TDS front and TDS engines, both off unless it sets them up (see deploy/)."""
+"""The operator's file: the TDS front, TDS engines and the store, all off unless it sets them up (see deploy/)."""
 
 import base64
 import binascii
 import hashlib
 import hmac
 import os
+from typing import Any
 
 import msgspec
 
@@ -69,3 +70,4 @@
 class Operator(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     tds_front: TdsFrontSettings | None = None
     tds_engines: TdsEngineSettings | None = None
+    store: dict[str, Any] | None = None  # read by `rackhub.state.settings`, which is loaded where it is there
--- /dev/null
+++ b/rackhub/store/bench.py
@@ -0,0 +1,317 @@
+"""What the store costs on this machine, as ratios to a bare loop that appends and syncs the same bytes.
+
+All figures of a report are taken in one run on one directory. Times are by the monotonic clock, and the bytes of both
+sides of a ratio are of the same values from the same seed.
+"""
+
+import gc
+import os
+import platform
+import random
+import shutil
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from rackhub.store.batch import Batch
+from rackhub.store.engine import Store
+from rackhub.store.options import MIB, Options
+
+WRITERS = 64
+MOST_US = 60_000_000
+
+
+class Groups(msgspec.Struct, frozen=True):
+    """Commits of 64 writers, each of which commits again when it is acknowledged, as ratios to the bare loop."""
+
+    value_bytes: int
+    commits: int
+    bare_mb_s: float  # 64 keys and values in one write, then fdatasync; the median of three runs among the others
+    commits_ratio: float  # commits and their syncs alone, before a table is due
+    steady_ratio: float  # with tables written and merged behind, in the same thread
+    threaded_ratio: float  # the same, with syncs in another thread and the writers in two groups that take turns
+    p50_us: int  # from commit to acknowledgement, steady
+    p99_us: int
+
+
+class Reads(msgspec.Struct, frozen=True):
+    keys: int
+    memory_gets_s: float
+    warm_gets_s: float  # from tables, a thousand keys over and over
+    cold_gets_s: float  # from tables, all keys at random, a cache of 8 MiB
+    missing_gets_s: float
+    range_100_s: float  # ranges of a hundred keys
+    scan_entries_s: float
+
+
+class Recovery(msgspec.Struct, frozen=True):
+    what: str
+    records: int  # committed over the store's life
+    live_keys: int
+    open_ms: float
+    replayed: int
+    disk_mb: float
+
+
+class Overwrites(msgspec.Struct, frozen=True):
+    keys: int
+    commits: int
+    reserve: bool
+    user_mb: float
+    log_mb: float
+    tables_mb: float
+    amplification: float
+    disk_mb: float
+
+
+class Turns(msgspec.Struct, frozen=True):
+    """How long `work` holds a turn, with slices as the options have them."""
+
+    turns: int
+    p50_us: int
+    p99_us: int
+    longest_us: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    machine: str
+    python: str
+    seed: int
+    fdatasync_us: float
+    groups: list[Groups]
+    reads: list[Reads]
+    recoveries: list[Recovery]
+    memory_bytes_a_key: float  # resident after an opening, over that of an empty store
+    overwrites: list[Overwrites]
+    turns: Turns
+
+
+def run(path: Path, seed: int, scale: float, progress: Callable[[str], None]) -> Report:
+    """Measure in an empty directory, which is emptied again. `scale` 1.0: up to a million records."""
+    chance = random.Random(seed)
+    path.mkdir(parents=True, exist_ok=True)
+    many, some = int(1_000_000 * scale), int(100_000 * scale)
+    progress("sync")
+    sync = _bare(path / "sync", [b"x" * 4_096], 200)[1]
+    groups = []
+    for size in (100, 1_024, 4_096, 16_384):
+        progress(f"groups of {size}-byte values")
+        groups.append(_groups(path, chance, size, max(int(24 * MIB * scale) // size, 64 * 20)))
+    reads = []
+    for count in (some, many):
+        progress(f"reads of {count} keys")
+        reads.append(_reads(path, chance, count))
+    recoveries, memory = [], 0.0
+    for what, commits, keys in (("all live", some, some), ("all live", many, many),
+                                ("overwritten, compacted", many, some), ("one key, compacted", some, 1)):
+        progress(f"recovery: {what}, {commits} records")
+        found, resident = _recovery(path, chance, what, commits, keys)
+        recoveries.append(found)
+        memory = resident / keys if keys == many else memory
+    progress("overwrites")
+    overwrites = [_overwrites(path, chance, some // 10, some * 3, reserve) for reserve in (True, False)]
+    progress("turns")
+    turns = _turns(path, chance, some * 2)
+    machine = f"{platform.system()} {platform.machine()}, {os.cpu_count()} cores"
+    return Report(machine, platform.python_version(), seed, sync, groups, reads, recoveries, memory, overwrites, turns)
+
+
+def _bare(path: Path, parts: list[bytes], rounds: int) -> tuple[float, float]:
+    """Bytes a second, and microseconds a round, of a loop that appends and syncs."""
+    fd = os.open(path, os.O_CREAT | os.O_TRUNC | os.O_WRONLY | os.O_APPEND)
+    data = b"".join(parts)
+    start = time.perf_counter()
+    for _ in range(rounds):
+        os.write(fd, data)
+        os.fdatasync(fd)
+    took = time.perf_counter() - start
+    os.close(fd)
+    os.unlink(path)
+    return len(data) * rounds / took, took / rounds * 1e6
+
+
+def _groups(path: Path, chance: random.Random, size: int, commits: int) -> Groups:
+    rounds = commits // WRITERS
+    values = [chance.randbytes(size) for _ in range(WRITERS)]
+    keys = [b"writer-%08d" % i for i in range(WRITERS * 16)]
+    parts = [key + value for key, value in zip(keys, values, strict=False)]
+    bare = [_bare(path / "bare", parts, rounds)[0]]
+    alone, _ = _rounds(path, keys, values, rounds, memtable_bytes=1_024 * MIB)
+    bare.append(_bare(path / "bare", parts, rounds)[0])
+    steady, spread = _rounds(path, keys, values, rounds)
+    bare.append(_bare(path / "bare", parts, rounds)[0])
+    threaded = _threaded(path, keys, values, rounds)
+    pace = sorted(bare)[1]
+    total = len(parts[0]) * rounds * WRITERS
+    return Groups(size, rounds * WRITERS, pace / MIB, total / alone / pace, total / steady / pace,
+                  total / threaded / pace, spread.get_value_at_percentile(50), spread.get_value_at_percentile(99))
+
+
+def _rounds(path: Path, keys: list[bytes], values: list[bytes], rounds: int, **options: object
+            ) -> tuple[float, HdrHistogram]:
+    store = _open(path, wake=lambda store: None, retain_revisions=1_000, **options)
+    spread = HdrHistogram(1, MOST_US, 3)
+    start = time.perf_counter()
+    for i in range(rounds):
+        began = time.perf_counter_ns()
+        for j in range(WRITERS):
+            store.commit(Batch().put(keys[(i * WRITERS + j) % len(keys)], values[j]))
+        store.flush()
+        spread.record_value((time.perf_counter_ns() - began) // 1_000)
+        if store.needs_work:
+            store.work()
+    took = time.perf_counter() - start
+    _discard(store, path)
+    return took, spread
+
+
+def _threaded(path: Path, keys: list[bytes], values: list[bytes], rounds: int) -> float:
+    """While one group is being synced, the writers acknowledged before commit."""
+    store = _open(path, wake=lambda store: None, retain_revisions=1_000)
+    ready = list(range(WRITERS))
+    done = 0
+
+    def committed(writer: int) -> Callable[[object], None]:
+        return lambda error: ready.append(writer)
+
+    with ThreadPoolExecutor(1) as pool:
+        start = time.perf_counter()
+        while done < rounds * WRITERS:
+            going, ready = ready, []
+            syncing = None
+            for i, writer in enumerate(going):
+                if i == len(going) // 2 and syncing is None and len(going) > 1:
+                    file = store.begin_flush()
+                    syncing = pool.submit(file.sync) if file is not None else None
+                store.commit(Batch().put(keys[(done + i) % len(keys)], values[writer]),
+                             acknowledged=committed(writer))
+            done += len(going)
+            if syncing is None:
+                file = store.begin_flush()
+                syncing = pool.submit(file.sync) if file is not None else None
+            store.work()
+            if syncing is not None:
+                syncing.result()
+                store.end_flush(None)
+        store.flush()
+        took = time.perf_counter() - start
+    _discard(store, path)
+    return took
+
+
+def _reads(path: Path, chance: random.Random, count: int) -> Reads:
+    store = _filled(path, chance, count, count)
+    store.settle()
+    for i in range(1_000):
+        store.commit(Batch().put(b"memory-%04d" % i, b"x" * 40))
+    store.flush()
+    names = [b"key-%08d" % chance.randrange(count) for _ in range(20_000)]
+    few = names[:1_000]
+    for name in few:
+        store.get(name)
+    ordered = sorted(names)[:2_000]
+    found = Reads(
+        count, _rate(lambda i: store.get(b"memory-%04d" % (i % 1_000)), 50_000),
+        _rate(lambda i: store.get(few[i % 1_000]), 20_000), _rate(lambda i: store.get(names[i]), len(names)),
+        _rate(lambda i: store.get(b"none-%08d" % i), 50_000),
+        _rate(lambda i: store.range(ordered[i], None, limit=100), len(ordered)),
+        _rate(lambda i: sum(1 for _ in store.scan()), 1) * (count + 1_000))
+    _discard(store, path)
+    return found
+
+
+def _rate(call: Callable[[int], object], times: int) -> float:
+    start = time.perf_counter()
+    for i in range(times):
+        call(i)
+    return times / (time.perf_counter() - start)
+
+
+def _recovery(path: Path, chance: random.Random, what: str, commits: int, keys: int) -> tuple[Recovery, float]:
+    store = _filled(path, chance, commits, keys)
+    if keys < commits:
+        store.compact(store.revision)
+        store.settle()
+    del store  # as a killed process leaves it: nothing is closed
+    gc.collect()
+    before = resident()
+    start = time.perf_counter()
+    store = _open(path)
+    took = time.perf_counter() - start
+    after = resident()
+    disk = sum(file.stat().st_size for file in (path / "store").iterdir())
+    found = Recovery(what, commits, keys, took * 1e3, store.recovered.records, disk / MIB)
+    _discard(store, path)
+    return found, after - before
+
+
+def _overwrites(path: Path, chance: random.Random, keys: int, commits: int, reserve: bool) -> Overwrites:
+    store = _open(path, memtable_bytes=MIB, retain_revisions=1_000, reserve=reserve)
+    user = 0
+    for i in range(commits):
+        key, value = b"key-%08d" % chance.randrange(keys), chance.randbytes(100)
+        user += len(key) + len(value)
+        store.commit(Batch().put(key, value))
+        if not i % WRITERS:
+            store.flush()
+    store.settle()
+    disk = sum(file.stat().st_size for file in (path / "store").iterdir())
+    found = Overwrites(keys, commits, reserve, user / MIB, store.written_log / MIB, store.written_tables / MIB,
+                       (store.written_log + store.written_tables) / user, disk / MIB)
+    _discard(store, path)
+    return found
+
+
+def _turns(path: Path, chance: random.Random, commits: int) -> Turns:
+    store, spread = _open(path, wake=lambda store: None, memtable_bytes=MIB, retain_revisions=1_000), \
+        HdrHistogram(1, MOST_US, 3)
+    longest = 0
+    for i in range(commits):
+        store.commit(Batch().put(b"key-%08d" % chance.randrange(commits // 4), chance.randbytes(100)))
+        if not i % WRITERS:
+            store.flush()
+            if store.needs_work:
+                start = time.perf_counter_ns()
+                store.work()
+                took = (time.perf_counter_ns() - start) // 1_000
+                spread.record_value(max(took, 1))
+                longest = max(longest, took)
+    _discard(store, path)
+    return Turns(spread.get_total_count(), spread.get_value_at_percentile(50), spread.get_value_at_percentile(99),
+                 longest)
+
+
+def _filled(path: Path, chance: random.Random, commits: int, keys: int) -> Store:
+    """Commits of one small value each, to `keys` keys in turn."""
+    store = _open(path, retain_revisions=1_000 if keys < commits else 0)
+    value = chance.randbytes(40)
+    for i in range(commits):
+        store.commit(Batch().put(b"key-%08d" % (i * 7_919 % keys), value))
+        if not i % WRITERS:
+            store.flush()
+    store.flush()
+    return store
+
+
+def _open(path: Path, wake: Callable[[Store], None] | None = None, **options: object) -> Store:
+    return Store.open(path / "store", msgspec.convert(options, Options), wake=wake)
+
+
+def _discard(store: Store, path: Path) -> None:
+    store.close()
+    shutil.rmtree(path / "store")
+
+
+def resident() -> int:
+    """Bytes of this process in memory."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+if sys.platform != "linux":  # fdatasync, statm and directories that can be synced are Linux's
+    raise ImportError("rackhub.store.bench needs Linux")
--- /dev/null
+++ b/rackhub/store/driver.py
@@ -0,0 +1,175 @@
+"""Tends a store from Twisted's reactor: one sync for the commits of a turn, work in slices, leases, retries.
+
+Nothing is started for a single commit: there is one call a turn for all of them.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, Protocol, cast
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorFromThreads
+from twisted.internet.threads import deferToThreadPool
+from twisted.python.failure import Failure
+
+from rackhub.store.engine import Store
+from rackhub.store.errors import ReadOnly
+from rackhub.store.files import File
+from rackhub.store.pace import Pace
+
+log = logging.getLogger(__name__)
+
+
+class Reactor(Protocol):
+    """What is needed of Twisted's reactor."""
+
+    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any: ...
+    def getThreadPool(self) -> Any: ...
+
+
+class Driver:
+    """Hand `wake` to `Store.open` and the store to `drive`."""
+
+    def __init__(self, reactor: Reactor, now: Callable[[], int] = lambda: time.monotonic_ns() // 1_000):
+        self._reactor, self._now, self.pace = reactor, now, Pace()
+        self._store: Store | None = None
+        self._flushing = self._working = self._retrying = False
+        self._ended = False
+        self.failures = 0  # times that the disk made the store read-only
+        self.threaded = 0  # syncs done in another thread
+
+    def drive(self, store: Store) -> None:
+        self._store = store
+        self.wake(store)
+
+    def wake(self, store: Store) -> None:
+        """There is something to do: at the end of this turn, so that all its commits share it."""
+        self._reactor.callLater(0, self._turn)
+
+    def _turn(self) -> None:
+        store = self._store
+        if store is None or self._ended:
+            return
+        store.woken()
+        if store.needs_flush and not self._flushing:
+            self._flush(store)
+        if store.fault is not None:
+            return self._retry_later()
+        if store.needs_work and not self._working:
+            self._working = True
+            self._reactor.callLater(0, self._work)
+
+    def _flush(self, store: Store) -> None:
+        file = store.begin_flush()
+        if file is None:
+            return
+        if self.pace.elsewhere(self._now()):
+            self._flushing = True
+            self.threaded += 1
+            self._elsewhere(file).addBoth(self._flushed, store)
+        else:
+            store.end_flush(self._timed(file))
+
+    def _timed(self, file: File) -> OSError | None:
+        """Sync here and note how long it took; the error, if any."""
+        began, fault = self._now(), None
+        try:
+            file.sync()
+        except OSError as bad:
+            fault = bad
+        self.pace.synced(self._now() - began, self._now())
+        return fault
+
+    def _elsewhere(self, file: File) -> "Deferred[OSError | None]":
+        began = self._now()
+
+        def sync() -> OSError | None:
+            try:
+                file.sync()
+            except OSError as bad:
+                return bad
+            return None
+
+        def back(fault: OSError | None) -> OSError | None:
+            self.pace.synced(self._now() - began, self._now())
+            return fault
+
+        pool = self._reactor.getThreadPool()
+        return deferToThreadPool(cast(IReactorFromThreads, self._reactor), pool, sync).addCallback(back)
+
+    def _flushed(self, fault: OSError | Failure | None, store: Store) -> None:
+        self._flushing = False
+        if isinstance(fault, Failure):
+            fault = OSError(str(fault.value))
+        if not self._ended:
+            store.end_flush(fault)
+            self._turn()
+
+    def _work(self) -> None:
+        store = self._store
+        if store is None or self._ended:
+            return
+        began = self._now()
+        handed: list[Deferred[OSError | None]] = []
+
+        def sync(file: File) -> bool:
+            if self.pace.elsewhere(self._now()):
+                handed.append(self._elsewhere(file))
+                return False
+            fault = self._timed(file)
+            if fault is not None:
+                raise fault
+            return True
+
+        more = store.work(sync=sync)
+        if store.damage is not None:
+            log.error("store: merging has ended: %s", store.damage)
+        if store.fault is not None:
+            self._working = False
+            return self._retry_later()
+        if handed:
+            handed[0].addBoth(self._worked, store)
+        elif more:
+            self._reactor.callLater(self.pace.rest(self._now() - began) / 1_000_000, self._work)
+        else:
+            self._working = False
+
+    def _worked(self, fault: OSError | Failure | None, store: Store) -> None:
+        if self._ended:
+            return
+        if fault is not None:
+            store.fail(fault if isinstance(fault, OSError) else OSError(str(fault.value)))
+            self._working = False
+            return self._retry_later()
+        self._work()
+
+    def _retry_later(self) -> None:
+        if not self._retrying and not self._ended and self._store is not None:
+            self._retrying = True
+            self.failures += 1
+            wait = self.pace.retry_in()
+            log.error("store: read-only: %s; tried again in %.0f s", self._store.fault, wait / 1_000_000)
+            self._reactor.callLater(wait / 1_000_000, self._retry)
+
+    def _retry(self) -> None:
+        self._retrying = False
+        store = self._store
+        if store is None or self._ended:
+            return
+        try:
+            store.retry()
+        except ReadOnly:
+            return self._retry_later()
+        self.pace.mended()
+        log.info("store: takes writes again")
+        self._turn()
+
+    def end(self) -> None:
+        """Close the store: a sync in another thread is waited for by the file's own close coming after it."""
+        self._ended = True
+        if self._store is not None:
+            store, self._store = self._store, None
+            if self._flushing:  # its outcome is not known here: closing syncs once more
+                store.forget_sync()
+            store.close()
--- a/rackhub/store/engine.py
+++ b/rackhub/store/engine.py
@@ -49,6 +49,7 @@
     encode,
     kept,
     key_value,
+    weight,
 )
 from rackhub.store.table import BlockCache, Table, TableBuilder, TableInfo
 
@@ -112,6 +113,7 @@
         self.options = options
         self._files, self._clock, self._ticks, self._wake = files, clock, ticks, wake
         self._cache = BlockCache(options.cache_bytes)
+        self._always = options.contract == "always"
         self._tables: list[Table] = []  # newest first
         self._frozen: list[Memtable] = []  # newest first
         self._pins: Counter[int] = Counter()
@@ -120,9 +122,11 @@
         self._job: Iterator[File | None] | None = None
         self._fault: OSError | None = None
         self._damage: Corrupt | None = None
-        self._open, self._syncing, self._woken = True, False, False
+        self._open, self._syncing, self._woken, self._at_work = True, False, False, False
+        self._acknowledging = False
         self._compacted_by = 0  # the record that compacted last
         self._collected = -1
+        self._idle = False  # the last look found no work, and nothing has come up since
         self.written_tables = 0  # bytes, for the measure of write amplification
         self.written_log = 0
 
@@ -135,7 +139,7 @@
         """Open the store in the directory `path`, made where it is not there.
 
         `clock`: Unix microseconds, for leases. `wake` is called when there is something for `flush` or `work` to do,
-        once until they have run; without it commits do that work themselves. Raises `Locked`, `Corrupt`,
+        once until `woken` is called; without it commits do that work themselves. Raises `Locked`, `Corrupt`,
         `NewerFormat`, and `OSError` where the disk can't be used; what is on disk is then as it was.
         """
         files = files if files is not None else DiskFiles(path)
@@ -167,7 +171,7 @@
         for segment in todo.replay:
             for record in self._closed_records(segment):
                 if record.number > manifest.flushed:
-                    self._mem.add(record.number, record.revision, record.entries)
+                    self._mem.add(record.number, record.revision, record.entries, weight(record))
                     replayed, seen = replayed + 1, record.at
         name = log_name(manifest.active)
         size = sizes[name]
@@ -180,7 +184,7 @@
                                           "was on disk")
         for record in records:
             if record.number > manifest.flushed:
-                self._mem.add(record.number, record.revision, record.entries)
+                self._mem.add(record.number, record.revision, record.entries, weight(record))
                 replayed, seen = replayed + 1, record.at
         self._refuse_unnamed(todo.later)
         # From here on the disk is changed, each step so that a crash after it leads here again.
@@ -259,20 +263,25 @@
         """Make all changes of `batch` as one revision, if all conditions hold.
 
         Reads see them on return. `acknowledged` is called once: with None when the contract holds for them, or with
-        the error where the disk failed first (then they are in doubt, as after a crash). Under `always` that is
-        before this returns. Raises `BadBatch`, `NoLease`, and `ReadOnly` where nothing was written.
+        the error where the disk failed first (then they are in doubt, as after a crash). That is after this returns,
+        but under `always` and in a store without `wake`. Raises `BadBatch`, `NoLease`, and `ReadOnly` where
+        nothing was written.
         """
-        self._writable()
+        if self._fault is not None or not self._open:
+            self._writable()
+        if not self._idle and (self._wake is None or len(self._frozen) > BACKLOG):
+            self.work()  # before this commit is there: it must not be acknowledged before its caller knows of it
         if batch.size > self.options.batch_bytes:
             raise BadBatch(f"a batch of {batch.size} bytes: {self.options.batch_bytes} are allowed")
         for condition in when:
             if not condition.holds(self.get(condition.key)):
                 return self._nothing_done(False, acknowledged)
-        entries = self._resolve(batch, self.revision + 1)
+        revision = self.revision + 1
+        entries = self._resolve(batch, revision)
         if not entries:
             return self._nothing_done(True, acknowledged)
-        self._append(entries, self.revision + 1, batch.size, acknowledged)
-        return Commit(self.revision, True)
+        self._append(entries, revision, batch.size, acknowledged, own=len(entries) > len(batch.changes))
+        return Commit(revision, True)
 
     def _nothing_done(self, applied: bool, acknowledged: Acknowledged | None) -> Commit:
         """Acknowledged all the same only once what it was decided by is on disk."""
@@ -287,7 +296,7 @@
         entries: list[Entry] = []
         changed: set[bytes] = set()
         for change in batch.changes:
-            if not isinstance(change, Put):
+            if type(change) is not Put:
                 continue
             key = DATA + change.key
             if key in changed:
@@ -341,25 +350,27 @@
         if new and old != new:
             entries.append(Entry(ATTACHED + new.to_bytes(8, "big") + key, number, b""))
 
-    def _append(self, entries: list[Entry], revision: int, size: int, acknowledged: Acknowledged | None) -> None:
-        self._number += 1
+    def _append(self, entries: list[Entry], revision: int, size: int, acknowledged: Acknowledged | None,
+                own: bool = True) -> None:
+        """One record. `own`: there may be keys of the store's own among the entries. Each commit goes through here,
+        so what most of them do not need is asked for as cheaply as it can be."""
+        number = self._number = self._number + 1
         self.revision = revision
-        record = Record(self._number, revision, self._clock(), entries)
-        self._mem.add(self._number, revision, entries)
-        self._log.add(record, size)
-        for entry in entries:
-            if entry.key[:1] != DATA:
-                self._own(entry)
+        log, memory = self._log, self._mem
+        memory.add(number, revision, entries, size)
+        log.add(Record(number, revision, self._clock(), entries), size)
+        if own:
+            for entry in entries:
+                if entry.key[:1] != DATA:
+                    self._own(entry)
         if acknowledged is not None:
-            self._waiting.append((self._number, acknowledged))
-        full = self._log.full or self._mem.bytes >= self.options.memtable_bytes
-        if self.options.contract == "always" or full and self._wake is None:
+            self._waiting.append((number, acknowledged))
+        if self._always or self._wake is None and (log.full or memory.bytes >= self.options.memtable_bytes):
             self.flush()
             if self._fault is not None:
                 raise ReadOnly(self._fault)
-        if self._wake is None or len(self._frozen) > BACKLOG:
-            self.work()
-        self._stir()
+        if self._wake is not None and not self._woken:
+            self._stir()
 
     def _own(self, entry: Entry) -> None:
         """Carry a change of the store's own keys over to what is kept of them in memory."""
@@ -373,7 +384,7 @@
             terms = msgspec.msgpack.decode(entry.value or b"", type=LeaseTerms)
             self.leases.restore(int.from_bytes(rest, "big"), terms)
         elif entry.key == COMPACTED:
-            self.compacted, self._compacted_by = int(entry.value or 0), self._number
+            self.compacted, self._compacted_by, self._idle = int(entry.value or 0), self._number, False
 
     def _writable(self) -> None:
         if not self._open:
@@ -386,6 +397,10 @@
             self._woken = True
             self._wake(self)
 
+    def woken(self) -> None:
+        """Whoever tends the store has come: `wake` is called again for what comes up from now on."""
+        self._woken = False
+
     # ---- making writes last
 
     @property
@@ -407,7 +422,6 @@
     def begin_flush(self, sync: bool = False) -> File | None:
         """The first half of `flush`: the file to be synced, which another thread may do before `end_flush` is called
         here. None where nothing is to be synced. Commits meanwhile wait for the next one."""
-        self._woken = False
         if self._fault is not None or self._syncing or not self._open:
             return None
         before = self._log.written
@@ -422,8 +436,7 @@
             return None
         self.written_log += self._log.written - before
         if file is None:
-            self._acknowledge()
-            self._roll_if_full()
+            self._settled()
             return None
         self._syncing = True
         return file
@@ -434,10 +447,17 @@
         if fault is not None:
             return self._fail(fault)
         self._log.end_sync()
-        self._acknowledge()
-        self._roll_if_full()
+        self._settled()
         self._stir()
 
+    def _settled(self) -> None:
+        """Records were written, and synced where the contract asks for it. What an acknowledgement commits goes to
+        the next segment already where this one is full; one that can't be made is no fault of what is on disk."""
+        fault = self._roll_if_full()
+        self._acknowledge()
+        if fault is not None:
+            self._fail(fault)
+
     def _lasting(self, number: int) -> bool:
         """Whether record `number` is on disk."""
         return number < self._log.first or number <= self._log.durable_last
@@ -448,17 +468,40 @@
         return self._log.revision if self.options.contract == "none" else self._log.durable_revision
 
     def _acknowledge(self) -> None:
-        held = self._log.last if self.options.contract == "none" else self._log.durable_last
-        while self._waiting and self._waiting[0][0] <= held:
-            self._waiting.popleft()[1](None)
+        """In order, and one after another: a call that commits and so comes here again leaves that to this walk."""
+        if self._acknowledging:
+            return
+        self._acknowledging = True
+        try:
+            while self._waiting and self._held(self._waiting[0][0]):
+                self._waiting.popleft()[1](None)
+        finally:
+            self._acknowledging = False
+
+    def _held(self, number: int) -> bool:
+        """Whether the contract holds for record `number`."""
+        return number <= self._log.last if self.options.contract == "none" else self._lasting(number)
 
     def _fail(self, fault: OSError) -> None:
         """The disk refused something: nothing is written until `retry`, and whoever waits is told."""
-        self._fault, self._job = fault, None
+        self._fault, self._job, self._idle = fault, None, False
         waiting, self._waiting = self._waiting, deque()
         for _, call in waiting:
             call(ReadOnly(fault))
 
+    @property
+    def fault(self) -> OSError | None:
+        """What made the store read-only."""
+        return self._fault
+
+    def fail(self, fault: OSError) -> None:
+        """A sync that `work` had handed out failed."""
+        self._fail(fault)
+
+    def forget_sync(self) -> None:
+        """The sync that was begun will not be heard of again; what it was for is synced anew."""
+        self._syncing, self._log._syncing = False, None
+
     def retry(self) -> None:
         """Try a read-only store's disk again: what was committed and not on disk is written to a new segment, and
         the store takes writes again. Raises `ReadOnly` where the disk still fails."""
@@ -492,7 +535,8 @@
             if name not in known and (number_of(name) or name == NEW):
                 self._files.remove(name)
 
-    def _roll_if_full(self) -> None:
+    def _roll_if_full(self) -> OSError | None:
+        """Close what is full; the error, if any."""
         if self._mem.bytes >= self.options.memtable_bytes and self._mem.high >= self._mem.low:
             try:
                 if self._log.durable < self._log.written:  # under `none`: a closed segment is always whole
@@ -502,12 +546,14 @@
                     self._log.end_sync()
                 self._next_segment()
             except OSError as fault:
-                return self._fail(fault)
+                return fault
             self._frozen.insert(0, self._mem)
             self._mem = Memtable(self._mem.high + 1)
+            self._idle = False
             retain = self.options.retain_revisions
             if retain and self.revision - retain > self.compacted + retain // 4:
                 self.compact(self.revision - retain)
+        return None
 
     def _next_segment(self) -> None:
         """Close the active segment, all of which is on disk, and begin the next."""
@@ -723,7 +769,7 @@
         """Whether `work` has something to do."""
         if self._fault is not None or self._damage is not None or not self._open:
             return False
-        return self._job is not None or bool(self._frozen) or self._to_merge() is not None or self._to_collect()
+        return not self._idle
 
     def _to_merge(self) -> tuple[int, int] | None:
         return plan.merge(self._manifest.tables, self.options.memtable_bytes, self.options.runs, self._floor())
@@ -738,14 +784,16 @@
         `sync`, where given, is handed each file that is to be synced and says whether it has been; if not, the
         caller does so elsewhere and calls `work` again after it.
         """
-        if self._fault is not None or self._damage is not None or not self._open:
+        if self._fault is not None or self._damage is not None or not self._open or self._at_work:
             return False
+        self._at_work = True  # an acknowledgement from here may commit, and come here again
         until = self._ticks() + (budget or self.options.slice_us)
         try:
             while self._ticks() < until:
                 if self._job is None:
                     self._job = self._next_job()
                     if self._job is None:
+                        self._idle = True
                         return False
                 file = next(self._job, self._job)
                 if file is self._job:
@@ -761,6 +809,8 @@
         except Corrupt as damage:  # merging goes no further; reads of the rest and all writes do
             self._damage, self._job = damage, None
             return False
+        finally:
+            self._at_work = False
         return self.needs_work
 
     @property
@@ -961,6 +1011,7 @@
             self._store._pins[self.revision] -= 1
             if not self._store._pins[self.revision]:
                 del self._store._pins[self.revision]
+                self._store._idle = False
                 self._store._stir()
 
     def __enter__(self) -> "Snapshot":
--- a/rackhub/store/files.py
+++ b/rackhub/store/files.py
@@ -132,6 +132,8 @@
             self._lock = -1
 
     def __del__(self) -> None:
+        if getattr(self, "_lock", -1) >= 0:
+            self.unlock()
         if getattr(self, "_dir", -1) >= 0:
             os.close(self._dir)
             self._dir = -1
--- /dev/null
+++ b/rackhub/store/kill.py
@@ -0,0 +1,181 @@
+"""A store in a real process that is killed under load, again and again, and what it had acknowledged looked for.
+
+The child serves lines over TCP on loopback: `KEY VALUE` is committed and answered with its revision once it is
+acknowledged, by a store that a reactor tends as the coordinator's is. The parent keeps many lines open on several
+connections, kills the child after a drawn number of answers, opens the store itself and checks: every acknowledged
+write is there under its revision, and nothing is that was not sent.
+"""
+
+import random
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from rackhub.store.engine import Store
+from rackhub.store.options import Options
+
+CONNECTIONS, OPEN = 4, 16
+KEYS = 500
+OPTIONS = Options(contract="group", memtable_bytes=64 * 1_024, block_bytes=1_024, runs=3, retain_revisions=2_000)
+PATIENCE = 60  # seconds without an answer: a child that hangs is a fault of its own
+
+
+class Killed(msgspec.Struct):
+    """What came of all kills. `found_unsent`, `lost` and `changed` must stay 0."""
+
+    kills: int = 0
+    sent: int = 0
+    acknowledged: int = 0
+    in_doubt_kept: int = 0  # written, not acknowledged, and there all the same
+    torn: int = 0  # openings that cut a torn tail off
+    lost: int = 0
+    changed: int = 0
+    found_unsent: int = 0
+    violations: list[str] = []
+
+
+def serve(path: str) -> None:
+    """The child: prints its port, serves until it is killed."""
+    from twisted.internet import reactor as installed
+    from twisted.internet.protocol import Factory
+    from twisted.protocols.basic import LineOnlyReceiver
+
+    from rackhub.store.batch import Batch
+    from rackhub.store.driver import Driver
+
+    reactor: Any = installed
+    driver = Driver(reactor)
+    store = Store.open(path, OPTIONS, wake=driver.wake)
+    driver.drive(store)
+
+    class Lines(LineOnlyReceiver):
+        delimiter = b"\n"
+
+        def lineReceived(self, line: bytes) -> None:
+            key, _, value = line.partition(b" ")
+            made = store.commit(Batch().put(key, value), acknowledged=lambda error: self.told(error, made.revision))
+
+        def told(self, error: Exception | None, revision: int) -> None:
+            self.sendLine(b"%d" % revision if error is None else b"error")
+
+    port = reactor.listenTCP(0, Factory.forProtocol(Lines), interface="127.0.0.1")
+    print(port.getHost().port, flush=True)
+    reactor.run()
+
+
+class _Client:
+    """One connection: the lines that it has open, oldest first."""
+
+    def __init__(self, port: int):
+        self.socket = socket.create_connection(("127.0.0.1", port))
+        self.socket.settimeout(PATIENCE)
+        self.open: list[tuple[bytes, bytes]] = []
+        self._rest = b""
+
+    def send(self, key: bytes, value: bytes) -> None:
+        self.socket.sendall(key + b" " + value + b"\n")
+        self.open.append((key, value))
+
+    def answers(self) -> list[tuple[int, bytes, bytes]]:
+        data = self.socket.recv(65_536)
+        if not data:
+            raise ConnectionError("the child has ended by itself")
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        return [(int(line), *self.open.pop(0)) for line in lines]
+
+
+def run(path: Path, kills: int, seed: int, progress: Callable[[int, int], None] = lambda done, of: None) -> Killed:
+    """Kill a child `kills` times on one directory, which must not be there yet."""
+    chance, tally = random.Random(seed), Killed()
+    acknowledged: dict[int, tuple[bytes, bytes]] = {}
+    sent: set[tuple[bytes, bytes]] = set()
+    for cycle in range(kills):
+        _one(path, chance, cycle, acknowledged, sent)
+        tally.kills += 1
+        _check(path, acknowledged, sent, tally)
+        progress(cycle + 1, kills)
+    tally.sent, tally.acknowledged = len(sent), len(acknowledged)
+    return tally
+
+
+def _one(path: Path, chance: random.Random, cycle: int, acknowledged: dict[int, tuple[bytes, bytes]],
+         sent: set[tuple[bytes, bytes]]) -> None:
+    child = subprocess.Popen([sys.executable, "-m", "rackhub.store.kill", str(path)], stdout=subprocess.PIPE)
+    clients: list[_Client] = []
+    try:
+        assert child.stdout is not None
+        port = int(child.stdout.readline())
+        clients = [_Client(port) for _ in range(CONNECTIONS)]
+        made, due = 0, chance.randrange(1, 1_500)
+        with selectors.DefaultSelector() as waiting:
+            for client in clients:
+                waiting.register(client.socket, selectors.EVENT_READ, client)
+            while due > 0:
+                for client in clients:
+                    while len(client.open) < OPEN:
+                        made += 1
+                        key = b"key-%04d" % chance.randrange(KEYS)
+                        value = b"%d.%d." % (cycle, made) + b"x" * chance.randrange(300)
+                        sent.add((key, value))
+                        client.send(key, value)
+                ready = waiting.select(PATIENCE)
+                if not ready:
+                    raise TimeoutError(f"no answer in {PATIENCE} s")
+                for which, _ in ready:
+                    for revision, key, value in which.data.answers():
+                        acknowledged[revision] = (key, value)
+                        due -= 1
+        child.send_signal(signal.SIGKILL)
+        for client in clients:  # what was answered before the kill and not read yet counts too
+            try:
+                while True:
+                    for revision, key, value in client.answers():
+                        acknowledged[revision] = (key, value)
+            except OSError:
+                pass
+    finally:
+        child.kill()
+        child.wait()
+        for client in clients:
+            client.socket.close()
+        if child.stdout is not None:
+            child.stdout.close()
+
+
+def _check(path: Path, acknowledged: dict[int, tuple[bytes, bytes]], sent: set[tuple[bytes, bytes]],
+           tally: Killed) -> None:
+    with Store.open(path, OPTIONS) as store:
+        tally.torn += store.recovered.torn_bytes > 0
+        there = {change.revision: (change.key, change.now.value if change.now else b"")
+                 for change in store.changes(store.compacted + 1)} if store.compacted < store.revision else {}
+        for revision, what in there.items():
+            if what not in sent:
+                tally.found_unsent += 1
+                tally.violations.append(f"kill {tally.kills}: revision {revision} holds what nobody sent")
+        tally.in_doubt_kept += len(there.keys() - acknowledged.keys())
+        newest: dict[bytes, tuple[int, bytes]] = {}
+        for revision, (key, value) in acknowledged.items():
+            if revision > store.compacted and there.get(revision) != (key, value):
+                tally.lost += revision not in there
+                tally.changed += revision in there
+                tally.violations.append(f"kill {tally.kills}: acknowledged revision {revision} is not as it was")
+            if key not in newest or newest[key][0] < revision:
+                newest[key] = (revision, value)
+        for key, (revision, value) in newest.items():
+            found = store.get(key)
+            if found is None or found.mod_revision < revision or \
+                    found.mod_revision == revision and found.value != value:
+                tally.lost += 1
+                tally.violations.append(f"kill {tally.kills}: key {key!r} is older than acknowledged")
+    del tally.violations[100:]
+
+
+if __name__ == "__main__":
+    serve(sys.argv[1])
--- a/rackhub/store/log.py
+++ b/rackhub/store/log.py
@@ -20,7 +20,7 @@
     header,
 )
 from rackhub.store.manifest import log_name
-from rackhub.store.records import Record, encode, records_of
+from rackhub.store.records import Record, encode, records_of, weight
 
 STRIDE = 65_536  # bytes of a segment between places that are remembered by their revision
 READ = 262_144  # bytes of a segment read at once
@@ -120,7 +120,7 @@
         size = 0
         for record in self.waiting:
             some.append(record)
-            size += sum(len(entry.key) + len(entry.value or b"") + 24 for entry in record.entries)
+            size += weight(record)
             if size >= self._frame_bytes:
                 yield some
                 some, size = [], 0
--- a/rackhub/store/memtable.py
+++ b/rackhub/store/memtable.py
@@ -5,7 +5,7 @@
 
 from sortedcontainers import SortedList
 
-from rackhub.store.records import Entry, size_of
+from rackhub.store.records import DATA, Entry
 
 CHUNK = 256  # keys taken from the sorted list at once, so that a reader stands changes between
 
@@ -19,18 +19,20 @@
         self._sorted: SortedList = SortedList()
         self._fresh: list[bytes] = []  # keys not in `_sorted` yet: most writes are never read in order
 
-    def add(self, number: int, revision: int, entries: list[Entry]) -> None:
-        """Take in one record. The store's own keys keep their latest version alone."""
+    def add(self, number: int, revision: int, entries: list[Entry], size: int) -> None:
+        """Take in one record of `size` bytes. The store's own keys keep their latest version alone."""
+        versions = self._versions
         for entry in entries:
-            have = self._versions.get(entry.key)
+            key = entry.key
+            have = versions.get(key)
             if have is None:
-                self._versions[entry.key] = [entry]
-                self._fresh.append(entry.key)
-            elif entry.key[:1] == b"k":
+                versions[key] = [entry]
+                self._fresh.append(key)
+            elif key[:1] == DATA:
                 have.append(entry)
             else:
                 have[0] = entry
-            self.bytes += size_of(entry)
+        self.bytes += size
         self.count += len(entries)
         self.high, self.revision = number, revision
 
--- a/rackhub/store/records.py
+++ b/rackhub/store/records.py
@@ -73,6 +73,11 @@
     return len(entry.key) + (len(entry.value) if entry.value else 0) + 24
 
 
+def weight(record: Record) -> int:
+    """Bytes that a record takes, as a batch counts them."""
+    return sum(size_of(entry) for entry in record.entries)
+
+
 def kept(entries: Iterable[Entry], floor: int, bottom: bool) -> Iterator[Entry]:
     """What a merge keeps of entries in order (key, newest first): all versions after `floor`, the newest up to it, and
     of the store's own keys the newest. With `bottom`, nothing older lies below, so a deletion that nobody can still
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,435 @@
+"""What a coordinator keeps over its restarts: the words of the ledger, the keeper on a store, the driver, the tools."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from stands import CLASSES, LIMITS, SETTINGS, FakeClock, S
+from test_config import notice, told
+from twisted.internet import reactor
+from twisted.internet.task import Clock
+from twisted.python.threadpool import ThreadPool
+
+from rackhub import interface as t
+from rackhub.cli import main
+from rackhub.core.coordinator import Coordinator, Query
+from rackhub.core.source import Listing
+from rackhub.core.timers import Timers
+from rackhub.counters import Counters
+from rackhub.state import ledger
+from rackhub.state.keeper import Keeper
+from rackhub.state.settings import store_settings
+from rackhub.store import Batch, Options, Store, kill
+from rackhub.store.driver import Driver
+from rackhub.store.faulty import MemoryFiles
+from rackhub.store.pace import Pace
+
+TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+LIST = Listing(41, (t.EngineEntry("e0", "z", "std", 1, "Ready", 4.0, 5 * S),
+                    t.EngineEntry("e1", "z", "std", 1, "Terminating")),
+               {"e0": ("127.0.0.1", 1), "e1": ("127.0.0.1", 2)})
+
+
+class Engines:
+    """The engine port and the client in one: what was sent, what was answered."""
+
+    def __init__(self):
+        self.sent, self.answers = [], []
+
+    def send(self, attempt):
+        self.sent.append(attempt)
+
+    def give_up(self, attempt): ...
+    def hurry(self, attempt): ...
+    def close_idle(self, engine): ...
+
+    def served(self, query, rows):
+        self.answers.append("served")
+
+    def refused(self, query, backoff):
+        self.answers.append("refused")
+
+    def failed(self, query, why):
+        self.answers.append("failed")
+
+
+class Kept:
+    """A core with a keeper on files in memory; the reactor's time is the test's, so is the core's."""
+
+    def __init__(self, files=None, listing=LIST, **more):
+        self.files, self.reactor, self.clock = files or MemoryFiles(), Clock(), FakeClock()
+        self.counters, self.port = Counters(), Engines()
+        settings = store_settings({"path": "memory"} | more)
+        self.keeper = Keeper(self.reactor, settings, CLASSES, self.clock, self.counters, self.files)
+        self.core = Coordinator(SETTINGS, 7, self.clock, Timers(self.clock, self.clock), LIMITS, self.counters)
+        self.core.ledger = self.keeper
+        self.listing = self.keeper.start(listing)
+        self.core.start(self.port, self.listing.entries, 1)
+
+    def ask(self, id, cls="depot-load", token=TOKEN):
+        until = self.clock.now() + 20 * S
+        self.core.submit(Query(f"{id:016x}", cls, b"x", until, self.port, tenant="acme", token=token))
+
+    def turn(self, seconds=0.0):
+        """Some turns of the loop, and time."""
+        self.reactor.pump([seconds] + [0.0] * 8)
+
+    def keyed(self):
+        return [ledger.read_keyed(item.key, item.value) for item in self.keeper.store.range(ledger.KEYED, b"keyed0")]
+
+
+def test_a_keyed_request_is_on_record_from_being_taken_to_its_end():
+    here = Kept()
+    here.turn()
+    here.ask(1)
+    here.turn()
+    one, = here.keyed()
+    assert (one.token, one.cls, one.state, one.attempts) == (TOKEN, "depot-load", "out", 1)
+    assert one.engine == here.port.sent[0].engine and one.until == here.clock.now() + 25 * S
+    here.core.ended(here.port.sent[0], "GOOD", {}, (b"a\tb\tc\n",))
+    here.turn()
+    assert here.keyed()[0].state == "served" and here.port.answers == ["served"]
+
+
+def test_a_request_without_a_key_never_gets_to_the_store():
+    here = Kept()
+    here.turn()
+    before = here.keeper.store.revision
+    for i in range(20):
+        here.ask(i + 1, "lookup", "")
+    here.turn()
+    assert len(here.port.sent) == 20 and here.keeper.store.revision == before and here.counters["state_commits"] == 1
+
+
+def test_many_changes_of_one_turn_are_one_commit_and_one_sync():
+    here = Kept()
+    here.turn()
+    revision, steps = here.keeper.store.revision, here.files.steps
+    for i in range(30):
+        here.ask(i + 1, token=f"{i:032x}")
+    here.turn()
+    assert here.keeper.store.revision == revision + 1 and here.files.steps == steps + 2
+    assert len(here.keyed()) == 30
+
+
+def test_after_a_power_cut_what_was_open_is_known_and_what_is_past_its_window_is_dropped():
+    here = Kept()
+    here.turn()
+    here.ask(1)
+    here.turn()
+    again = Kept(here.files.after_power_cut(3))
+    left, = again.keeper.left_open
+    assert (left.state, left.engine, left.attempts) == ("out", here.port.sent[0].engine, 1)
+    again.ask(2)  # the client comes again with its key
+    again.turn()
+    one, = again.keyed()
+    assert one.tries == 2 and one.attempts == 2 and one.until == left.until  # the window runs from the first attempt
+    again.core.ended(again.port.sent[0], "GOOD", {}, (b"",))
+    again.clock.advance(30 * S)
+    again.ask(3, token="f" * 32)
+    again.turn()
+    assert [one.token for one in again.keyed()] == ["f" * 32]
+
+
+def test_the_list_of_engines_serves_a_start_that_is_told_none_and_any_told_one_takes_its_place():
+    here = Kept()
+    here.turn()
+    later = LIST._replace(rev=42, entries=LIST.entries[:1])
+    here.keeper.listed(later)
+    here.turn()
+    again = Kept(here.files.copy(), listing=Listing(0, (), {}))
+    assert again.listing == Listing(0, later.entries, LIST.addresses)  # numbered so that the resolver's first counts
+    assert Kept(here.files.copy(), listing=LIST).listing == LIST
+    start = ledger.start_list(Listing(0, (), {}), ledger.keep_engines(LIST, 0), 90_000 * S, 86_400 * S)
+    assert start == (Listing(0, (), {}), None)  # too old to go by
+    assert ledger.start_list(Listing(0, (), {}), b"no list", 0, S)[1] is None
+    drained, _ = ledger.start_list(Listing(0, (), {}), ledger.keep_engines(LIST, 0), S, 86_400 * S)
+    assert drained.entries[1].state == "Terminating"
+
+
+def test_counters_run_on_over_starts():
+    here = Kept()
+    here.ask(1)
+    here.turn()
+    here.keeper.end()
+    again = Kept(here.files.copy())
+    again.ask(2)
+    totals = again.keeper.totals()
+    assert totals.starts == 2 and totals.counts["requests_in"] == 2
+
+
+def test_a_disk_that_fails_holds_nothing_up_and_what_waited_is_written_when_it_is_back():
+    here = Kept()
+    here.turn()
+    here.files.fault, here.files.fail_at, here.files.lasting = OSError(28, "No space left"), here.files.steps + 1, True
+    for i in range(3):
+        here.ask(i + 1, token=f"{i:032x}")
+        here.turn()
+    assert len(here.port.sent) == 3 and here.counters["state_failures"] >= 2  # served all the same
+    here.turn(1.5)  # the first retry fails too
+    here.files.fail_at = 0
+    here.turn(5)
+    here.ask(9, token="9" * 32)
+    here.turn()
+    assert len(here.keyed()) == 4
+    assert len(Kept(here.files.after_power_cut(1)).keyed()) == 4
+
+
+def test_what_waits_for_a_disk_that_stays_away_is_bounded():
+    here = Kept()
+    here.turn()
+    here.files.fault, here.files.fail_at, here.files.lasting = OSError(5, "I/O error"), here.files.steps + 1, True
+    here.ask(1)
+    here.turn()
+    for i in range(11_000):
+        here.keeper._waiting[b"keyed/%d" % i] = b"x"
+    here.ask(2, token="2" * 32)
+    here.turn()
+    assert len(here.keeper._waiting) == 10_000 and here.counters["state_dropped"] > 900
+
+
+def test_a_value_that_can_not_be_read_is_counted_and_left():
+    files = MemoryFiles()
+    with Store.open("memory", files=files) as store:
+        store.commit(Batch().put(b"keyed/depot-load/x", b"{"))
+    here = Kept(files)
+    assert here.counters["state_unread"] == 1 and here.keeper.store.get(b"keyed/depot-load/x").value == b"{"
+
+
+# ---- the pace and the driver
+
+
+def test_slow_syncs_go_to_another_thread_and_come_back_when_the_disk_is_quick_again():
+    pace = Pace()
+    pace.synced(200, 0)
+    assert not pace.elsewhere(0)
+    pace.synced(500_000, 0)
+    assert pace.elsewhere(1) and pace.elsewhere(59 * S)
+    for _ in range(60):
+        pace.synced(200, 0)
+    assert pace.elsewhere(59 * S) and not pace.elsewhere(61 * S)
+    assert [pace.retry_in() for _ in range(8)] == [S, 2 * S, 4 * S, 8 * S, 16 * S, 32 * S, 60 * S, 60 * S]
+    pace.mended()
+    assert pace.retry_in() == S and pace.rest(2_000) == 8_000
+
+
+@pytest.fixture
+def threads():
+    """The reactor with threads of the test's own: its pool begins with its `run`, which no test calls."""
+    pool = ThreadPool(1, 1)
+    pool.start()
+    yield SimpleNamespace(callLater=reactor.callLater, callFromThread=reactor.callFromThread,
+                          getThreadPool=lambda: pool)
+    pool.stop()
+
+
+@pytest.mark.parametrize("slow", [False, True])
+def test_the_driver_syncs_once_a_turn_here_or_in_a_thread(slow, threads):
+    driver, files, told_ = Driver(threads, now=lambda: 0), MemoryFiles(), []
+    store = Store.open("memory", Options(memtable_bytes=4_096, block_bytes=256, runs=2), files=files, wake=driver.wake)
+    driver.drive(store)
+    if slow:
+        driver.pace.synced(10 * S, 0)
+    for i in range(300):
+        store.commit(Batch().put(b"%04d" % i, b"x" * 40), acknowledged=told_.append)
+        if not i % 50:
+            reactor.iterate(0.01)
+    for _ in range(2_000):
+        if len(told_) == 300 and not store.needs_work:
+            break
+        reactor.iterate(0.01)
+    assert told_ == [None] * 300 and store.info().tables and (driver.threaded > 0) is slow
+    driver.end()
+    with Store.open("memory", files=files.after_power_cut(1)) as again:
+        assert again.revision == 300
+
+
+def test_an_acknowledgement_may_commit_and_so_on():
+    files, done = MemoryFiles(), []
+    store = Store.open("memory", Options(memtable_bytes=4_096, block_bytes=256, runs=2), files=files)
+
+    def go_on(error):
+        done.append(error)
+        if len(done) < 400:
+            store.commit(Batch().put(b"%04d" % len(done), b"x" * 40), acknowledged=go_on)
+
+    go_on(None)
+    while len(done) < 400:
+        store.flush()
+        store.work()
+    store.close()
+    assert done == [None] * 400 and store.revision == 399
+
+
+# ---- the command line
+
+
+@pytest.fixture
+def filled(tmp_path):
+    path = tmp_path / "store"
+    with Store.open(path, Options(memtable_bytes=8_192, runs=2)) as store:
+        for i in range(400):
+            store.commit(Batch().put(b"key%02d" % (i % 40), b"%d" % i * 20))
+        store.commit(Batch().put(b"\xff\\odd", b"text"))
+        store.settle()
+    return path
+
+
+def out(capsys):
+    return json.loads(capsys.readouterr().out)
+
+
+def test_the_command_line_reads_a_store(filled, capsys):
+    path = str(filled)
+    assert main(["store", "info", path, "--json"]) == 0 and out(capsys)["revision"] == 401
+    assert main(["store", "verify", path, "--json"]) == 0 and out(capsys) == {"findings": []}
+    assert main(["store", "get", path, "key07", "--at", "8", "--json"]) == 0
+    assert out(capsys) == {"key": "key07", "value": "7" * 20, "create_revision": 8, "mod_revision": 8, "version": 1}
+    assert main(["store", "get", path, r"\xff\\odd"]) == 0 and capsys.readouterr().out == "text\n"
+    assert main(["store", "range", path, "key38", "--json"]) == 0
+    assert [one["key"] for one in out(capsys)] == ["key38", "key39", r"\xff\\odd"]
+    assert main(["store", "changes", path, "400", "--json"]) == 0
+    assert [(one["revision"], one["now"]["key"]) for one in out(capsys)] == [(400, "key39"), (401, r"\xff\\odd")]
+    assert main(["store", "compact", path, "390", "--json"]) == 0 and out(capsys)["compacted"] == 390
+    for words in (["info", path], ["range", path, "--limit", "2"], ["changes", path, "400"], ["keyed", path],
+                  ["verify", path]):
+        assert main(["store", *words]) == 0
+    capsys.readouterr()
+    assert main(["store", "get", path, "none"]) == 1 and "'none' is not there" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("words, told_", [
+    (["get", "DIR", "key07", "--at", "99999"], "revision 99999 is not there yet"),
+    (["get", "DIR", "key07", "--at", "x"], "--at: 'x' is not a number"), (["get", "DIR", r"\q"], "backslash"),
+    (["changes", "DIR", "-5"], "SINCE: '-5'"), (["compact", "DIR", "0"], "REVISION: '0' is not a number"),
+    (["info", "/nowhere"], "no store is there"), (["dance"], "Usage"), (["torture", "--modes", "x"], "'x' is none of"),
+    (["torture", "--bytes", "5"], "--bytes"), (["salvage", "DIR", "DIR"], "not empty"),
+    (["bench", "--dir", "DIR"], "not empty"), (["bench", "--scale", "7"], "--scale"),
+    (["kill", "--kills", "0"], "--kills")])
+def test_bad_usage_is_one_line_and_status_2(filled, capsys, words, told_, tmp_path, monkeypatch):
+    monkeypatch.chdir(tmp_path)
+    assert main(["store", *(str(filled) if word == "DIR" else word for word in words)]) == 2
+    said = capsys.readouterr().err
+    assert told_ in said and ("Usage" in said or said.count("\n") == 1)
+
+
+def test_a_store_in_use_and_a_damaged_one_and_its_salvage(filled, capsys, tmp_path):
+    with Store.open(filled):
+        assert main(["store", "info", str(filled)]) == 2 and "another process" in capsys.readouterr().err
+    log = max(filled.glob("table-*"), key=lambda one: one.stat().st_size)
+    log.write_bytes(log.read_bytes()[:-7])
+    assert main(["store", "info", str(filled)]) == 1 and log.name in capsys.readouterr().err
+    assert main(["store", "verify", str(filled), "--json"]) == 1 and out(capsys)["findings"][0]["file"] == log.name
+    assert main(["store", "salvage", str(filled), str(tmp_path / "saved"), "--json"]) == 1
+    assert out(capsys)["revision"] == 401
+    assert main(["store", "range", str(tmp_path / "saved"), "--json"]) == 0 and len(out(capsys)) == 41
+
+
+def test_the_torture_command_reports_what_it_tried(capsys):
+    assert main(["store", "torture", "--bytes", "10000", "--modes", "cut", "--workers", "2", "--json"]) == 0
+    report = out(capsys)
+    assert report["violations"] == 0 and report["modes"]["cut"]["tried"] == report["file_bytes"] > 9_000
+
+
+def test_a_killed_process_loses_nothing_that_it_acknowledged(tmp_path):
+    tally = kill.run(tmp_path / "s", 4, 11)
+    assert tally.violations == [] and tally.kills == 4 and tally.acknowledged > 100
+
+
+def test_the_kill_test_finds_a_write_that_is_not_there(tmp_path):
+    acknowledged, sent, tally = {}, set(), kill.Killed()
+    with Store.open(tmp_path / "s", kill.OPTIONS) as store:
+        store.commit(Batch().put(b"a", b"1"))
+    acknowledged[1], acknowledged[2] = (b"a", b"2"), (b"b", b"1")
+    kill._check(tmp_path / "s", acknowledged, sent, tally)
+    assert tally.lost and tally.changed == 1 and tally.found_unsent == 1 and len(tally.violations) >= 3
+
+
+# ---- the operator's file and the daemon
+
+
+@pytest.mark.parametrize("part, key", [
+    ({}, "path"), ({"path": ""}, "path is empty"), ({"path": "x", "contract": "maybe"}, "contract"),
+    ({"path": "x", "memtable_bytes": 1}, "memtable_bytes is 1"), ({"path": "x", "colour": 1}, "colour"),
+    ({"path": "x", "engines_for_s": 0}, "engines_for_s is 0"), ({"path": 7}, "path"),
+    ({"path": "x", "runs": "many"}, "runs")])
+def test_a_bad_store_part_is_refused_by_its_key(part, key, tmp_path, capsys):
+    (tmp_path / "c.json").write_text(json.dumps(told()))
+    lines = "".join(f"{name} = {json.dumps(value)}\n" for name, value in part.items())
+    (tmp_path / "o.toml").write_text(f"[store]\n{lines}")
+    words = ["--config", str(tmp_path / "c.json"), "--operator", str(tmp_path / "o.toml")]
+    assert main(["check-config", *words]) == 2 and key in capsys.readouterr().err
+
+
+def test_a_store_that_is_off_loads_nothing_of_it():
+    code = ("import sys, rackhub.cli.serve, rackhub.daemon; bad = [m for m in sys.modules if m.startswith("
+            "('rackhub.store', 'rackhub.state.', 'crc32c', 'rbloom', 'xxhash', 'sortedcontainers'))]; print(bad)")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout == "[]\n"
+
+
+def test_a_daemon_keeps_its_state_over_a_kill_and_starts_from_it(tmp_path):
+    with socket.socket() as one, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as two:
+        one.bind(("127.0.0.1", 0))
+        two.bind(("127.0.0.1", 0))  # a resolver that never answers
+        listen, nameserver = one.getsockname()[1], two.getsockname()[1]
+        one.close()
+        (tmp_path / "o.toml").write_text(f'[store]\npath = "{tmp_path / "state"}"\n')
+        config = tmp_path / "c.json"
+
+        def start(**more):
+            more |= {"listen": f"127.0.0.1:{listen}", "nameserver": f"127.0.0.1:{nameserver}"}
+            config.write_text(json.dumps(told(**more)))
+            return subprocess.Popen([sys.executable, "-m", "rackhub", "serve", "--config", str(config), "--operator",
+                                     str(tmp_path / "o.toml")], stderr=subprocess.PIPE, text=True, env=dict(os.environ))
+
+        def until(process, what):
+            heard = []
+            for line in process.stderr:
+                heard.append(line)
+                if what in line:
+                    return line
+            raise AssertionError(f"it never said {what!r} but {heard}")
+
+        entry = {"name": "a", "address": "127.0.0.1:9", "zone": "east", "type": "std-8", "group": 2, "status": "ready",
+                 "weight": 4, "since_ms": 0}
+        first = start(known={"rev": 3, "notices": [notice(3, entry)]})
+        until(first, "serves on")
+        first.send_signal(signal.SIGUSR1)
+        until(first, "counters of 1 starts")
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(30) == 0
+        second = start(known={"rev": 0, "notices": []})
+        assert "list of 1 kept" in until(second, "no engines are told")
+        assert "1 engines known" in until(second, "serves on")
+        for _ in range(5):  # each answer is one more turn of its loop: written in one, committed and synced in the next
+            second.send_signal(signal.SIGUSR1)
+            until(second, "counters of 2 starts")
+        second.kill()
+        second.wait(30)
+        third = start(known={"rev": 0, "notices": []})
+        until(third, "serves on")
+        third.send_signal(signal.SIGTERM)
+        until(third, "counters of 3 starts")
+        assert third.wait(30) == 0
+        for process in (first, second, third):
+            process.stderr.close()
+        with Store.open(tmp_path / "state") as store:
+            assert msgspec.json.decode(store.get(ledger.COUNTERS).value)["starts"] == 3
+
+
+def test_a_store_that_can_not_be_opened_ends_the_start_with_one_line(tmp_path):
+    state = tmp_path / "state"
+    Store.open(state).close()
+    (state / "MANIFEST").write_bytes(b"")
+    (tmp_path / "o.toml").write_text(f'[store]\npath = "{state}"\n')
+    (tmp_path / "c.json").write_text(json.dumps(told()))
+    done = subprocess.run([sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "c.json"), "--operator",
+                           str(tmp_path / "o.toml")], capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and "[store]: MANIFEST: at byte 0" in done.stderr
