Set time-outs, attempts, back-off, budgets and second copies by route, checked and reloaded

SIGHUP reloads them; rackhub config checks, explains, compares and prints the schema. Found on the way: a give-up that the module repeated within the hand-over ended the attempt twice; it counts once now.

--- a/rackhub/cli/__init__.py
+++ b/rackhub/cli/__init__.py
@@ -6,6 +6,7 @@
 
 Commands:
   serve          Serve until SIGTERM. SIGHUP reloads the configuration, SIGUSR1 prints the counters.
+  config         Check, explain and compare the operator's file; print its schema.
   check-config   Read and check the configuration, print a summary, serve nothing.
   hash-password  Read a password from standard input, print what the operator's file holds for it.
   store          Look into, check, mend, measure and torture an embedded store.
@@ -22,8 +23,8 @@
 from rackhub.cli.words import Ended, parse
 
 # one module a command, each with `run(words)`; loaded when it is called, so that none pays for another
-COMMANDS = {"serve": "serve", "check-config": "check_config", "hash-password": "hash_password", "store": "store",
-            "version": "show_version"}
+COMMANDS = {"serve": "serve", "config": "config", "check-config": "check_config", "hash-password": "hash_password",
+            "store": "store", "version": "show_version"}
 
 
 def main(words: Sequence[str] | None = None) -> int:
--- a/rackhub/cli/serve.py
+++ b/rackhub/cli/serve.py
@@ -1,4 +1,4 @@
-"""rackhub serve: serve until SIGTERM. SIGHUP reloads the configuration, SIGUSR1 prints the counters.
+"""rackhub serve: serve until SIGTERM. SIGHUP reloads the configuration and the timings, SIGUSR1 prints the counters.
 
 Usage:
   rackhub serve [--config FILE] [--operator FILE]
@@ -6,7 +6,7 @@
 
 Options:
   --config FILE    The configuration; without it the file that BALANCER_CONFIG names.
-  --operator FILE  The operator's file, which sets up TDS and the store; without it both are off.
+  --operator FILE  The operator's file, which sets up TDS, the store and timings; without it all are off.
 
 Exit status: 0 ended as told, 2 the configuration can't be used.
 """
@@ -33,6 +33,7 @@
     told: configuration.Config
     operator: Operator
     path: Path
+    operator_path: Path | None
 
 
 def configured(options: dict[str, Any]) -> Configured:
@@ -40,16 +41,17 @@
     try:
         path = configuration.path_of(os.environ, options["--config"])
         told = configuration.load(path)
-        operator = configuration.load_operator(Path(options["--operator"]) if options["--operator"] else None)
+        operator_path = Path(options["--operator"]) if options["--operator"] else None
+        operator = configuration.load_operator(operator_path)
         configuration.check_operator(operator, told.settings)
     except configuration.BadConfig as bad:
         raise refuse(f"bad configuration: {bad}") from None
     config = msgspec.structs.replace(told, limits=configuration.shared(told.limits, operator))
-    return Configured(config, told, operator, path)
+    return Configured(config, told, operator, path, operator_path)
 
 
 def run(words: Sequence[str]) -> int:
-    config, told, operator, path = configured(parse(__doc__ or "", words))
+    config, told, operator, path, operator_path = configured(parse(__doc__ or "", words))
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     logging.getLogger("twisted").setLevel(logging.WARNING)
     from twisted.internet.error import CannotListenError
@@ -57,7 +59,8 @@
     from rackhub.daemon import Daemon, StateUnusable  # here: it takes hold of the reactor, which no other needs
 
     try:
-        Daemon(config, operator, told, partial(configuration.load, path)).run()
+        Daemon(config, operator, told, partial(configuration.load, path),
+               partial(configuration.load_operator, operator_path)).run()
     except CannotListenError as fault:
         raise refuse(f"bad configuration: listen: {fault}") from None
     except StateUnusable as fault:
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from rackhub.state.settings import StoreSettings
+    from rackhub.timings.table import Table
 
 STATES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
 OWN = 48  # descriptors kept aside: the program's own, listening sockets, the resolver, newcomers to be turned away
@@ -164,8 +165,23 @@
         raise BadConfig(f"operator file: store: {bad}") from None
 
 
+def timings_table(part: dict[str, Any], settings: t.Settings) -> "Table":
+    """The `[timings]` part as a table of routes, checked against the site's settings; all its faults in one go."""
+    from rackhub.timings.check import check
+    from rackhub.timings.routes import read as read_routes
+    from rackhub.timings.table import Table
+
+    routes, faults = read_routes(part)
+    faults = faults + check(routes, settings).faults
+    if faults:
+        raise BadConfig("operator file: " + "; ".join(map(str, faults)))
+    return Table(routes, settings)
+
+
 def check_operator(operator: Operator, settings: t.Settings) -> None:
     """What the operator's file names must be there in the site's settings."""
+    if operator.timings is not None:
+        timings_table(operator.timings, settings)
     classes, tenants = {told.name for told in settings.classes}, {told.name for told in settings.tenants}
     for i, login in enumerate(operator.tds_front.login if operator.tds_front else ()):
         if login.cls not in classes:
--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -412,9 +412,23 @@
             self.key_rest[query.event.key] = self.now + self.set.turn_gap
         if event.settled or query.closed:
             self.close(query)
+        elif not query.out and not event.again:  # the operator's terms have no further attempt for it
+            self.finish(query, event.backoff or query.cls.mean / 2)
+        elif not query.out and event.wait:  # where it goes is chosen when it goes: the list may change
+            self.after(event.wait, self.waited, query, reason)
         elif not query.out:
             self.again(query, reason)
 
+    def waited(self, query, reason):
+        self.again(query, reason) if not query.closed and not query.out else None
+
+    def on_copy(self, event):  # asked for by the operator's terms: where a repeat is harmless, elsewhere; not
+        query = self.queries.get(event.query)  # under pressure, nor for work that a drain ends anyway
+        calm = query and len(query.out) == 1 and not self.pressed and self.may_resend(query)
+        if calm and all(a.engine.ready for a in query.out.values()) and self.in_budget(SPECULATIVE_PART):
+            engine = self.choose(query)
+            self.send(query, engine) if engine and engine.id not in query.tried else None
+
     def again(self, query, reason):  # a further attempt elsewhere, or the final answer
         part = 1.0 if reason in PROVEN or reason == "LOST" and not self.short(query.cls) else SPECULATIVE_PART
         left = query.event.drop_dead - self.now
@@ -568,8 +582,9 @@
         return self.random.choices(cold, credits)[0] if won else None
 
     def may_resend(self, query):
-        told, tries_left = query.cls.told, query.tries < self.set.max_attempts
-        fresh = told.effect == "dedup" and query.maybe and self.now - query.maybe[0][1] < 0.9 * told.window
+        told, tries_left = query.cls.told, query.tries < (query.event.attempts or self.set.max_attempts)
+        window = query.event.repeat_within or 0.9 * told.window
+        fresh = told.effect == "dedup" and query.maybe and self.now - query.maybe[0][1] < window
         return tries_left and (fresh or not query.maybe or told.effect == "retryable")
 
     def in_budget(self, part):  # further attempts in the window; the last part is kept for proven, cheap ones
@@ -594,7 +609,8 @@
 
     HANDLERS = {t.Started: on_started, t.QueryArrived: on_query, t.AttemptEnded: on_ended, t.Note: on_note,
                 t.StreamBegan: on_stream, t.ClientLeft: on_left, t.TimerFired: on_timer,
-                t.EngineList: on_list, t.ProbeEnded: on_probe, t.PeerSaid: on_peer}
+                t.EngineList: on_list, t.ProbeEnded: on_probe, t.PeerSaid: on_peer,
+                t.CopyDue: on_copy}
 
 
 def drop_until(times, edge):
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -8,15 +8,18 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from rackhub import interface as t
 from rackhub.control import Control
-from rackhub.core.ledger import Ledger
 from rackhub.core.timers import Clock, Timers
 from rackhub.counters import Counters
 from rackhub.limits import SECOND, Limits
 
+if TYPE_CHECKING:
+    from rackhub.core.ledger import Ledger
+    from rackhub.core.terms import Desk, Life
+
 log = logging.getLogger(__name__)
 
 
@@ -32,7 +35,7 @@
     """One request from its arrival to its answer."""
 
     __slots__ = ("id", "cls", "statement", "deadline", "tenant", "token", "estimate", "memory_mb", "tables",
-                 "reply", "tag", "closed", "tries", "out", "level")
+                 "reply", "tag", "closed", "tries", "out", "level", "fixed", "life", "copying")
 
     def __init__(self, id: str, cls: str, statement: bytes, deadline: int, reply: Reply, *, tag: object = None,
                  tenant: str = "", token: str = "", estimate: int = 0, memory_mb: float = 0.0,
@@ -41,17 +44,21 @@
         self.reply, self.tag, self.tenant, self.token = reply, tag, tenant, token
         self.estimate, self.memory_mb, self.tables = estimate, memory_mb, tables
         self.closed, self.tries, self.level = False, 0, 1
-        self.out: Attempt | None = None
+        self.out: dict[int, Attempt] = {}  # by number: more than one only where the site allows it
+        self.life: Life | None = None  # where an operator has set terms
+        self.fixed = self.copying = False  # its priority is the operator's; a second copy is being asked for
 
 
 class Attempt:
     """One try of a query on an engine. `link` is the port's own: what carries the attempt."""
 
-    __slots__ = ("query", "number", "engine", "sent", "until", "over", "link")
+    __slots__ = ("query", "number", "engine", "sent", "until", "over", "link", "send_by", "timed")
 
     def __init__(self, query: Query, number: int, engine: str, sent: int):
         self.query, self.number, self.engine, self.sent = query, number, engine, sent
         self.until, self.over, self.link = sent, False, None
+        self.send_by = 0  # a port that has not sent it by then must not: 0, no such time
+        self.timed = False  # its time is the operator's, not what is left of the request's
 
 
 class EnginePort(Protocol):
@@ -74,9 +81,11 @@
         self.tenants = {told.name for told in settings.tenants} or {""}
         self.queries: dict[str, Query] = {}
         self._recent: dict[str, None] = {}  # ids of requests answered lately, oldest first
-        self.out: dict[str, Attempt] = {}  # by query, also of one that is closed: its attempt may be out still
+        self.out: dict[tuple[str, int], Attempt] = {}  # by query and number, also of one that is closed
         self.engines: EnginePort | None = None
         self.ledger: Ledger | None = None  # of keyed requests; the others never get there
+        self.desk: Desk | None = None  # the operator's terms, by route
+        self._kinds: dict[str, str] = {}  # of engines, as the list has them
         self.on_idle: Callable[[], None] | None = None  # called when the last request has its answer
         self._control = Control(settings, seed)
         self._events: deque[object] = deque()
@@ -90,6 +99,7 @@
 
     def start(self, engines: EnginePort, entries: Sequence[t.EngineEntry], rev: int) -> None:
         self.engines = engines
+        self._kinds = {entry.engine: entry.kind for entry in entries}
         self._tell(t.Started())
         self._tell(t.EngineList("Persisted", tuple(entries), rev))
         self._sweep()
@@ -97,6 +107,7 @@
     def listed(self, entries: Sequence[t.EngineEntry], rev: int) -> None:
         """The whole list of engines, as the resolver has it now."""
         self.counters.add("lists_told")
+        self._kinds = {entry.engine: entry.kind for entry in entries}
         self._tell(t.EngineList("Complete", tuple(entries), rev))
 
     def known(self, id: str) -> bool:
@@ -125,8 +136,13 @@
         # An answer given at the deadline is on the wire some turns of the loop later, and what came in had waited for
         # one: on a scored day one answer in 14 was late by that. So the module is told to be done sooner.
         query.deadline -= min(self._margin(), (query.deadline - self.clock.now()) // 4)
+        attempts = within = 0
+        if self.desk is not None:
+            query.life = self.desk.begin(query.cls, query.tenant, query.estimate, self.clock.now())
+            attempts, within = query.life.terms.attempts, query.life.terms.repeat_within
         self._tell(t.QueryArrived(query.id, query.cls, query.deadline, tenant=query.tenant, estimate=query.estimate,
-                                  memory_mb=query.memory_mb, tables=query.tables))
+                                  memory_mb=query.memory_mb, tables=query.tables, attempts=attempts,
+                                  repeat_within=within))
 
     def _margin(self) -> int:
         """How much earlier than the client's own deadline an answer is due here: more as the loop lags."""
@@ -145,18 +161,25 @@
         """The one end of an attempt. With GOOD `rows` are all pages: the client has them before the module knows."""
         if attempt.over:  # an end that crossed with a time-out or a cancel: the first one counts
             return
-        attempt.over, query = True, attempt.query
-        if query.out is attempt:
-            query.out = None
-            self.out.pop(query.id, None)
+        attempt.over, query, now = True, attempt.query, self.clock.now()
+        query.out.pop(attempt.number, None)
+        self.out.pop((query.id, attempt.number), None)
         self.counters.add(f"out_{reason.lower()}")
         if reason == "GOOD" and not query.closed:
             self._close(query, "served")
             self._answered(query)
             self.counters.add("served")
             query.reply.served(query, rows)
+        again, wait, backoff = True, 0, 0
+        if query.life is not None and self.desk is not None and reason != "NOP":
+            cut = reason == "LATE" and attempt.timed
+            self.desk.ended(query.life, attempt.number, self._kinds.get(attempt.engine, ""), attempt.engine, reason,
+                            now - attempt.sent, cut, now)
+            if not query.closed and not query.out:
+                again, wait, backoff = self.desk.after(query.life, reason, query.tries, now)
         self._tell(t.AttemptEnded(query.id, attempt.number, reason, settled=query.closed, engine=attempt.engine,
-                                  elapsed=self.clock.now() - attempt.sent, report=report or {}))
+                                  elapsed=now - attempt.sent, report=report or {}, again=again, wait=wait,
+                                  backoff=backoff))
 
     def noted(self, attempt: Attempt, topic: int, value: float) -> None:
         if not attempt.over:
@@ -228,6 +251,8 @@
         query.closed = True
         if self.ledger is not None and query.token:
             self.ledger.over(query, how)
+        if query.life is not None and self.desk is not None:
+            self.desk.end(query.life)
         if self.queries.pop(query.id, None) is not None:
             self._held -= len(query.statement)
         if not self.queries and self.on_idle:
@@ -240,35 +265,63 @@
         now = self.clock.now()
         attempt = Attempt(query, query.tries, act.engine, now)
         until = min(query.deadline, now + timeout) if timeout > 0 else query.deadline
-        if query.out is not None or query.tries >= self.settings.max_attempts or timeout < 0 or until <= now:
+        beside = bool(query.out) and (not self.settings.second_copies or len(query.out) > 1)
+        if beside or query.tries >= self.settings.max_attempts or timeout < 0 or until <= now:
             self.counters.add("attempts_not_sent")
             return self.ended(attempt, "NOP")
+        copy_after = 0
+        if query.life is not None and self.desk is not None:
+            kind, copy = self._kinds.get(act.engine, ""), bool(query.out) and query.copying
+            if not self.desk.may_send(query.life, query.tries, copy, now):
+                self.counters.add("attempts_not_sent")
+                return self.ended(attempt, "NOP")
+            sending = self.desk.sending(query.life, attempt.number, kind, copy, now)
+            attempt.send_by, copy_after = sending.send_by, sending.copy_after
+            if sending.timeout and now + sending.timeout < until:
+                until, attempt.timed = now + sending.timeout, True
+            if sending.priority is not None:
+                query.level, query.fixed = sending.priority, True
         query.tries += 1
-        query.out = self.out[query.id] = attempt
+        query.out[attempt.number] = self.out[query.id, attempt.number] = attempt
         attempt.until = until
         self.counters.add("attempts")
         if self.ledger is not None and query.token:
             self.ledger.out(attempt)
+        if copy_after and now + copy_after < until:
+            self.timers.at(now + copy_after, self._copy_due, attempt)
         self.engines.send(attempt)
 
+    def _copy_due(self, attempt: Attempt) -> None:
+        """By the operator's terms a second copy may go out beside this attempt. Which engine gets it, and whether this
+        is the time for it, the module says."""
+        query = attempt.query
+        if attempt.over or query.closed or len(query.out) != 1 or query.life is None or self.desk is None:
+            return
+        if self.desk.may_copy(query.life, self._kinds.get(attempt.engine, ""), query.tries, self.clock.now()):
+            query.copying = True
+            self._tell(t.CopyDue(query.id))
+            query.copying = False
+
     def _terms(self, act: t.Terms) -> None:
         """The priority holds for further sends, and at once for an attempt that is out."""
         query = self.queries.get(act.query)
-        if query is not None and query.level != act.priority:
+        if query is not None and query.level != act.priority and not query.fixed:
             query.level = act.priority
-            if query.out is not None:
+            for attempt in query.out.values():
                 self.counters.add("hurries")
-                self.engines.hurry(query.out)
+                self.engines.hurry(attempt)
 
     def _cancel(self, act: t.Cancel) -> None:
-        attempt = self.out.get(act.query)
-        if attempt is not None and attempt.number == act.attempt:
+        attempt = self.out.get((act.query, act.attempt))
+        if attempt is not None:
             self._give_up(attempt, "CXL")
 
     def _give_up(self, attempt: Attempt, reason: str) -> None:
         """Stop waiting for an attempt. Its outcome is told a little later, as the give-up has a way to go: a further
         attempt that overtook it on another connection would be a second one out at the same time. What is written
         leaves in the next turn of the loop, which may be a long one: so the time runs from the turn after."""
+        if attempt.over:  # it is on its way out already: a second hand-over would end it twice
+            return
         attempt.over = True
         self.engines.give_up(attempt)
         self.timers.at(self.clock.now(), self._left, attempt, reason)
--- /dev/null
+++ b/rackhub/core/terms.py
@@ -0,0 +1,49 @@
+"""The port through which the core asks for the operator's terms of a request, whoever has them."""
+
+from typing import Any, NamedTuple, Protocol
+
+
+class RequestTerms(Protocol):
+    """What the core reads of a request's terms."""
+
+    @property
+    def attempts(self) -> int: ...
+    @property
+    def repeat_within(self) -> int: ...
+
+
+class Life(Protocol):
+    """One request under the terms that it began with."""
+
+    @property
+    def terms(self) -> RequestTerms: ...
+
+
+class Sending(NamedTuple):
+    """What holds for one attempt. Times in microseconds, 0: none."""
+
+    timeout: int = 0
+    send_by: int = 0  # it must not leave after this moment
+    copy_after: int = 0  # when a second copy of it is due
+    priority: int | None = None
+
+
+class After(NamedTuple):
+    """Whether a further attempt is allowed, how long it waits; if not, when the client should come back."""
+
+    again: bool
+    wait: int = 0
+    backoff: int = 0
+
+
+class Desk(Protocol):
+    """All terms in force. Times in microseconds."""
+
+    def begin(self, cls: str, tenant: str, estimate: int, now: int) -> Life: ...
+    def end(self, life: Any) -> None: ...
+    def may_send(self, life: Any, tries: int, copy: bool, now: int) -> bool: ...
+    def sending(self, life: Any, number: int, kind: str, copy: bool, now: int) -> Sending: ...
+    def may_copy(self, life: Any, kind: str, tries: int, now: int) -> bool: ...
+    def ended(self, life: Any, number: int, kind: str, engine: str, reason: str, elapsed: int, cut: bool,
+              now: int) -> None: ...
+    def after(self, life: Any, reason: str, tries: int, now: int) -> After: ...
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -11,7 +11,7 @@
 from twisted.python.log import PythonLoggingObserver
 
 from rackhub.clock import UnixClock
-from rackhub.config import Config, address, store_settings
+from rackhub.config import Config, address, store_settings, timings_table
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.source import Address, Listing, Source
 from rackhub.core.timers import Timers
@@ -34,9 +34,11 @@
 class Daemon:
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
-    def __init__(self, config: Config, operator: Operator, told: Config, reread: Callable[[], Config]):
+    def __init__(self, config: Config, operator: Operator, told: Config, reread: Callable[[], Config],
+                 reread_operator: Callable[[], Operator] = Operator):
         """`config` as it is used, `told` as the file has it: what a reload compares with."""
         self.config, self.counters, self._reread, self._told = config, Counters(), reread, told
+        self._reread_operator = reread_operator
         clock = UnixClock()
         self.source: Source = Platform(reactor, config.settings, config.engines, config.nameserver, config.limits,
                                        self.counters, self._nameserver)
@@ -50,6 +52,7 @@
             self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
                                 tds_front(operator.tds_front, self.core, config.limits, self.counters)))
         self.keeper = self._keep(operator, clock)
+        self.desk = self._time(operator)
         self._ports = []
         self._draining = self._leaving = False
 
@@ -70,6 +73,39 @@
         self.core.ledger = keeper
         return keeper
 
+    def _time(self, operator: Operator):
+        """The operator's terms by route, where there are any; nothing of them is loaded elsewhere."""
+        if operator.timings is None:
+            return None
+        from rackhub.timings.desk import Desk
+
+        windows = {told.name: told.window for told in self.source.settings.classes if told.effect == "dedup"}
+        desk = Desk(timings_table(operator.timings, self.source.settings), windows, self.config.seed,
+                    self.counters.add)
+        self.core.desk = desk
+        return desk
+
+    def _reload(self) -> None:
+        """The platform's file, then the operator's timings. Each holds as it was where the new one can't be used. The
+        other parts of the operator's file take a restart."""
+        self.source.reload()
+        if self._reread_operator is Operator:  # no operator's file
+            return
+        self.counters.add("timings_reloads")
+        try:
+            operator = self._reread_operator()
+            part = operator.timings if operator.timings is not None else {}
+            table = timings_table(part, self.source.settings)
+            timings_table(part, self._reread().settings)  # those that a restart would bring must allow it too
+        except ValueError as bad:
+            self.counters.add("timings_reloads_bad")
+            return log.error("reload: bad timings, the old ones hold: %s", bad)
+        if self.desk is None:  # requests that are open go on without
+            self.desk = self._time(operator)
+            return
+        self.desk.reload(table)
+        log.info("reload: %d routes hold from now on, as generation %d", len(table.routes), self.desk.generation)
+
     def run(self) -> None:
         engines = self.source.start
         if self.keeper is not None:
@@ -80,7 +116,7 @@
         self.source.follow(self._listed)
         # before anyone can connect: a signal that comes then would end the process
         for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell),
-                             (signal.SIGHUP, self.source.reload)):
+                             (signal.SIGHUP, self._reload)):
             signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
         for (host, port), front in self.fronts:
             self._ports.append(reactor.listenTCP(port, front, backlog=512, interface=host))
@@ -118,6 +154,9 @@
 
     def tell(self) -> None:
         print(f"counters: {self.counters.line()}", file=sys.stderr, flush=True)
+        if self.desk is not None:
+            opened = " ".join(f"generation{number}={count}" for number, count in self.desk.open.items())
+            print(f"open under timings: {opened}", file=sys.stderr, flush=True)
         if self.keeper is not None:
             totals = self.keeper.totals()
             counted = " ".join(f"{name}={count}" for name, count in totals.counts.items())
--- a/rackhub/interface.py
+++ b/rackhub/interface.py
@@ -131,6 +131,8 @@
     write: bool = False
     memory_mb: float = 0.0
     tables: int | None = None
+    attempts: int = 0  # the most for this query; 0: the site's
+    repeat_within: int = 0  # how long after its first attempt a keyed one may go out again; 0: by its class's window
 
 
 @dataclass(slots=True, frozen=True)
@@ -156,7 +158,8 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
-    """The one outcome of an attempt; `settled` tells that the query is closed."""
+    """The one outcome of an attempt; `settled` tells that the query is closed. `again`: whether the operator's terms
+    allow a further attempt, and `wait` how long they have it wait; if not, `backoff` is when to come back."""
 
     query: str
     attempt: int
@@ -166,6 +169,16 @@
     elapsed: int = 0
     bill: int = 0
     report: dict[str, float] = field(default_factory=dict)
+    again: bool = True
+    wait: int = 0
+    backoff: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class CopyDue:
+    """By the operator's terms a second copy of the query may go out beside the attempt that is."""
+
+    query: str
 
 
 @dataclass(slots=True, frozen=True)
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -227,8 +227,12 @@
     def connectionMade(self) -> None:
         self.up, self.heard = True, self.clock.now()
         self.transport.setTcpNoDelay(True)
-        for attempt in self.open.values():
-            self._write(attempt)
+        for id, attempt in list(self.open.items()):
+            if attempt.send_by and self.heard >= attempt.send_by:  # it waited too long for this: its key is stale
+                del self.open[id]
+                self.core.ended(attempt, "NOCONN")
+            else:
+                self._write(attempt)
         self.transport.registerProducer(self, False)  # asked for more at once, and again when all has left
 
     # what the transport tells a producer: here only that the first bytes have left
--- a/rackhub/operatorfile.py
+++ b/rackhub/operatorfile.py
@@ -1,4 +1,4 @@
-"""The operator's file: the TDS front, TDS engines and the store, all off unless it sets them up (see deploy/)."""
+"""The operator's file: the TDS front, TDS engines, the store, timings by route; all off unless it sets them up."""
 
 import base64
 import binascii
@@ -70,4 +70,6 @@
 class Operator(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     tds_front: TdsFrontSettings | None = None
     tds_engines: TdsEngineSettings | None = None
-    store: dict[str, Any] | None = None  # read by `rackhub.state.settings`, which is loaded where it is there
+    # these two are read by the parts that they turn on, which are loaded where they are there
+    store: dict[str, Any] | None = None
+    timings: dict[str, Any] | None = None
--- /dev/null
+++ b/rackhub/timings/desk.py
@@ -0,0 +1,183 @@
+"""What the core asks of the timings: terms for a request, for an attempt, and what is allowed after one has ended.
+
+Pure: it takes events, the time and a random stream. Terms are fixed when a request comes; a reload holds for those
+that come after it. Budgets and what was learned outlive a reload, as the engines do.
+"""
+
+import random
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
+
+from rackhub.core.terms import After, Sending
+from rackhub.timings.budget import Window
+from rackhub.timings.routes import NEVER_RAN, Reason
+from rackhub.timings.table import Table, Terms
+
+if TYPE_CHECKING:
+    from rackhub.timings.learned import Quantiles
+
+MS, SECOND = 1_000, 1_000_000
+COPIES_OVER, COPIES_FLOOR = 10 * SECOND, 1
+# how the core words the end of an attempt -> how the file does; what is not here is no reason to try again
+WORDS: dict[str, Reason] = {"FULL": "full", "NOCONN": "noconn", "RST": "reset", "BAD": "error", "LATE": "late"}
+
+
+class Life:
+    """One request under its terms."""
+
+    __slots__ = ("terms", "generation", "maybe", "copied", "full", "cls", "tenant", "window")
+
+    def __init__(self, terms: Terms, generation: int, cls: str, tenant: str, window: int):
+        self.terms, self.generation, self.cls, self.tenant = terms, generation, cls, tenant
+        self.window = window  # within which repeats of its key are dropped; 0: it is not keyed
+        self.maybe: dict[int, int] = {}  # attempts that may have run, and when each went out
+        self.copied = False  # it has had its second copy
+        self.full = False  # an engine was full for it: no time for copies
+
+    def until(self) -> int:
+        """When it may go out last, by what may have run of it; 0: at any time."""
+        within = self.terms.repeat_within or self.window
+        return min(self.maybe.values()) + within if within and self.maybe else 0
+
+
+class Desk:
+    """All routes in force, with what is counted and learned. Times in microseconds."""
+
+    def __init__(self, table: Table, windows: Mapping[str, int], seed: int,
+                 count: Callable[[str], None] = lambda name: None):
+        """`windows`: of keyed classes, how long a repeat is dropped. `count` adds one to a counter."""
+        self._table, self._windows, self.generation = table, windows, 1
+        self._random, self._count = random.Random(seed), count
+        self._retries: dict[tuple[str, str], Window] = {}
+        self._copies: dict[tuple[str, str], Window] = {}
+        self.open: dict[int, int] = {1: 0}  # requests by the generation of their terms
+        self._quantiles: Quantiles | None = None
+        self._learns = False
+        self._look()
+
+    def _look(self) -> None:
+        """Load the library that learns only where a route asks for it."""
+        self._learns = any(route.attempt_timeout or route.second_copy and route.second_copy.after
+                           for route in self._table.routes)
+        if self._learns and self._quantiles is None:
+            from rackhub.timings import learned
+
+            self._quantiles = learned.Quantiles()
+
+    def reload(self, table: Table) -> None:
+        """Other routes, for requests from now on."""
+        self._table = table
+        self.generation += 1
+        self.open[self.generation] = 0
+        self.open = {number: count for number, count in self.open.items() if count or number == self.generation}
+        self._look()
+
+    # ---- the life of a request
+
+    def begin(self, cls: str, tenant: str, estimate: int, now: int) -> Life:
+        """A request was taken."""
+        terms = self._table.find(cls, tenant, estimate)
+        life = Life(terms, self.generation, cls, tenant, self._windows.get(cls, 0))
+        self.open[self.generation] += 1
+        if terms.share is not None:
+            self._window(self._retries, life, terms.over).take(now)
+        if terms.copies:
+            self._window(self._copies, life, COPIES_OVER).take(now)
+        return life
+
+    def end(self, life: Life) -> None:
+        """It has its answer, or its client is gone."""
+        left = self.open[life.generation] = self.open[life.generation] - 1
+        if not left and life.generation != self.generation:
+            del self.open[life.generation]
+
+    @staticmethod
+    def _window(windows: dict[tuple[str, str], Window], life: Life, over: int) -> Window:
+        found = windows.get((life.cls, life.tenant))
+        if found is None or found.over != over:
+            found = windows[life.cls, life.tenant] = Window(over)
+        return found
+
+    def may_send(self, life: Life, tries: int, copy: bool, now: int) -> bool:
+        """Whether a further attempt may go out at this moment; the first always may. Asked again when it goes, since
+        it may have waited: its window may be over, and others may have spent the budget."""
+        if not tries:
+            return True
+        until = life.until()
+        if tries >= life.terms.attempts or until and now >= until:
+            self._count("retries_over_terms")
+            return False
+        if not copy and not self._budget(life, now):
+            self._count("retries_over_budget")
+            return False
+        return True
+
+    def _budget(self, life: Life, now: int) -> bool:
+        terms = life.terms
+        return terms.share is None or self._window(self._retries, life, terms.over).may(now, terms.share, terms.floor)
+
+    def sending(self, life: Life, number: int, kind: str, copy: bool, now: int) -> Sending:
+        """An attempt goes out; what holds for it. A further one is paid for here."""
+        terms, engine = life.terms, life.terms.on(kind)
+        send_by = life.until()
+        life.maybe[number] = now
+        if copy:
+            life.copied = True
+            self._window(self._copies, life, COPIES_OVER).spend(now)
+            self._count("copies")
+        elif number and terms.share is not None:
+            self._window(self._retries, life, terms.over).spend(now)
+        if engine.plain:
+            return Sending(send_by=send_by, priority=engine.priority)
+        timeout, copy_after = engine.timeout, 0 if life.copied or life.full else engine.copy_after
+        if self._quantiles is not None:
+            if engine.learned is not None:
+                limit = self._quantiles.limit(life.cls, kind, engine.learned, engine.learned_least,
+                                              engine.learned_most, now)
+                timeout = int(limit * MS) if limit else 0
+            if engine.copy_learned is not None and not life.copied and not life.full:
+                limit = self._quantiles.limit(life.cls, kind, engine.copy_learned, 0.0, 0.0, now)
+                copy_after = int(limit * MS) if limit else 0
+        return Sending(timeout, send_by, copy_after, engine.priority)
+
+    def may_copy(self, life: Life, kind: str, tries: int, now: int) -> bool:
+        """Whether a copy that is due may go, by its share and by the request's attempts. Where an engine was full for
+        it none goes: that is pressure, which copies add to."""
+        if life.copied or life.full or not self.may_send(life, tries, True, now):
+            return False
+        if not self._window(self._copies, life, COPIES_OVER).may(now, life.terms.on(kind).copy_share, COPIES_FLOOR):
+            self._count("copies_over_share")
+            return False
+        return True
+
+    def ended(self, life: Life, number: int, kind: str, engine: str, reason: str, elapsed: int, cut: bool,
+              now: int) -> None:
+        """An attempt has ended; `cut` where the terms' own time-out ended it. What it took is learned."""
+        if WORDS.get(reason) in NEVER_RAN:
+            life.maybe.pop(number, None)
+            life.full = life.full or reason == "FULL"
+        if self._quantiles is not None and (reason == "GOOD" or cut):
+            self._quantiles.saw(life.cls, kind, engine, elapsed, now, cut)
+
+    def after(self, life: Life, reason: str, tries: int, now: int) -> After:
+        """What may come after an attempt that ended without an answer, when nothing else of the request is out."""
+        word = WORDS.get(reason)
+        if word is not None and word not in life.terms.retry_on:
+            self._count("retries_not_on")
+            return After(False)
+        until = life.until()
+        if tries >= life.terms.attempts or until and now >= until:
+            return After(False)
+        if not self._budget(life, now):
+            self._count("retries_over_budget")
+            return After(False, backoff=self._window(self._retries, life, life.terms.over).room_in(now))
+        return After(True, self._wait(life, tries))
+
+    def _wait(self, life: Life, tries: int) -> int:
+        backoff = life.terms.backoff
+        if backoff is None:
+            return 0
+        longest = backoff.longest(max(tries, 1)) * MS
+        if backoff.jitter == "none":
+            return int(longest)
+        return int(longest * self._random.uniform(0.5 if backoff.jitter == "half" else 0.0, 1.0))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -130,7 +130,7 @@
     module.acts[t.AttemptEnded] = lambda event: [] if event.reason == "NOP" else [t.Send(event.query, "e0")]
     for _ in range(5):
         if query.out:
-            here.core.ended(query.out, "BAD")
+            here.core.ended(next(iter(query.out.values())), "BAD")
     assert len(here.port.sent) == SETTINGS.max_attempts
     module.acts[t.TimerFired] = [t.Refuse(query.id, 5), t.Fail(query.id), t.Refuse(query.id), t.Send(query.id, "e0")]
     here.core._due(1)
@@ -167,7 +167,7 @@
     query = here.ask(budget=9 * S)
     here.core._due(1)
     here.core.ended(here.port.sent[0], "GOOD")  # crossed the give-up: it is none of ours any more
-    assert here.port.given_up == here.port.sent and query.out is here.port.sent[0] and here.port.answers == []
+    assert here.port.given_up == here.port.sent == list(query.out.values()) and here.port.answers == []
     here.clock.advance(LIMITS.handover)
     assert [attempt.engine for attempt in here.port.sent] == ["e0", "e1"]
 
@@ -192,7 +192,7 @@
     assert here.core.known(first.id)
     here.core.leave(here.ask())
     assert here.core.known(f"{2:016x}")
-    for attempt in [here.ask().out, here.ask().out]:
+    for attempt in [next(iter(here.ask().out.values())) for _ in range(2)]:
         here.core.ended(attempt, "GOOD")
     assert not here.core.known(first.id)
 
