--- a/rackhub/timings/budget.py
+++ b/rackhub/timings/budget.py
@@ -22,7 +22,7 @@
     def _advance(self, now: int) -> int:
         """Drop what is too old; the place of this moment. A clock that goes back counts in the newest step."""
         at = now // self._step
-        if at <= self._now:
+        if at <= self._now:  # most calls
             return self._now % PARTS
         for old in range(max(self._now + 1, at - PARTS + 1), at + 1):
             i = old % PARTS
--- a/rackhub/timings/desk.py
+++ b/rackhub/timings/desk.py
@@ -119,6 +119,9 @@
     def sending(self, life: Life, number: int, kind: str, copy: bool, now: int) -> Sending:
         """An attempt goes out; what holds for it. A further one is paid for here."""
         terms, engine = life.terms, life.terms.on(kind)
+        if not number and engine.fixed is not None:  # most attempts
+            life.maybe[0] = now
+            return engine.fixed
         send_by = life.until()
         life.maybe[number] = now
         if copy:
@@ -127,8 +130,8 @@
             self._count("copies")
         elif number and terms.share is not None:
             self._window(self._retries, life, terms.over).spend(now)
-        if engine.plain:
-            return Sending(send_by=send_by, priority=engine.priority)
+        if engine.fixed is not None:
+            return engine.fixed._replace(send_by=send_by)
         timeout, copy_after = engine.timeout, 0 if life.copied or life.full else engine.copy_after
         if self._quantiles is not None:
             if engine.learned is not None:
@@ -153,6 +156,8 @@
     def ended(self, life: Life, number: int, kind: str, engine: str, reason: str, elapsed: int, cut: bool,
               now: int) -> None:
         """An attempt has ended; `cut` where the terms' own time-out ended it. What it took is learned."""
+        if reason == "GOOD" and self._quantiles is None:
+            return
         if WORDS.get(reason) in NEVER_RAN:
             life.maybe.pop(number, None)
             life.full = life.full or reason == "FULL"
--- a/rackhub/timings/rig.py
+++ b/rackhub/timings/rig.py
@@ -1,8 +1,9 @@
 """A small rig in virtual time for what the timings do: the real core and decision module, plain engines.
 
-An engine has cores that its running queries share; a query takes its work divided by its share; work that is given up
-stops. That is enough for the question asked here, what a second copy or a further attempt does to waiting and to load.
-The engines of the laboratory, with memory, disks and areas, are another matter. Seeded, and the same every time.
+An engine has cores that its running queries share; a query takes its work divided by its share; beyond a knee all of
+them together get less done; work that is given up stops. That is enough for the question asked here, what a second
+copy or a further attempt does to waiting and to load. The engines of the laboratory, with memory, disks and areas, are
+another matter. Seeded, and the same every time.
 """
 
 import heapq
@@ -25,6 +26,7 @@
 
 MS, SECOND = 1_000, 1_000_000
 START = 1_000 * SECOND
+KNEE, THRASH, LEAST = 1.8, 0.15, 0.3  # threads a core; loss with each beyond; the least that is left
 LATENCY = 300  # microseconds on the wire, each way
 LOOKUP = t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, effect="retryable", worth=1.0)
 LOAD = t.ClassSettings("depot-load", deadline=25 * SECOND, objective=3 * SECOND, effect="dedup", dedup_scope="all",
@@ -75,7 +77,10 @@
         self.done_work = 0.0
 
     def rate(self) -> float:
-        return self.speed * min(1.0, self.cores / max(len(self.running), 1))
+        """Of one query. Past KNEE threads a core each thread more costs all of them, down to LEAST."""
+        threads = len(self.running) / self.cores
+        whole = max(1.0 - THRASH * max(threads - KNEE, 0.0), LEAST)
+        return self.speed * whole * min(1.0, 1.0 / max(threads, 1e-9))
 
     def settle(self) -> None:
         passed = (self.world.time - self._since) * self.rate()
--- a/rackhub/timings/table.py
+++ b/rackhub/timings/table.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rackhub import interface as t
+from rackhub.core.terms import Sending
 from rackhub.timings.check import edges, meets, names
 from rackhub.timings.routes import REASONS, Backoff, Learned, Reason, Route, learned
 
@@ -24,11 +25,7 @@
     copy_learned: Learned | None = None
     copy_share: float = 0.0
     priority: int | None = None
-
-    @property
-    def plain(self) -> bool:
-        """Whether it sets nothing that needs the clock."""
-        return not (self.timeout or self.learned or self.copy_after or self.copy_learned)
+    fixed: Sending | None = None  # all of it, where nothing of it is learned or a copy
 
 
 class Terms(msgspec.Struct, frozen=True):
@@ -90,9 +87,12 @@
     own = route.attempt_timeout_ms is not None or route.attempt_timeout is not None
     timed = route if own else under
     copy = route.second_copy if route.second_copy is not None else under.second_copy
-    return EngineTerms(
+    terms = EngineTerms(
         first[0], int((timed.attempt_timeout_ms or 0) * MS),
         learned(timed.attempt_timeout) if timed.attempt_timeout else None,
         timed.attempt_timeout_least_ms or 0.0, timed.attempt_timeout_most_ms or 0.0,
         int((copy.after_ms or 0) * MS) if copy else 0, learned(copy.after) if copy and copy.after else None,
         copy.most_share if copy else 0.0, route.priority if route.priority is not None else under.priority)
+    if terms.learned is not None or terms.copy_share:
+        return terms
+    return msgspec.structs.replace(terms, fixed=Sending(timeout=terms.timeout, priority=terms.priority))
