--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -103,7 +103,8 @@
         return self.cost.against_mean(estimate) if estimate and self.cost.count >= BILLED else 1.0
 
     def learn(self, elapsed, size):
-        self.answers, elapsed = self.answers + 1, min(elapsed, 8 * self.mean)  # a bad plan is no slow fleet
+        self.answers += 1
+        elapsed = max(min(elapsed, 8 * self.mean), 1)  # a bad plan is no slow fleet; nothing takes no time
         self.mean += (elapsed - self.mean) / min(self.answers, 200)
         off = math.log(max(elapsed / size, 1)) - self.fast
         self.spread += (off * off - self.spread) / min(self.answers, 200)
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -139,7 +139,7 @@
         attempts = within = 0
         if self.desk is not None:
             query.life = self.desk.begin(query.cls, query.tenant, query.estimate, self.clock.now())
-            attempts, within = query.life.terms.attempts, query.life.terms.repeat_within
+            attempts, within = query.life.attempts, query.life.repeat_within
         self._tell(t.QueryArrived(query.id, query.cls, query.deadline, tenant=query.tenant, estimate=query.estimate,
                                   memory_mb=query.memory_mb, tables=query.tables, attempts=attempts,
                                   repeat_within=within))
@@ -252,7 +252,7 @@
         if self.ledger is not None and query.token:
             self.ledger.over(query, how)
         if query.life is not None and self.desk is not None:
-            self.desk.end(query.life)
+            self.desk.end(query.life, self.clock.now())
         if self.queries.pop(query.id, None) is not None:
             self._held -= len(query.statement)
         if not self.queries and self.on_idle:
--- a/rackhub/core/terms.py
+++ b/rackhub/core/terms.py
@@ -3,20 +3,11 @@
 from typing import Any, NamedTuple, Protocol
 
 
-class RequestTerms(Protocol):
-    """What the core reads of a request's terms."""
-
-    @property
-    def attempts(self) -> int: ...
-    @property
-    def repeat_within(self) -> int: ...
-
-
 class Life(Protocol):
-    """One request under the terms that it began with."""
+    """One request under the terms that it began with: its most attempts, and how long a keyed one may be repeated."""
 
-    @property
-    def terms(self) -> RequestTerms: ...
+    attempts: int
+    repeat_within: int
 
 
 class Sending(NamedTuple):
@@ -40,7 +31,7 @@
     """All terms in force. Times in microseconds."""
 
     def begin(self, cls: str, tenant: str, estimate: int, now: int) -> Life: ...
-    def end(self, life: Any) -> None: ...
+    def end(self, life: Any, now: int) -> None: ...
     def may_send(self, life: Any, tries: int, copy: bool, now: int) -> bool: ...
     def sending(self, life: Any, number: int, kind: str, copy: bool, now: int) -> Sending: ...
     def may_copy(self, life: Any, kind: str, tries: int, now: int) -> bool: ...
--- a/rackhub/timings/desk.py
+++ b/rackhub/timings/desk.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from rackhub.core.terms import After, Sending
-from rackhub.timings.budget import Window
+from rackhub.timings.budget import SERVED, SHED, SPENT, Window
 from rackhub.timings.routes import NEVER_RAN, Reason
 from rackhub.timings.table import Table, Terms
 
@@ -25,12 +25,15 @@
 class Life:
     """One request under its terms."""
 
-    __slots__ = ("terms", "generation", "maybe", "copied", "full", "cls", "tenant", "window")
+    __slots__ = ("terms", "generation", "maybe", "copied", "full", "cls", "tenant", "window", "sent", "attempts",
+                 "repeat_within")
 
     def __init__(self, terms: Terms, generation: int, cls: str, tenant: str, window: int):
         self.terms, self.generation, self.cls, self.tenant = terms, generation, cls, tenant
+        self.attempts, self.repeat_within = terms.attempts, terms.repeat_within
         self.window = window  # within which repeats of its key are dropped; 0: it is not keyed
         self.maybe: dict[int, int] = {}  # attempts that may have run, and when each went out
+        self.sent = False  # an attempt has gone out
         self.copied = False  # it has had its second copy
         self.full = False  # an engine was full for it: no time for copies
 
@@ -75,18 +78,19 @@
     # ---- the life of a request
 
     def begin(self, cls: str, tenant: str, estimate: int, now: int) -> Life:
-        """A request was taken."""
+        """A request was taken. While its budget is spent it gets one attempt, and the module knows: told only when it
+        has called the first one off to place it elsewhere, it would have done that for nothing."""
         terms = self._table.find(cls, tenant, estimate)
         life = Life(terms, self.generation, cls, tenant, self._windows.get(cls, 0))
         self.open[self.generation] += 1
-        if terms.share is not None:
-            self._window(self._retries, life, terms.over).take(now)
-        if terms.copies:
-            self._window(self._copies, life, COPIES_OVER).take(now)
+        if terms.share is not None and not self._budget(life, now):
+            life.attempts = 1
         return life
 
-    def end(self, life: Life) -> None:
+    def end(self, life: Life, now: int) -> None:
         """It has its answer, or its client is gone."""
+        if not life.sent:  # turned away, as a rule
+            self._pay(life, SHED, now)
         left = self.open[life.generation] = self.open[life.generation] - 1
         if not left and life.generation != self.generation:
             del self.open[life.generation]
@@ -98,13 +102,20 @@
             found = windows[life.cls, life.tenant] = Window(over)
         return found
 
+    def _pay(self, life: Life, what: int, now: int) -> None:
+        terms = life.terms
+        if terms.share is not None:
+            self._window(self._retries, life, terms.over).count(what, now)
+        if terms.copies:
+            self._window(self._copies, life, COPIES_OVER).count(what, now)
+
     def may_send(self, life: Life, tries: int, copy: bool, now: int) -> bool:
         """Whether a further attempt may go out at this moment; the first always may. Asked again when it goes, since
         it may have waited: its window may be over, and others may have spent the budget."""
         if not tries:
             return True
         until = life.until()
-        if tries >= life.terms.attempts or until and now >= until:
+        if tries >= life.attempts or until and now >= until:
             self._count("retries_over_terms")
             return False
         if not copy and not self._budget(life, now):
@@ -119,6 +130,7 @@
     def sending(self, life: Life, number: int, kind: str, copy: bool, now: int) -> Sending:
         """An attempt goes out; what holds for it. A further one is paid for here."""
         terms, engine = life.terms, life.terms.on(kind)
+        life.sent = True
         if not number and engine.fixed is not None:  # most attempts
             life.maybe[0] = now
             return engine.fixed
@@ -126,10 +138,10 @@
         life.maybe[number] = now
         if copy:
             life.copied = True
-            self._window(self._copies, life, COPIES_OVER).spend(now)
+            self._window(self._copies, life, COPIES_OVER).count(SPENT, now)
             self._count("copies")
         elif number and terms.share is not None:
-            self._window(self._retries, life, terms.over).spend(now)
+            self._window(self._retries, life, terms.over).count(SPENT, now)
         if engine.fixed is not None:
             return engine.fixed._replace(send_by=send_by)
         timeout, copy_after = engine.timeout, 0 if life.copied or life.full else engine.copy_after
@@ -156,8 +168,10 @@
     def ended(self, life: Life, number: int, kind: str, engine: str, reason: str, elapsed: int, cut: bool,
               now: int) -> None:
         """An attempt has ended; `cut` where the terms' own time-out ended it. What it took is learned."""
-        if reason == "GOOD" and self._quantiles is None:
-            return
+        if reason == "GOOD":
+            self._pay(life, SERVED, now)
+            if self._quantiles is None:
+                return
         if WORDS.get(reason) in NEVER_RAN:
             life.maybe.pop(number, None)
             life.full = life.full or reason == "FULL"
@@ -171,7 +185,7 @@
             self._count("retries_not_on")
             return After(False)
         until = life.until()
-        if tries >= life.terms.attempts or until and now >= until:
+        if tries >= life.attempts or until and now >= until:
             return After(False)
         if not self._budget(life, now):
             self._count("retries_over_budget")
--- a/rackhub/timings/explain.py
+++ b/rackhub/timings/explain.py
@@ -86,8 +86,8 @@
     if terms.share is None:
         rows.append(Term("retry_share", None, "no budget"))
     else:
-        rows.append(Term("retry_share", f"{terms.share:g} of the requests of {terms.over / MS:g} ms, {terms.floor} at "
-                                        "least", _source(request, True, "")))
+        told_of = f"{terms.share:g} of what is served in {terms.over / MS:g} ms, {terms.floor} at least"
+        rows.append(Term("retry_share", told_of, _source(request, True, "")))
     if told.effect == "dedup":
         rows.append(Term("repeat_within_ms", (terms.repeat_within or told.window) / MS,
                          _source(request, bool(terms.repeat_within), f"settings.Services {told.name}.Window")))
--- a/rackhub/timings/rig.py
+++ b/rackhub/timings/rig.py
@@ -111,6 +111,7 @@
     slow: float = 1 / 6
     per_second: float = 300.0
     seconds: int = 60
+    calm: int = 0  # seconds at first, of `seconds`, in which a fifth as many come
     work_ms: float = 60.0
     spread: float = 0.6  # of the logarithm of the work
     second_copies: bool = True
@@ -238,7 +239,8 @@
         if scene.slow_turns:
             self._slow_turn(0)
         while True:
-            at += self.random.expovariate(scene.per_second) * SECOND
+            calm = at < START + scene.calm * SECOND
+            at += self.random.expovariate(scene.per_second * (0.2 if calm else 1.0)) * SECOND
             if at > START + scene.seconds * SECOND:
                 break
             number += 1
--- a/rackhub/timings/routes.py
+++ b/rackhub/timings/routes.py
@@ -39,7 +39,7 @@
 
 class SecondCopy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A second attempt beside one that is still out: `after_ms`, or `after` a learned quantile; copies are at most
-    `most_share` of the requests taken."""
+    `most_share` of the requests served."""
 
     after_ms: float | None = None
     after: Quantile | None = None
