Make terms by route cheap: windows held by the request, keyed attempts alone tracked

Change: a request holds its windows, only keyed ones track attempts, a budget with room is seen without moving its window.

--- a/rackhub/timings/bench.py
+++ b/rackhub/timings/bench.py
@@ -1,5 +1,6 @@
 """What second copies, budgets and routes do and cost, on the rig: same seeds each way, in one run."""
 
+import gc
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -118,21 +119,22 @@
     scene = Scene(spread=0.6)
     rigs = [Rig(scene, None, 1), Rig(scene, fifty_routes(), 1)]
     took: list[list[float]] = [[], []]
-    chance = random.Random(1)
+    chances = [random.Random(1), random.Random(1)]
+    gc.disable()
     for number in range(rounds * 2):
-        which = number % 2
-        rig = rigs[which]
-        ids = range(number * requests + 1, (number + 1) * requests + 1)
+        rig, chance = rigs[number % 2], chances[number % 2]
+        gc.collect()
         start = time.process_time()
-        for id in ids:
+        for id in range(number * requests + 1, (number + 1) * requests + 1):
             rig.ask(id)
-            attempt = next(iter(rig.core.out.values()), None)
-            rig.world.time += chance.randrange(2 * MS)
-            if attempt is not None:
+            for attempt in list(rig.core.out.values()):
                 rig._end(attempt, "GOOD", 3)
-        took[which].append((time.process_time() - start) / requests * 1e6)
-        rig.world._heap.clear()
+            rig.world.run(rig.world.time + chance.randrange(2 * MS))
+        took[number % 2].append((time.process_time() - start) / requests * 1e6)
         rig.answers.clear()
         rig._works.clear()
+    gc.enable()
+    if rigs[0].counters["served"] != rigs[1].counters["served"]:
+        raise AssertionError("the two ways did not serve the same requests")
     none, routes = (sorted(some)[len(some) // 2] for some in took)
     return Cost(none, routes, 50, none / routes)
--- a/rackhub/timings/budget.py
+++ b/rackhub/timings/budget.py
@@ -40,11 +40,14 @@
 
     def count(self, what: int, now: int) -> None:
         """One more of SERVED, SPENT or SHED."""
-        self._steps[what][self._advance(now)] += 1
+        at = now // self._step
+        self._steps[what][at % PARTS if at == self._now else self._advance(now)] += 1
         self.sums[what] += 1
 
     def may(self, now: int, share: float, floor: int) -> bool:
         """Whether one more may be spent: `floor` always, beyond that `share` of what there is room for."""
+        if self.sums[SPENT] < floor:  # as a rule; what is too old to count makes it more, never less
+            return True
         at = self._advance(now)
         served, spent, shed = self.sums
         if spent < floor:
--- a/rackhub/timings/desk.py
+++ b/rackhub/timings/desk.py
@@ -25,22 +25,24 @@
 class Life:
     """One request under its terms."""
 
-    __slots__ = ("terms", "generation", "maybe", "copied", "full", "cls", "tenant", "window", "sent", "attempts",
-                 "repeat_within")
-
-    def __init__(self, terms: Terms, generation: int, cls: str, tenant: str, window: int):
-        self.terms, self.generation, self.cls, self.tenant = terms, generation, cls, tenant
+    __slots__ = ("terms", "generation", "maybe", "copied", "full", "cls", "within", "sent", "attempts",
+                 "repeat_within", "retries", "copies")
+
+    def __init__(self, terms: Terms, generation: int, cls: str, window: int, retries: Window | None,
+                 copies: Window | None):
+        """`window`: within which repeats of its key are dropped; 0: it is not keyed. `retries`, `copies`: what its
+        further attempts and its copies are paid from; None: nothing is to be paid."""
+        self.terms, self.generation, self.cls = terms, generation, cls
         self.attempts, self.repeat_within = terms.attempts, terms.repeat_within
-        self.window = window  # within which repeats of its key are dropped; 0: it is not keyed
-        self.maybe: dict[int, int] = {}  # attempts that may have run, and when each went out
-        self.sent = False  # an attempt has gone out
-        self.copied = False  # it has had its second copy
-        self.full = False  # an engine was full for it: no time for copies
+        self.within = terms.repeat_within or window
+        self.maybe: dict[int, int] | None = None  # of a keyed one: attempts that may have run, when each went out
+        self.retries, self.copies = retries, copies
+        # an attempt has gone out; it has had its copy; an engine was full for it, which is no time for copies
+        self.sent = self.copied = self.full = False
 
     def until(self) -> int:
         """When it may go out last, by what may have run of it; 0: at any time."""
-        within = self.terms.repeat_within or self.window
-        return min(self.maybe.values()) + within if within and self.maybe else 0
+        return min(self.maybe.values()) + self.within if self.maybe else 0
 
 
 class Desk:
@@ -81,34 +83,31 @@
         """A request was taken. While its budget is spent it gets one attempt, and the module knows: told only when it
         has called the first one off to place it elsewhere, it would have done that for nothing."""
         terms = self._table.find(cls, tenant, estimate)
-        life = Life(terms, self.generation, cls, tenant, self._windows.get(cls, 0))
+        retries = self._window(self._retries, cls, tenant, terms.over) if terms.share is not None else None
+        copies = self._window(self._copies, cls, tenant, COPIES_OVER) if terms.copies else None
+        life = Life(terms, self.generation, cls, self._windows.get(cls, 0), retries, copies)
         self.open[self.generation] += 1
-        if terms.share is not None and not self._budget(life, now):
+        if retries is not None and not retries.may(now, terms.share or 0.0, terms.floor):
             life.attempts = 1
         return life
 
     def end(self, life: Life, now: int) -> None:
         """It has its answer, or its client is gone."""
         if not life.sent:  # turned away, as a rule
-            self._pay(life, SHED, now)
+            for window in (life.retries, life.copies):
+                if window is not None:
+                    window.count(SHED, now)
         left = self.open[life.generation] = self.open[life.generation] - 1
         if not left and life.generation != self.generation:
             del self.open[life.generation]
 
     @staticmethod
-    def _window(windows: dict[tuple[str, str], Window], life: Life, over: int) -> Window:
-        found = windows.get((life.cls, life.tenant))
+    def _window(windows: dict[tuple[str, str], Window], cls: str, tenant: str, over: int) -> Window:
+        found = windows.get((cls, tenant))
         if found is None or found.over != over:
-            found = windows[life.cls, life.tenant] = Window(over)
+            found = windows[cls, tenant] = Window(over)
         return found
 
-    def _pay(self, life: Life, what: int, now: int) -> None:
-        terms = life.terms
-        if terms.share is not None:
-            self._window(self._retries, life, terms.over).count(what, now)
-        if terms.copies:
-            self._window(self._copies, life, COPIES_OVER).count(what, now)
-
     def may_send(self, life: Life, tries: int, copy: bool, now: int) -> bool:
         """Whether a further attempt may go out at this moment; the first always may. Asked again when it goes, since
         it may have waited: its window may be over, and others may have spent the budget."""
@@ -123,25 +122,27 @@
             return False
         return True
 
-    def _budget(self, life: Life, now: int) -> bool:
+    @staticmethod
+    def _budget(life: Life, now: int) -> bool:
         terms = life.terms
-        return terms.share is None or self._window(self._retries, life, terms.over).may(now, terms.share, terms.floor)
+        return life.retries is None or life.retries.may(now, terms.share or 0.0, terms.floor)
 
     def sending(self, life: Life, number: int, kind: str, copy: bool, now: int) -> Sending:
         """An attempt goes out; what holds for it. A further one is paid for here."""
-        terms, engine = life.terms, life.terms.on(kind)
+        engine = life.terms.on(kind)
         life.sent = True
+        send_by = 0
+        if life.within:
+            send_by = life.until()
+            life.maybe = {**(life.maybe or {}), number: now}
         if not number and engine.fixed is not None:  # most attempts
-            life.maybe[0] = now
             return engine.fixed
-        send_by = life.until()
-        life.maybe[number] = now
-        if copy:
+        if copy and life.copies is not None:
             life.copied = True
-            self._window(self._copies, life, COPIES_OVER).count(SPENT, now)
+            life.copies.count(SPENT, now)
             self._count("copies")
-        elif number and terms.share is not None:
-            self._window(self._retries, life, terms.over).count(SPENT, now)
+        elif number and life.retries is not None:
+            life.retries.count(SPENT, now)
         if engine.fixed is not None:
             return engine.fixed._replace(send_by=send_by)
         timeout, copy_after = engine.timeout, 0 if life.copied or life.full else engine.copy_after
@@ -160,7 +161,7 @@
         it none goes: that is pressure, which copies add to."""
         if life.copied or life.full or not self.may_send(life, tries, True, now):
             return False
-        if not self._window(self._copies, life, COPIES_OVER).may(now, life.terms.on(kind).copy_share, COPIES_FLOOR):
+        if life.copies is None or not life.copies.may(now, life.terms.on(kind).copy_share, COPIES_FLOOR):
             self._count("copies_over_share")
             return False
         return True
@@ -169,11 +170,15 @@
               now: int) -> None:
         """An attempt has ended; `cut` where the terms' own time-out ended it. What it took is learned."""
         if reason == "GOOD":
-            self._pay(life, SERVED, now)
+            if life.retries is not None:
+                life.retries.count(SERVED, now)
+            if life.copies is not None:
+                life.copies.count(SERVED, now)
             if self._quantiles is None:
                 return
         if WORDS.get(reason) in NEVER_RAN:
-            life.maybe.pop(number, None)
+            if life.maybe:
+                life.maybe.pop(number, None)
             life.full = life.full or reason == "FULL"
         if self._quantiles is not None and (reason == "GOOD" or cut):
             self._quantiles.saw(life.cls, kind, engine, elapsed, now, cut)
@@ -189,7 +194,7 @@
             return After(False)
         if not self._budget(life, now):
             self._count("retries_over_budget")
-            return After(False, backoff=self._window(self._retries, life, life.terms.over).room_in(now))
+            return After(False, backoff=life.retries.room_in(now) if life.retries is not None else 0)
         return After(True, self._wait(life, tries))
 
     def _wait(self, life: Life, tries: int) -> int:
