--- a/rackhub/cli/serve.py
+++ b/rackhub/cli/serve.py
@@ -60,7 +60,7 @@
 
     try:
         Daemon(config, operator, told, partial(configuration.load, path),
-               partial(configuration.load_operator, operator_path)).run()
+               partial(configuration.load_operator, operator_path) if operator_path else None).run()
     except CannotListenError as fault:
         raise refuse(f"bad configuration: listen: {fault}") from None
     except StateUnusable as fault:
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -35,8 +35,9 @@
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
     def __init__(self, config: Config, operator: Operator, told: Config, reread: Callable[[], Config],
-                 reread_operator: Callable[[], Operator] = Operator):
-        """`config` as it is used, `told` as the file has it: what a reload compares with."""
+                 reread_operator: Callable[[], Operator] | None = None):
+        """`config` as it is used, `told` as the file has it: what a reload compares with. `reread_operator` where
+        there is an operator's file."""
         self.config, self.counters, self._reread, self._told = config, Counters(), reread, told
         self._reread_operator = reread_operator
         clock = UnixClock()
@@ -89,11 +90,13 @@
         """The platform's file, then the operator's timings. Each holds as it was where the new one can't be used. The
         other parts of the operator's file take a restart."""
         self.source.reload()
-        if self._reread_operator is Operator:  # no operator's file
+        if self._reread_operator is None:
             return
-        self.counters.add("timings_reloads")
         try:
             operator = self._reread_operator()
+            if operator.timings is None and self.desk is None:
+                return
+            self.counters.add("timings_reloads")
             part = operator.timings if operator.timings is not None else {}
             table = timings_table(part, self.source.settings)
             timings_table(part, self._reread().settings)  # those that a restart would bring must allow it too
--- a/rackhub/store/bench.py
+++ b/rackhub/store/bench.py
@@ -99,7 +99,7 @@
     progress("sync")
     sync = _bare(path / "sync", [b"x" * 4_096], 200)[1]
     groups = []
-    for size in (100, 1_024, 4_096, 16_384):
+    for size in (100, 1_024, 4_096, 16_384, 65_536):
         progress(f"groups of {size}-byte values")
         groups.append(_groups(path, chance, size, max(int(24 * MIB * scale) // size, 64 * 20)))
     reads = []
