--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -36,6 +36,9 @@
 COLD_KEPT = 1.2            # windows of it that a part is kept for a turn; all at once stays within it
 BILLED, BELIEF, LIGHT, HEAVY = 3, 4.0, 0.8, 2.0  # bills to believe, weight of doubt; sizes of other priority
 MARGIN, ASK, SILENT = 2.0, SECOND // 3, 4  # deviations granted of idle memory; time for a probe; a word
+GUESS, NOTE_LATE, MUTE = 4, 1.25, 3  # answers that a guess weighs; note periods, attempts: no sign of life
+FRESH = 2 * SECOND         # a report is of the whole engine: the newest counts, however few come
+CALM = 0.3                 # most that being less strained than the usual engine counts for: all turn there
 LEAST_LEFT, LOAD_SLACK = 0.7, 0.25  # usual latencies left to send; threads a core over the mean to sit out
 
 
@@ -51,7 +54,7 @@
         return self.value if now - self.at < SURE else 0.0
 
 
-class Fit:  # bills against estimates, as logarithms: an estimate is trusted as far as the bills agree
+class Fit:  # bills (or times) against estimates, as logarithms: an estimate is trusted as far as they agree
     def __init__(self):
         self.count, self.x, self.y, self.xx, self.xy, self.yy = 0, 0.0, 0.0, 0.0, 0.0, 0.0
 
@@ -97,6 +100,8 @@
         self.mean = max(told.deadline / 5, told.objective, 1.0)  # a guess on the high side until answers come
         self.fast = self.best = math.log(self.mean)  # logarithms: one long query is no pressure
         self.spread, self.work = 0.0, self.mean * told.threads
+        self.billed = False  # else an answer's time stands in for its bill
+        self.asked, self.told_work = BILLED, BILLED * self.work  # estimates so far, their sum
         self.density, self.cost, self.space = told.worth / self.work, Fit(), Fit()
 
     def size(self, estimate):  # the work of a query against its class's mean, as far as bills show it
@@ -105,13 +110,15 @@
     def learn(self, elapsed, size):
         self.answers += 1
         elapsed = max(min(elapsed, 8 * self.mean), 1)  # a bad plan is no slow fleet; nothing takes no time
-        self.mean += (elapsed - self.mean) / min(self.answers, 200)
+        self.mean += (elapsed - self.mean) / min(self.answers + GUESS, 200)  # the first to end are short
         off = math.log(max(elapsed / size, 1)) - self.fast
         self.spread += (off * off - self.spread) / min(self.answers, 200)
         self.fast += off / min(self.answers, SMOOTH)
         self.best = min(self.best + DRIFT, self.fast) if self.answers > SMOOTH else self.fast
         guess = math.exp(self.best + self.spread / 2) * self.told.threads  # waiting swells short ones
-        self.work = math.exp(self.cost.y + self.cost.yy / 2) if self.cost.count >= BILLED else guess
+        guess = min(guess, self.told_work / self.asked)  # a latency holds waits: newcomers would idle
+        proven = self.billed and self.cost.count >= BILLED
+        self.work = math.exp(self.cost.y + self.cost.yy / 2) if proven else guess
         self.density = self.told.worth / self.work
 
 
@@ -126,6 +133,7 @@
         self.key_rest, self.taken, self.further, self.granted = {}, deque(), deque(), 1.0
         self.granting, self.memory, self.held, self.codes, self.aside = 0.0, 0.0, Aged(), {}, 0.0
         self.threads, self.live, self.peak, self.slice, self.even = 0, 0, 0, 0.0, 0.0
+        self.strain = 0.0
         self.lag, self.over, self.lost, self.kind, self.sure_until = Aged(), Aged(), Aged(), 0, 0
         self.probes, self.stalled, self.tick_due, self.refs = (math.inf, 0), 0, math.inf, 0
 
@@ -178,8 +186,13 @@
         even, self.even = self.even, THREADS_PER_CORE * cores / self.set.gateways
         self.slice *= min(self.even / max(even, 1e-9), 1)
 
+    def gauge(self):  # the strain of the usual engine, by cores
+        ready = [e for e in self.engines.values() if e.ready]
+        self.strain = sum(e.cores * e.strain.value for e in ready) / max(sum(e.cores for e in ready), 1)
+
     def tick(self):  # slice follows pressure: with the tally unpressed, down from where it stands pressed
         self.resize()
+        self.gauge()
         if self.pressed:  # not at once to the even share: busy gateways would refuse what others idle
             self.slice = min(self.slice, self.peak) * (1 - SLICE_SHRINK * min(max(self.excess, 0.2), 1))
         else:
@@ -232,6 +245,8 @@
         query.failed_on = None  # the engine whose error is not explained yet
         query.usual = cls.mean * query.size  # by the mean alone a heavy query looks like an ill engine
         self.queries[event.query], self.aside = query, self.aside + ASIDE
+        if event.estimate:
+            cls.asked, cls.told_work = cls.asked + 1, cls.told_work + event.estimate
         self.taken.append(self.now)
         drop_until(self.taken, self.now - self.set.counted_over)
         query.due = self.after(event.drop_dead - self.now - 2 * self.set.period, self.finish, query)
@@ -282,7 +297,7 @@
 
     def warmth(self, engine):
         worse = ILL_WEIGHT * engine.ill.value * math.exp((engine.ill.at - self.now) / (16 * SECOND))
-        strain = max(engine.strain.value, -1) - max(self.excess, -1)  # against the fleet's, either way
+        strain = max(engine.strain.value - self.strain, -CALM)  # against the fleet's, either way
         worse += strain * math.exp((engine.strain.at - self.now) / (8 * SECOND))
         return engine.cores * self.warm(engine) * math.exp(-worse)
 
@@ -294,7 +309,7 @@
         if self.set.priorities or self.set.grants:
             self.acts.append(t.Terms(query.id, round(memory), self.priority(query)))
         attempt = SimpleNamespace(query=query, number=query.tries, engine=engine, sent=now, memory=memory,
-                                  threads=told.threads, spilled=False, asked=False, doubted=False)
+                                  threads=told.threads, spilled=False, asked=False, doubted=False, noted=now)
         query.out[attempt.number] = self.attempts[query.id, attempt.number] = attempt
         query.maybe.append((attempt.number, now, engine.group))
         query.tried.add(engine.id)
@@ -335,8 +350,11 @@
 
     def overdue(self, attempt):  # silence: the engine looks hung or the answer lost, so elsewhere
         query, out = attempt.query, (attempt.query.id, attempt.number) in self.attempts
+        quiet, word = self.now - attempt.noted, NOTE_LATE * self.set.note_period
         if out and self.now == self.stalled:
             self.watch(attempt)
+        elif out and quiet < word and not self.mute(attempt):  # what runs sends a note in time
+            self.after(word - quiet, self.overdue, attempt)
         elif out and self.set.probes and not attempt.asked and attempt.engine.ready:
             attempt.asked = True  # at few queries an engine has said nothing since without being ill: ask it
             self.acts.append(t.Probe(attempt.engine.id))
@@ -357,6 +375,11 @@
             if self.set.second_copies and len(query.out) < 2 and (self.set.cancel or self.short(query.cls)):
                 self.again(query, "LOST" if self.set.cancel else "LATE")
 
+    def mute(self, attempt):  # one that owes many answers and gave none; with few out, silence is chance
+        engine = attempt.engine
+        return engine.answered < attempt.sent and \
+            sum(other.engine is engine for other in self.attempts.values()) >= MUTE
+
     def bury(self, engine):  # a told start: what was sent before can't be answered, and would hold the tally
         engine.renew()  # and its client to the deadline. Harm: a start told too late kills what runs
         engine.staked = self.now - int(self.random.random() * (self.now - engine.cold_since))  # all hear now
@@ -379,7 +402,7 @@
         if attempt is None or attempt.query.closed or not attempt.query.due:
             return
         elapsed, query, engine = self.now - attempt.sent, attempt.query, attempt.engine
-        engine.answered = self.now
+        engine.answered = attempt.noted = self.now
         if event.topic == 2 and not attempt.spilled and attempt.memory and self.set.grants:
             attempt.spilled = True  # estimates that lie too low starve a class of memory it could have
             query.cls.need = min(query.cls.need + NEED_STEP * event.value / query.event.memory_mb, NEED_MOST)
@@ -478,7 +501,9 @@
             if attempt.query.failed_on:  # it is sound, so the error was the engine's
                 self.ail(attempt.query.failed_on)
             if self.now != self.stalled:
-                cls.cost.add(attempt.query.event.estimate, (event.bill >> 12) * 1000)
+                cls.billed = cls.billed or event.bill > 0
+                took = (event.bill >> 12) * 1000 if cls.billed else event.elapsed
+                cls.cost.add(attempt.query.event.estimate, took)
                 cls.space.add(attempt.query.event.memory_mb, (event.bill & 4095) * 4)
                 cls.learn(event.elapsed, attempt.query.size)
             self.paced(engine, attempt.query, event.elapsed)
@@ -560,7 +585,7 @@
             over = values["busy_reqs"] * each - 1 if "busy_reqs" in values else \
                 4 * (max(values["cpu_share"], values.get("x0", 0)) - BUSY)
             self.weigh(2, over)
-            engine.strain.add(self.now, over)
+            engine.strain.add(self.now, over, FRESH)
 
     def allowed(self, query, engine):  # drain, placement, the keyed group and the cold budget: never waived
         told = query.cls.told
