--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -37,6 +37,7 @@
 BILLED, BELIEF, LIGHT, HEAVY = 3, 4.0, 0.8, 2.0  # bills to believe, weight of doubt; sizes of other priority
 MARGIN, ASK, SILENT = 2.0, SECOND // 3, 4  # deviations granted of idle memory; time for a probe; a word
 GUESS, NOTE_LATE, MUTE = 4, 1.25, 3  # answers that a guess weighs; note periods, attempts: no sign of life
+SPREAD, ONE_AT_MOST = 0.2, 0.5  # strain of the usual engine that may be chance; what one counts for in it
 FRESH = 2 * SECOND         # a report is of the whole engine: the newest counts, however few come
 CALM = 0.3                 # most that being less strained than the usual engine counts for: all turn there
 LEAST_LEFT, LOAD_SLACK = 0.7, 0.25  # usual latencies left to send; threads a core over the mean to sit out
@@ -133,7 +134,7 @@
         self.key_rest, self.taken, self.further, self.granted = {}, deque(), deque(), 1.0
         self.granting, self.memory, self.held, self.codes, self.aside = 0.0, 0.0, Aged(), {}, 0.0
         self.threads, self.live, self.peak, self.slice, self.even = 0, 0, 0, 0.0, 0.0
-        self.strain = 0.0
+        self.strain = self.usual = 0.0
         self.lag, self.over, self.lost, self.kind, self.sure_until = Aged(), Aged(), Aged(), 0, 0
         self.probes, self.stalled, self.tick_due, self.refs = (math.inf, 0), 0, math.inf, 0
 
@@ -163,7 +164,8 @@
 
     @property
     def excess(self):
-        return self.over.fresh(self.now)
+        told = self.strain - SPREAD if self.kind == 2 else -1  # answers come most from what is calm
+        return max(self.over.fresh(self.now), told)
 
     @property
     def pressed(self):  # engine pressure: a FULL, or the surest evidence at hand is over its mark
@@ -186,9 +188,11 @@
         even, self.even = self.even, THREADS_PER_CORE * cores / self.set.gateways
         self.slice *= min(self.even / max(even, 1e-9), 1)
 
-    def gauge(self):  # the strain of the usual engine, by cores
-        ready = [e for e in self.engines.values() if e.ready]
-        self.strain = sum(e.cores * e.strain.value for e in ready) / max(sum(e.cores for e in ready), 1)
+    def gauge(self):  # the strain of the usual engine, by cores; one that is slow says little of the rest
+        ready = [e for e in self.engines.values() if e.ready and self.now - e.strain.at < SURE]
+        strains = sum(e.cores * min(e.strain.value, ONE_AT_MOST) for e in ready)
+        self.usual = sum(e.cores * e.strain.value for e in ready) / max(sum(e.cores for e in ready), 1)
+        self.strain = strains / max(sum(e.cores for e in ready), 1)
 
     def tick(self):  # slice follows pressure: with the tally unpressed, down from where it stands pressed
         self.resize()
@@ -297,7 +301,7 @@
 
     def warmth(self, engine):
         worse = ILL_WEIGHT * engine.ill.value * math.exp((engine.ill.at - self.now) / (16 * SECOND))
-        strain = max(engine.strain.value - self.strain, -CALM)  # against the fleet's, either way
+        strain = max(engine.strain.value - self.usual, -CALM)  # against the fleet's, either way
         worse += strain * math.exp((engine.strain.at - self.now) / (8 * SECOND))
         return engine.cores * self.warm(engine) * math.exp(-worse)
 
@@ -581,7 +585,7 @@
         engine, values = self.engines.get(event.engine), event.report
         if engine and ("busy_reqs" in values or "cpu_share" in values):
             self.granted += (values.get("x0", 1) - self.granted) / 8
-            each = max(self.threads, 1) / max(self.live, 1) / engine.cores / CROWDED  # of those not freed
+            each = max(self.threads, 1) / max(self.live, 1) / CROWDED / (engine.cores * self.warm(engine))
             over = values["busy_reqs"] * each - 1 if "busy_reqs" in values else \
                 4 * (max(values["cpu_share"], values.get("x0", 0)) - BUSY)
             self.weigh(2, over)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1252,3 +1252,36 @@
         sends += of(gateway.ask(tenant=""), t.Send)
         gateway.end(sends[-1])
     assert sum(send.engine == "e0" for send in sends) >= 6
+
+
+def test_a_cold_engine_that_is_full_for_its_age_is_not_taken_for_idle():
+    """Its load against all of its cores looked calm until its start was over: then 40 gateways turned to it at once."""
+    def refused(new):
+        gateway = Gateway(engines=8, gateways=40, ramp_time=13 * S, cold_from=0.3, fall=3 * S, fall_multiple=2)
+        gateway.teach(60)
+        gateway.wait(20 * S)
+        gateway.list([Gateway.entry(f"e{i}", came_up=gateway.now * (new and i > 0)) for i in range(8)])
+        for _ in range(4):  # 16 queries: 1 on each core, or 3 on each that is there by now
+            for i in range(8):
+                gateway.do(t.ProbeEnded(f"e{i}", "GOOD", elapsed=MS, report={"busy_reqs": 16}))
+            gateway.wait(200 * MS)
+        return 12 - len(crowd(gateway, 12, within=60 * S))
+
+    assert refused(new=False) == 0 < refused(new=True)
+
+
+def test_calm_answers_do_not_hide_that_most_of_the_fleet_is_full():
+    """Most answers came from newcomers, which took short queries alone; what was left of the fleet was buried."""
+    def refused(busy):
+        gateway = Gateway(engines=16, gateways=40)
+        gateway.teach(60)
+        gateway.wait(20 * S)
+        for _ in range(12):
+            for i in range(16):
+                gateway.do(t.ProbeEnded(f"e{i}", "GOOD", elapsed=MS, report={"busy_reqs": busy if i > 1 else 1}))
+            for _ in range(30):  # and what comes most
+                gateway.do(t.ProbeEnded("e0", "GOOD", elapsed=MS, report={"busy_reqs": 1}))
+            gateway.wait(400 * MS)
+        return 30 - len(crowd(gateway, 30, within=60 * S))
+
+    assert refused(4) < refused(60)
