Ask the resolver ever less often while it is silent, spread by chance, bounded for a fleet

Need: 40 coordinators asked it again 60 ms after each call without an answer, for as long as that lasted: 660 calls a second in step, at a service of fixed capacity. At fault: `net/resolver.py`, `_ask` with `poll_again` alone; no answer that named an engine twice was refused. Change: `net/asking.py` decides: 60 ms, then twice as long each time up to 500 ms, less a fifth by chance; 250 ms while it is answered, up to 500 ms where more than 40 coordinators are told. A list that names an engine twice or none is logged and counted; answers of 32 KB (some 300 engines) are read.

--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -14,7 +14,7 @@
 
 from rackhub import interface as t
 from rackhub.core.source import Listing
-from rackhub.limits import Limits
+from rackhub.limits import SECOND, Limits
 from rackhub.net.resolver import whole_list
 from rackhub.operatorfile import Operator
 from rackhub.settings import BadLine, flatten, settings_of
@@ -232,6 +232,9 @@
             if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
                 raise BadConfig(f"settings.Permissions.{key}: {value!r} is not a number of at least {least}")
             told[name] = int(value)
+    least, most = Limits().poll, Limits().poll_again_most
+    gateways = file.settings.get("Instances", 1)  # checked with the settings
+    told["poll"] = min(max(int(gateways * SECOND / Limits().fleet_polls), least), most)
     if file.limits.sockets < 2 * OWN:
         raise BadConfig(f"limits.sockets: {file.limits.sockets} is under {2 * OWN}, which the program needs")
     if file.limits.memory_mb < LEAST_MB:
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -65,9 +65,12 @@
     tds_engine_connections: int = 32  # to one engine: each carries one attempt at a time
 
     # resolver
-    poll: int = 250 * MS
-    poll_again: int = 60 * MS  # after a query to which no good answer came
-    packet: int = 8_192
+    poll: int = 250 * MS  # longer where many coordinators are told: see config
+    poll_again: int = 60 * MS  # after a query to which no good answer came; twice as long after each further one,
+    poll_again_most: int = 500 * MS  # up to this: news must be here 1.5 s after it happened, and one call may fail
+    poll_spread: float = 0.2  # part of each of these times that is left to chance, so that no fleet asks in step
+    fleet_polls: int = 160  # answered calls in a second by all coordinators together
+    packet: int = 32_768  # some 300 engines; the platform sends 8,000 bytes at most
     polls_open: int = 16  # queries whose answers are still taken
 
     # the end
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -2,7 +2,7 @@
 
 What the resolver has to tell counts as told some seconds later whether it arrived or not, and UDP loses
 packets: so it is asked often, sooner where no good answer came, every answer to a recent query counts, and none
-older than the last one does.
+older than the last one does. When it is asked next is decided in `asking`.
 """
 
 import logging
@@ -18,6 +18,7 @@
 from rackhub.core.source import Address, Listing
 from rackhub.counters import Counters
 from rackhub.limits import Limits
+from rackhub.net.asking import Asking
 
 log = logging.getLogger(__name__)
 SERVICE = b"_app._tcp.cluster.lan"
@@ -63,6 +64,8 @@
         if host is None or text is None or srv.priority not in (READY, DRAINING):
             raise BadAnswer(f"no whole record of {target!r}")
         name, zone = (target.decode("ascii", "replace").split(".") + [""])[:2]
+        if name in addresses:  # which of them holds can't be told
+            raise BadAnswer(f"{name!r} is named twice")
         told = dict(part.decode("utf-8", "replace").partition("=")[::2] for part in text)
         try:
             entries.append(t.EngineEntry(
@@ -82,6 +85,7 @@
         self._reactor, self._server, self._last, self._told = reactor, server, start, told
         self._limits, self._counters = limits, counters
         self._random = random.SystemRandom()  # ids that can't be guessed; no decision hangs on them
+        self._asking = Asking(limits, self._random.random)
         self._asked: list[int] = []
         self._same = b""  # the last good answer less its id: most answers repeat it
         self._next: IDelayedCall | None = None
@@ -94,6 +98,7 @@
         with their numbers, so the last list holds until the new address tells of a later one."""
         if server != self._server:
             self._server, self._asked = server, []
+            self._asking.moved()
             self._ask_in(0)
 
     def _ask_in(self, delay: int) -> None:
@@ -109,7 +114,7 @@
             self.transport.write(question(number), self._server)
         except OSError as fault:  # the next one may get through
             log.warning("resolver: %s", fault)
-        self._ask_in(self._limits.poll_again)  # a good answer puts it off: this one is for those that are lost
+        self._ask_in(self._asking.asked())  # a good answer puts it off: this one is for those that are lost
 
     def datagramReceived(self, packet: bytes, addr: object) -> None:
         self._counters.add("dns_in")
@@ -117,7 +122,7 @@
                 int.from_bytes(packet[:2], "big") not in self._asked:
             return self._counters.add("dns_bad")
         if packet[2:] == self._same:
-            self._ask_in(self._limits.poll)
+            self._ask_in(self._asking.answered())
             return self._counters.add("dns_same")
         try:
             listing = listing_of(packet)
@@ -126,11 +131,14 @@
             return log.info("resolver: %s", bad)
         if listing.rev < self._last.rev:  # overtaken on its way, or from a server that is behind
             return self._counters.add("dns_old")
-        self._ask_in(self._limits.poll)
+        self._ask_in(self._asking.answered())
         self._same = packet[2:]
         changed = listing[1:] != self._last[1:]
         self._last = listing
         if changed:
+            if not listing.entries:  # an answer like another, but all requests are refused from now on
+                self._counters.add("lists_empty")
+                log.warning("resolver: the list of event %d names no engine", listing.rev)
             self._told(listing)
 
 
