--- a/rackhub/cli/bench.py
+++ b/rackhub/cli/bench.py
@@ -2,12 +2,15 @@
 
 Usage:
   rackhub bench timings [--seeds N] [--seconds N] [--workers N] [--json]
+  rackhub bench fleet [--rounds N] [--json]
   rackhub bench (-h | --help)
 
 Commands:
   timings  Second copies, budgets and routes on plain engines in virtual time, and their cost; takes minutes.
+  fleet    CPU a request of the core with the decision module, with 8, 60 and 300 engines in the list.
 
 Options:
+  --rounds N   Of 400 requests at each size, 3 to 1000 [default: 21].
   --seeds N    Runs of each, 1 to 1000 [default: 8].
   --seconds N  Of each run at most, in virtual time, 5 to 600 [default: 60].
   --workers N  Processes; 0: one a core [default: 0].
@@ -25,6 +28,8 @@
 
 def run(words: Sequence[str]) -> int:
     options = parse(__doc__ or "", words)
+    if options["fleet"]:
+        return fleet(number(options, "--rounds", 3, 1_000), options["--json"])
     from rackhub.timings import bench
 
     seeds, seconds = number(options, "--seeds", 1, 1_000), number(options, "--seconds", 5, 600)
@@ -51,3 +56,15 @@
         print(f"\nCPU a request: {report.cost.none_us:.1f} us without routes, {report.cost.routes_us:.1f} us with "
               f"{report.cost.routes}: ratio {report.cost.ratio:.3f}")
     return 1 if any(row.wrong for row in report.rows) else 0
+
+
+def fleet(rounds: int, json: bool) -> int:
+    from rackhub.fleet.cost import SIZES, measure
+
+    rows = measure(SIZES, rounds)
+    if json:
+        as_json(rows)
+    else:
+        for row in rows:
+            print(f"{row.engines:4} engines: {row.us:6.1f} us of CPU a request, {row.ratio:.2f} times")
+    return 0
--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -89,6 +89,7 @@
 
     def renew(self):  # a new process: how the one before it fared says nothing of it
         self.ill, self.strain, self.rest, self.rest_until = Aged(), Aged(), 0, 0
+        self.weight, self.weighed = 0.0, -10**15
 
     def update(self, entry):
         self.zone, self.kind, self.group = entry.zone, entry.kind, (entry.zone, entry.cell)
@@ -285,21 +286,31 @@
         self.advance(query.event.key)
 
     def choose(self, query, lost=()):  # what the rules allow, narrowed by each term that leaves any
-        told, tables = query.cls.told, query.event.tables
-        able = [e for e in self.engines.values() if e not in lost and self.allowed(query, e)]
-        able = narrow(able, lambda e: self.now >= e.rest_until)
-        able = narrow(able, lambda e: e.id not in query.tried)
+        told, tables, now = query.cls.told, query.event.tables, self.now
+        if told.stays_in or told.served_on or query.maybe:  # in place: a call by engine is dear
+            able = [e for e in self.engines.values() if self.allowed(query, e)]
+        else:
+            able = [e for e in self.engines.values() if e.ready]
+        able = [e for e in able if e not in lost] if lost else able
+        able = [e for e in able if now >= e.rest_until] or able
+        able = [e for e in able if e.id not in query.tried] or able if query.tried else able
         if told.blocked_by_loads or told.holds_tables:
-            able = narrow(able, lambda e: not e.loads[tables])
-        mean = sum(e.threads for e in able) / max(sum(e.cores for e in able), 1)
-        able = narrow(able, lambda e: e.threads / e.cores <= mean + LOAD_SLACK)
+            able = [e for e in able if not e.loads.get(tables)] or able
+        mean = sum([e.threads for e in able]) / max(sum([e.cores for e in able]), 1) + LOAD_SLACK
+        able = [e for e in able if e.threads <= mean * e.cores] or able
         engine = rotate(able, self.warmth)  # told cores, less while cold
         if not engine or self.now - engine.cold_since >= self.set.ramp_time:
             return engine
         cold = [e for e in able if self.now - e.cold_since < self.set.ramp_time]
         return self.drawn(query, cold) or self.choose(query, (*lost, *cold))
 
-    def warmth(self, engine):
+    def warmth(self, engine):  # reckoned anew with each news of it, and now and then for its age
+        at = engine.weighed
+        if at <= self.now - TICK or at <= engine.ill.at or at <= engine.strain.at:
+            engine.weight, engine.weighed = self.reckon(engine), self.now
+        return engine.weight
+
+    def reckon(self, engine):
         worse = ILL_WEIGHT * engine.ill.value * math.exp((engine.ill.at - self.now) / (16 * SECOND))
         strain = max(engine.strain.value - self.usual, -CALM)  # against the fleet's, either way
         worse += strain * math.exp((engine.strain.at - self.now) / (8 * SECOND))
@@ -652,15 +663,13 @@
     return SimpleNamespace(fraction=fraction, threads=0, passed=defaultdict(deque))
 
 
-def narrow(engines, term):  # the engines that meet a term, or all of them where none does
-    return [engine for engine in engines if term(engine)] or engines
-
-
 def rotate(engines, weight):  # smooth weighted round robin
-    weights = [weight(engine) for engine in engines]
-    for engine, gain in zip(engines, weights, strict=True):
+    best, total = None, 0.0
+    for engine in engines:
+        gain = weight(engine)
         engine.turn += gain
-    best = max(engines, key=lambda engine: engine.turn, default=None)
+        total += gain
+        best = engine if best is None or engine.turn > best.turn else best
     if best:
-        best.turn -= sum(weights)
+        best.turn -= total
     return best
