--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,9 +2,13 @@
 
 import sys
 
+import pytest
+
 from rackhub import interface as t
 from rackhub.control import Control
 from rackhub.fleet.cost import SIZES, Answers
+from rackhub.fleet.rig import Scene, World
+from rackhub.net.asking import Asking
 
 S, MS = 1_000_000, 1_000
 
@@ -51,3 +55,51 @@
     before = control.engines["a"].weight
     control.handle(100 * S + MS, t.EngineList("Partial", (t.EngineEntry("a", kind="std", came_up=100 * S),)))
     assert control.warmth(control.engines["a"]) < 0.5 * before
+
+
+# ---- forty coordinators on one clock: a zone lost and back cold, the resolver silent for 3 s
+
+BOUNDS = {  # what a fleet may do, and what it does without the guard that keeps it to that
+    "list calls in a second": lambda report: max(report.list_calls) <= 200,
+    "dials that dead engines refuse": lambda report: sum(report.dials_refused) <= 450,  # of 40 x 10 that could be
+    "connections to one engine": lambda report: report.most_connections <= 60,
+    "further attempts at the loss": lambda report: sum(report.further) <= 470,
+    "work sent to a cold engine": lambda report: report.cold_work <= 1.0,
+    "new work to engines that are told gone": lambda report: not report.after_told,
+    "one answer each": lambda report: not report.answered_twice and not report.unanswered,
+}
+
+
+def broken(**scene):
+    report = World(Scene(**scene)).run()
+    return {name for name, holds in BOUNDS.items() if not holds(report)}
+
+
+def test_a_fleet_keeps_to_its_bounds_and_does_the_same_each_time():
+    first, second = (World(Scene()).run() for _ in range(2))
+    assert first == second and first.served > 0.9 * first.requests
+    assert {name for name, holds in BOUNDS.items() if not holds(first)} == set()
+
+
+GUARDS = {
+    "list calls in a second": lambda p: p.setattr(Asking, "asked", lambda asking: 60 * MS),
+    "dials that dead engines refuse": lambda p: p.setattr(Control, "ail", lambda control, engine, sure=False: None),
+    "further attempts at the loss": lambda p: p.setattr(Control, "ail", lambda control, engine, sure=False: None),
+    "work sent to a cold engine": lambda p: p.setattr(
+        Control, "drawn", lambda control, query, cold: control.random.choice(cold)),
+    "new work to engines that are told gone": lambda p: p.setattr(Control, "on_list", keep_all(Control.on_list)),
+}
+
+
+def keep_all(on_list):
+    """A list that only ever adds."""
+    def call(control, event):
+        on_list(control, t.EngineList("Partial", event.entries, event.rev))
+    return call
+
+
+@pytest.mark.parametrize("name", GUARDS)
+def test_each_bound_is_broken_without_its_guard(name, monkeypatch):
+    GUARDS[name](monkeypatch)
+    monkeypatch.setattr(Control, "HANDLERS", {**Control.HANDLERS, t.EngineList: Control.on_list})
+    assert name in broken()
