Serve a second address, figures and bans; hand over to a new process on one port

Ruled out by the counters at exit: every request the old process read was answered.

Change: listeners with SO_REUSEPORT (rackhub/net/listen.py); 0.65 s after SIGTERM connections are drained, not paused: what is read is refused with no back-off, and a connection closes once nothing is open on it and no message is half read (net/jsonrpc.py drain). The second address (rackhub/ops): HEALTH, DUMP (prometheus_client text), OFFLINE, ONLINE; bans in a pure module, shown to the module as draining and, once back, as just come up; kept in $TMPDIR by a versioned file renamed in place.

Tests: tests/test_ops.py, tests/test_listen.py.

--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -74,6 +74,7 @@
     settings: dict[str, Any]
     name: str = "rackhub"
     seed: str = ""
+    operator: str = ""  # the second address, for the operators' staff
     limits: Quotas = msgspec.field(default_factory=Quotas)
 
 
@@ -87,6 +88,7 @@
     engines: Listing
     settings: t.Settings
     limits: Limits
+    operator: tuple[str, int] | None = None
 
 
 def address(text: str, key: str) -> tuple[str, int]:
@@ -132,8 +134,12 @@
         raise BadConfig(str(bad)) from None
     if not settings.classes:
         raise BadConfig("settings.Services: no class of requests is told")
+    told = file.operator or file.settings.get("operator", "") or os.environ.get("BALANCER_OPERATOR", "")
+    if not isinstance(told, str):
+        raise BadConfig(f"settings.operator: {told!r} is not an address and port")
+    operator = address(told, "operator" if file.operator else "BALANCER_OPERATOR") if told else None
     return Config(file.name, address(file.listen, "listen"), address(file.nameserver, "nameserver"), seed,
-                  engines(file.known), settings, limits(file))
+                  engines(file.known), settings, limits(file), operator)
 
 
 def load_operator(path: Path | None) -> Operator:
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -70,6 +70,10 @@
     def close_idle(self, engine: str) -> None: ...
 
 
+OK, SHED, ERRORS, TRIES = range(4)
+TALLY = {"served": OK, "refused": SHED, "failed": ERRORS}  # how a request ended: what counts it by class
+
+
 class Coordinator:
     """The requests of one process, the module that decides on them, and the ports it acts through."""
 
@@ -94,6 +98,7 @@
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
         self._held = 0  # bytes of the statements of all open requests
         self._lag = 0  # how late the loop lately was at worst; it fades
+        self.by_class: dict[str, list[int]] = {name: [0, 0, 0, 0] for name in self.classes}  # see `TALLY`
 
     # ---- what the ports bring
 
@@ -128,6 +133,7 @@
             self.counters.add("over_held" if full else "over_behind")
             query.closed = True
             self.counters.add("refused")
+            self._tally(query.cls, SHED)
             return query.reply.refused(query, min(SECOND, self.settings.max_retry_after or SECOND))
         self.queries[query.id] = query
         self._held += len(query.statement)
@@ -247,8 +253,16 @@
             self._answered(query)
         return query
 
+    def _tally(self, cls: str, what: int) -> None:
+        counts = self.by_class.get(cls)
+        if counts is None:
+            counts = self.by_class[cls] = [0, 0, 0, 0]
+        counts[what] += 1
+
     def _close(self, query: Query, how: str) -> None:
         query.closed = True
+        if (what := TALLY.get(how)) is not None:
+            self._tally(query.cls, what)
         if self.ledger is not None and query.token:
             self.ledger.over(query, how)
         if query.life is not None and self.desk is not None:
@@ -285,6 +299,7 @@
         query.out[attempt.number] = self.out[query.id, attempt.number] = attempt
         attempt.until = until
         self.counters.add("attempts")
+        self._tally(query.cls, TRIES)
         if self.ledger is not None and query.token:
             self.ledger.out(attempt)
         if copy_after and now + copy_after < until:
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -17,6 +17,7 @@
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.net.jsonrpc import jsonrpc_front
+from rackhub.net.listen import close_emptied, listen_shared
 from rackhub.net.loop import ReactorWaker
 from rackhub.net.resolver import Platform
 from rackhub.net.resp import resp_pools
@@ -55,7 +56,70 @@
         self.keeper = self._keep(operator, clock)
         self.desk = self._time(operator)
         self._ports = []
-        self._draining = self._leaving = False
+        self._draining = self._leaving = self._serving = False
+        self._listing: Listing | None = None
+        self.ops = self._staff(clock) if config.operator else None
+
+    def _staff(self, clock: UnixClock):
+        """The second address, its figures and bans, which come from the process before this one where there was one.
+        Nothing of it is loaded where no second address is set."""
+        import os
+
+        from rackhub.ops import statefile
+        from rackhub.ops.bans import Bans
+        from rackhub.ops.desk import OpsDesk
+        from rackhub.ops.figures import Figures
+        from rackhub.ops.listener import OpsFront
+
+        self._state_path = statefile.place(os.environ)
+        bans = Bans()
+        try:
+            kept = statefile.read(self._state_path)
+        except statefile.Unreadable as bad:
+            self.counters.add("ops_state_bad")
+            log.error("the state left by the process before is ignored: %s", bad)
+            kept = None
+        if kept is not None:
+            bans = Bans(kept.out, kept.listed, kept.back)
+            log.info("from the process before: %d engines out by hand", len(bans.out))
+        self.bans = bans
+        figures = Figures(self.core.by_class, lambda: len(self.core.queries), self._pool_size, self._pool_ejected)
+        desk = OpsDesk(bans, lambda: self._serving and not self._draining, self._bans_changed, figures.text,
+                       clock.now)
+        return OpsFront(desk, reactor, self.config.limits, self.counters)
+
+    def _pool_size(self) -> int:
+        return len(self._listing.entries) if self._listing else 0
+
+    def _pool_ejected(self) -> int:
+        if self._listing is None:
+            return 0
+        return sum(1 for entry in self._listing.entries if entry.engine in self.bans.out or entry.state != "Ready")
+
+    def _shown(self, listing: Listing) -> tuple:
+        """The list as the module sees it: engines out by hand are draining there."""
+        self._listing = listing
+        if self.ops is None:
+            return listing.entries
+        grew = not self.bans.listed.issuperset(entry.engine for entry in listing.entries)
+        shown = self.bans.shown(listing.entries)
+        if grew:
+            self._keep_bans()
+        return shown
+
+    def _bans_changed(self) -> None:
+        if self._listing is not None:
+            self.core.listed(self.bans.shown(self._listing.entries), self._listing.rev)
+        self._keep_bans()
+
+    def _keep_bans(self) -> None:
+        from rackhub.ops import statefile
+
+        try:
+            statefile.write(self._state_path, statefile.encode(self.bans.out, self.bans.listed, self.bans.back))
+        except OSError as fault:
+            self.counters.add("ops_state_unwritten")
+            log.error("the bans can't be kept for the next process: %s", fault)
 
     def _keep(self, operator: Operator, clock: UnixClock):
         """The store of what outlives this run, where the operator has one; nothing of it is loaded elsewhere."""
@@ -114,7 +178,7 @@
         if self.keeper is not None:
             engines = self.keeper.start(engines)
         self.engines.listed(engines.addresses)
-        self.core.start(self.engines, engines.entries, engines.rev)
+        self.core.start(self.engines, self._shown(engines), engines.rev)
         PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
         self.source.follow(self._listed)
         # before anyone can connect: a signal that comes then would end the process
@@ -122,7 +186,11 @@
                              (signal.SIGHUP, self._reload)):
             signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
         for (host, port), front in self.fronts:
-            self._ports.append(reactor.listenTCP(port, front, backlog=512, interface=host))
+            self._ports.append(listen_shared(reactor, host, port, front, 512))
+        if self.ops is not None and self.config.operator is not None:
+            host, port = self.config.operator
+            self._ops_port = listen_shared(reactor, host, port, self.ops, 64)
+        self._serving = True
         LoopingCall(self.engines.sweep).start(0.1, now=False)
         log.info("%s serves on %s, %d engines known", self.config.name,
                  ", ".join(f"{host}:{port}" for (host, port), _ in self.fronts), len(engines.entries))
@@ -140,7 +208,7 @@
 
     def _listed(self, listing: Listing) -> None:
         # the module first: once it knows of a drain it sends nothing there, whatever the pools still hold
-        self.core.listed(listing.entries, listing.rev)
+        self.core.listed(self._shown(listing), listing.rev)
         self.engines.listed(listing.addresses)
         if self.keeper is not None:
             self.keeper.listed(listing)
@@ -174,11 +242,20 @@
             for _, front in self.fronts:
                 front.draining = True
             log.info("told to end: %d requests open", len(self.core.queries))
+            reactor.callLater(self.config.limits.read_after_term / 1_000_000, self._stop_reading)
             reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
 
+    def _stop_reading(self) -> None:
+        """No request that comes now is taken: one SIGKILL finds unanswered would be lost, and clients that keep their
+        connections would keep this process from ever being done. What is read is refused at once, for the process
+        that replaces this one; each connection closes once what it has open is answered."""
+        for _, front in self.fronts:
+            front.end()
+
     def _close(self) -> None:
         for port in self._ports:
-            port.stopListening()
+            close_emptied(port)
+        self._stop_reading()  # and those that came since
         self.core.on_idle = self._idle
         if not self.core.queries:
             self._idle()
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -73,5 +73,12 @@
     packet: int = 32_768  # some 300 engines; the platform sends 8,000 bytes at most
     polls_open: int = 16  # queries whose answers are still taken
 
+    # the second address
+    ops_connections: int = 32  # callers at once; more are told no at once
+    ops_line: int = 512  # one call
+    ops_answer: int = 800 * MS  # a call not whole by then is told no: 1 s is owed
+    ops_linger: int = 1 * SECOND  # for the caller to take the answer before the connection is cut
+
     # the end
+    read_after_term: int = 650 * MS  # requests on open connections: what comes 0.7 s after SIGTERM is lost unanswered
     accept_after_term: int = 900 * MS  # 0.7 s are promised; the rest is slack for a late scheduler
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -94,6 +94,10 @@
         """Take no more, answer what is open, then close."""
         raise NotImplementedError
 
+    def drain(self) -> None:
+        """The process ends: as `end`, where the protocol has no better way."""
+        self.end()
+
     def late(self, why: str) -> None:
         """Tell the client as its protocol words it, then end the connection."""
         raise NotImplementedError
@@ -218,4 +222,4 @@
     def end(self) -> None:
         """Close every connection once what is open on it is answered."""
         for connection in list(self.connections):
-            connection.end()
+            connection.drain()
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -61,6 +61,8 @@
         self.MAX_LENGTH = front.limits.request_line
         self.open: dict[Any, Query] = {}
         self.asked = False  # whether a request was ever taken on
+        self.reading = False  # inside the loop over the lines of what came: nothing closes before all are seen
+        self.closing = False  # the process ends: what comes is refused at once, and once all is answered it closes
 
     # ---- Twisted
 
@@ -78,7 +80,13 @@
     def dataReceived(self, data: bytes) -> None:
         whole = data.rfind(b"\n") + 1
         self.came(whole > 0, whole < len(data))
-        super().dataReceived(data)
+        self.reading = True
+        try:
+            super().dataReceived(data)
+        finally:
+            self.reading = False
+        if self.closing:
+            self._end_if_done()
 
     def busy(self) -> bool:
         return bool(self.open)
@@ -93,6 +101,8 @@
 
     def lineReceived(self, line: bytes) -> None:
         if self.ending:
+            if self.closing:
+                self._turn_away(line)
             return
         self.counters.add("lines_in")
         try:
@@ -121,6 +131,20 @@
 
     # ---- requests
 
+    def _turn_away(self, line: bytes) -> None:
+        """The process ends, and a request came on a connection that waits for its last answers: it was read, so it is
+        owed one. It is refused at once with no back-off, for the process beside this one to serve."""
+        try:
+            message = DECODE.decode(line)
+        except (msgspec.ValidationError, *UNREADABLE):
+            return
+        if message.id is NO_ID or message.id is None or message.id in self.open or self.transport.disconnecting:
+            return
+        if self.core.classes.get(message.method) is not None:
+            self.counters.add("refused")
+            self._write(message.id, b'"error":{"code":%d,"message":"refused: this process ends","data":{"backoff":0}}'
+                        % REFUSED)
+
     def _no_id(self) -> None:
         """JSON-RPC answers no notification, but here every client is owed an answer or a close: left alone, it would
         wait for one."""
@@ -197,7 +221,17 @@
             self.transport.pauseProducing()
             self._end_if_done()
 
+    def drain(self) -> None:
+        """The process ends. Reading goes on, so that nothing sent is left unread when the connection closes: what
+        comes is refused at once. It closes once nothing is open on it and no message is half read: a request that
+        crosses that close is sent again by its client."""
+        if not self.ending:
+            self.ending = self.closing = True
+            self._end_if_done()
+
     def _end_if_done(self) -> None:
+        if self.closing and (self.open or self._buffer or self.reading or self.transport.disconnecting):
+            return
         if self.ending and not self.open:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
--- /dev/null
+++ b/rackhub/ops/statefile.py
@@ -0,0 +1,70 @@
+"""What one process hands to the one that replaces it, through a file in `$TMPDIR`.
+
+The file is JSON of a named format and version, written whole beside its place and renamed over it, so that a reader
+sees the old file or the new one, never half of one. A file that is damaged, of another format or of a later version is
+reported by `Unreadable` and is ignored by the caller: it is never a reason not to serve.
+"""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+FORMAT, VERSION = "rackhub-ops-state", 1
+NAME = "rackhub-ops-state.json"
+
+
+class OpsState(msgspec.Struct, forbid_unknown_fields=True):
+    """Engines out by hand, every id listed so far, and when engines were put back (microseconds, Unix time)."""
+
+    format: str
+    version: int
+    out: list[str] = []
+    listed: list[str] = []
+    back: dict[str, int] = {}
+
+
+class Unreadable(ValueError):
+    """The file is there but can't be used; the text says why."""
+
+
+def place(environment: dict[str, str] | os._Environ[str]) -> Path:
+    return Path(environment.get("TMPDIR") or "/tmp") / NAME
+
+
+def encode(out: set[str], listed: set[str], back: dict[str, int]) -> bytes:
+    return msgspec.json.encode(OpsState(FORMAT, VERSION, sorted(out), sorted(listed), dict(sorted(back.items()))))
+
+
+def decode(data: bytes) -> OpsState:
+    """Raises `Unreadable` for anything but a whole file of this format and version."""
+    try:
+        state = msgspec.json.decode(data, type=OpsState)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError) as bad:
+        raise Unreadable(f"not a state file: {bad}") from None
+    if state.format != FORMAT:
+        raise Unreadable(f"format {state.format!r}, not {FORMAT!r}")
+    if state.version != VERSION:
+        raise Unreadable(f"version {state.version}, this program reads {VERSION}")
+    return state
+
+
+def read(path: Path) -> OpsState | None:
+    """None where there is no file. Raises `Unreadable`."""
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return None
+    except OSError as fault:
+        raise Unreadable(f"{path}: {os.strerror(fault.errno or 0)}") from None
+    return decode(data)
+
+
+def write(path: Path, data: bytes) -> None:
+    """Replace the file at once; raises OSError where it can't be written."""
+    part = path.with_name(f".{path.name}.{os.getpid()}")
+    with open(part, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(part, path)
