After SIGTERM take what can end before SIGKILL; refuse the rest in the core

Ruled out: the door (0 turned back) and calls (0 wrong).

Not taken: the front's own refusal of all that comes (it refused what could be served).

Test in tests/test_core.py.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -98,6 +98,8 @@
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
         self._held = 0  # bytes of the statements of all open requests
         self._lag = 0  # how late the loop lately was at worst; it fades
+        self.longest = 0  # the longest budget of a request taken, microseconds
+        self.end_by: int | None = None  # from SIGTERM: what can't be answered by then is refused as it comes
         self.by_class: dict[str, list[int]] = {name: [0, 0, 0, 0] for name in self.classes}  # see `TALLY`
 
     # ---- what the ports bring
@@ -129,6 +131,13 @@
         self.counters.add("requests_in")
         full = len(self.queries) >= self.limits.held_requests or \
             self._held + len(query.statement) > self.limits.held_bytes
+        self.longest = max(self.longest, query.deadline - self.clock.now())
+        if self.end_by is not None and query.deadline > self.end_by:  # SIGKILL would find it: another process serves
+            query.closed = True
+            self.counters.add("refused_ending")
+            self.counters.add("refused")
+            self._tally(query.cls, SHED)
+            return query.reply.refused(query, 0)
         if full or self._behind:  # memory and the one core are bounded: nothing ran, so say so at once
             self.counters.add("over_held" if full else "over_behind")
             query.closed = True
@@ -150,6 +159,11 @@
                                   memory_mb=query.memory_mb, tables=query.tables, attempts=attempts,
                                   repeat_within=within))
 
+    def ending(self, spare: int, capped: int) -> None:
+        """SIGTERM came now. SIGKILL comes no sooner than the longest deadline, counted as `capped` where it is
+        longer, and `spare` more: a request that could still be open then is refused when it comes."""
+        self.end_by = self.clock.now() + min(self.longest, capped) + spare
+
     def _margin(self) -> int:
         """How much earlier than the client's own deadline an answer is due here: more as the loop lags."""
         return self.limits.margin + 2 * self._lag
--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -19,7 +19,8 @@
         "retries_not_on", "retries_over_terms", "retries_over_budget", "copies", "copies_over_share",
         "state_commits", "state_failures", "state_dropped", "state_unread",
         "tds_connections", "tds_refused", "tds_logins", "tds_bad_logins", "tds_requests", "tds_attentions", "tds_bad",
-        "tds_unsupported", "ops_calls", "ops_bad", "ops_refused", "ops_state_bad", "ops_state_unwritten",
+        "tds_unsupported", "refused_ending",
+        "ops_calls", "ops_bad", "ops_refused", "ops_state_bad", "ops_state_unwritten",
     )
 
     def __init__(self) -> None:
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -239,6 +239,7 @@
         """Go on taking requests while clients still come, then answer what is open and leave."""
         if not self._draining:
             self._draining = True
+            self.core.ending(self.config.limits.kill_spare, self.config.limits.kill_capped)
             for _, front in self.fronts:
                 front.draining = True
             log.info("told to end: %d requests open", len(self.core.queries))
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -62,7 +62,7 @@
         self.open: dict[Any, Query] = {}
         self.asked = False  # whether a request was ever taken on
         self.reading = False  # inside the loop over the lines of what came: nothing closes before all are seen
-        self.closing = False  # the process ends: what comes is refused at once, and once all is answered it closes
+        self.closing = False  # the process ends: it reads on, and closes once nothing is open and nothing half read
 
     # ---- Twisted
 
@@ -100,9 +100,7 @@
         self.late("the line is too long")
 
     def lineReceived(self, line: bytes) -> None:
-        if self.ending:
-            if self.closing:
-                self._turn_away(line)
+        if self.ending and not self.closing:  # a client that broke the protocol: no more is read
             return
         self.counters.add("lines_in")
         try:
@@ -131,20 +129,6 @@
 
     # ---- requests
 
-    def _turn_away(self, line: bytes) -> None:
-        """The process ends, and a request came on a connection that waits for its last answers: it was read, so it is
-        owed one. It is refused at once with no back-off, for the process beside this one to serve."""
-        try:
-            message = DECODE.decode(line)
-        except (msgspec.ValidationError, *UNREADABLE):
-            return
-        if message.id is NO_ID or message.id is None or message.id in self.open or self.transport.disconnecting:
-            return
-        if self.core.classes.get(message.method) is not None:
-            self.counters.add("refused")
-            self._write(message.id, b'"error":{"code":%d,"message":"refused: this process ends","data":{"backoff":0}}'
-                        % REFUSED)
-
     def _no_id(self) -> None:
         """JSON-RPC answers no notification, but here every client is owed an answer or a close: left alone, it would
         wait for one."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -252,3 +252,25 @@
     for attempt in list(here.port.sent):
         here.core.ended(attempt, "GOOD")
     assert len(told) == 1
+
+
+def test_after_sigterm_what_could_be_open_at_sigkill_is_refused_at_once_and_counted_by_class():
+    here = Core()
+    here.ask(budget=2 * S)  # the longest budget seen
+    here.core.ending(spare=500 * MS, capped=3 * S)  # SIGKILL no sooner than 2.5 s from now
+    here.clock.advance(1 * S)
+    short = here.ask(budget=1 * S)  # ends 2 s after SIGTERM: taken
+    long = here.ask(budget=2 * S)  # 3 s after: refused, no back-off, for the process beside to serve
+    assert ("refused", long.id, 0) in here.port.answers
+    assert short.id in here.core.queries and long.id not in here.core.queries
+    assert here.counters["refused_ending"] == 1 and here.core.by_class["lookup"][1] == 1
+
+
+def test_counts_by_class_follow_every_end():
+    here = Core()
+    served, left = here.ask(), here.ask()
+    attempt = next(a for a in here.port.sent if a.query is served)
+    here.core.ended(attempt, "GOOD", {}, (b"a",))
+    here.core.leave(left)
+    ok, shed, errors, tries = here.core.by_class["lookup"]
+    assert (ok, shed, errors) == (1, 0, 0) and tries == len(here.port.sent)
