Read and keep bans in the ops package, tested across a restart and a damaged file

The daemon did both inline, where no test reached them. statefile.kept_bans and keep_bans now hold them; tests play a ban kept by one process and found by the next, a file cut short (counted as ops_state_bad, ignored) and a place that can't be written (ops_state_unwritten).

--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -66,23 +66,12 @@
         import os
 
         from rackhub.ops import statefile
-        from rackhub.ops.bans import Bans
         from rackhub.ops.desk import OpsDesk
         from rackhub.ops.figures import Figures
         from rackhub.ops.listener import OpsFront
 
         self._state_path = statefile.place(os.environ)
-        bans = Bans()
-        try:
-            kept = statefile.read(self._state_path)
-        except statefile.Unreadable as bad:
-            self.counters.add("ops_state_bad")
-            log.error("the state left by the process before is ignored: %s", bad)
-            kept = None
-        if kept is not None:
-            bans = Bans(kept.out, kept.listed, kept.back)
-            log.info("from the process before: %d engines out by hand", len(bans.out))
-        self.bans = bans
+        bans = self.bans = statefile.kept_bans(self._state_path, self.counters.add)
         figures = Figures(self.core.by_class, lambda: len(self.core.queries), self._pool_size, self._pool_ejected)
         desk = OpsDesk(bans, lambda: self._serving and not self._draining, self._bans_changed, figures.text,
                        clock.now)
@@ -115,11 +104,7 @@
     def _keep_bans(self) -> None:
         from rackhub.ops import statefile
 
-        try:
-            statefile.write(self._state_path, statefile.encode(self.bans.out, self.bans.listed, self.bans.back))
-        except OSError as fault:
-            self.counters.add("ops_state_unwritten")
-            log.error("the bans can't be kept for the next process: %s", fault)
+        statefile.keep_bans(self._state_path, self.bans, self.counters.add)
 
     def _keep(self, operator: Operator, clock: UnixClock):
         """The store of what outlives this run, where the operator has one; nothing of it is loaded elsewhere."""
--- a/rackhub/ops/statefile.py
+++ b/rackhub/ops/statefile.py
@@ -5,11 +5,17 @@
 reported by `Unreadable` and is ignored by the caller: it is never a reason not to serve.
 """
 
+import logging
 import os
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
+from rackhub.ops.bans import Bans
+
+log = logging.getLogger(__name__)
+
 FORMAT, VERSION = "rackhub-ops-state", 1
 NAME = "rackhub-ops-state.json"
 
@@ -68,3 +74,27 @@
         file.flush()
         os.fsync(file.fileno())
     os.replace(part, path)
+
+
+def kept_bans(path: Path, count: Callable[[str], None]) -> Bans:
+    """The bans that the process before this one left, or none: a file that can't be used is logged, counted
+    (`ops_state_bad`) and ignored."""
+    try:
+        kept = read(path)
+    except Unreadable as bad:
+        count("ops_state_bad")
+        log.error("the state left by the process before is ignored: %s", bad)
+        return Bans()
+    if kept is None:
+        return Bans()
+    log.info("from the process before: %d engines out by hand", len(kept.out))
+    return Bans(kept.out, kept.listed, kept.back)
+
+
+def keep_bans(path: Path, bans: Bans, count: Callable[[str], None]) -> None:
+    """Write the bans for the process after this one; a failure is logged and counted (`ops_state_unwritten`)."""
+    try:
+        write(path, encode(bans.out, bans.listed, bans.back))
+    except OSError as fault:
+        count("ops_state_unwritten")
+        log.error("the bans can't be kept for the next process: %s", fault)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -165,3 +165,24 @@
     clock.advance(0.9)
     assert all(wire.value().startswith(b"NO") for wire in wires)
 
+
+
+def test_a_ban_outlives_the_process_and_a_damaged_file_is_counted_and_ignored(tmp_path):
+    path = statefile.place({"TMPDIR": str(tmp_path)})
+    counters = Counters()
+    first = statefile.kept_bans(path, counters.add)  # no file: nothing out
+    first.seen(LIST)
+    assert first.offline("b")
+    statefile.keep_bans(path, first, counters.add)
+    second = statefile.kept_bans(path, counters.add)  # the process that replaces it
+    assert shown_states(second, (t.EngineEntry("b"), t.EngineEntry("a")))["b"] == "Terminating"
+    assert second.online("b", 10) and not second.offline("never")  # it knows what was listed before it
+    path.write_bytes(b'{"format": "rackhub-ops-state", "version": 1, "out": ["b"')  # cut short
+    third = statefile.kept_bans(path, counters.add)
+    assert not third.out and counters["ops_state_bad"] == 1
+
+
+def test_bans_that_cant_be_written_are_counted(tmp_path):
+    counters = Counters()
+    statefile.keep_bans(tmp_path / "gone" / statefile.NAME, Bans(), counters.add)
+    assert counters["ops_state_unwritten"] == 1
