Test that nothing of the second address is loaded where it is not set

The platform gives as little as 32 MB; the daemon and serve command are imported in a fresh interpreter and neither rackhub.ops nor prometheus_client may be among its modules.

--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -186,3 +186,13 @@
     counters = Counters()
     statefile.keep_bans(tmp_path / "gone" / statefile.NAME, Bans(), counters.add)
     assert counters["ops_state_unwritten"] == 1
+
+
+def test_without_a_second_address_nothing_of_it_is_loaded():
+    import subprocess
+    import sys
+
+    probe = "import sys, rackhub.daemon, rackhub.cli.serve; print(sorted(m for m in sys.modules " \
+            "if m.startswith(('rackhub.ops', 'prometheus_client'))))"
+    out = subprocess.run([sys.executable, "-c", probe], capture_output=True, text=True, check=True).stdout
+    assert out.strip() == "[]"
