--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -134,10 +134,14 @@
         raise BadConfig(str(bad)) from None
     if not settings.classes:
         raise BadConfig("settings.Services: no class of requests is told")
-    told = file.operator or file.settings.get("operator", "") or os.environ.get("BALANCER_OPERATOR", "")
-    if not isinstance(told, str):
-        raise BadConfig(f"settings.operator: {told!r} is not an address and port")
-    operator = address(told, "operator" if file.operator else "BALANCER_OPERATOR") if told else None
+    operator = None
+    for key, told in (("operator", file.operator), ("settings.operator", file.settings.get("operator", "")),
+                      ("BALANCER_OPERATOR", os.environ.get("BALANCER_OPERATOR", ""))):
+        if told:
+            if not isinstance(told, str):
+                raise BadConfig(f"{key}: {told!r} is not an address and port")
+            operator = address(told, key)
+            break
     return Config(file.name, address(file.listen, "listen"), address(file.nameserver, "nameserver"), seed,
                   engines(file.known), settings, limits(file), operator)
 
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -133,17 +133,10 @@
             self._held + len(query.statement) > self.limits.held_bytes
         self.longest = max(self.longest, query.deadline - self.clock.now())
         if self.end_by is not None and query.deadline > self.end_by:  # SIGKILL would find it: another process serves
-            query.closed = True
-            self.counters.add("refused_ending")
-            self.counters.add("refused")
-            self._tally(query.cls, SHED)
-            return query.reply.refused(query, 0)
+            return self._turn_back(query, "refused_ending", 0)
         if full or self._behind:  # memory and the one core are bounded: nothing ran, so say so at once
-            self.counters.add("over_held" if full else "over_behind")
-            query.closed = True
-            self.counters.add("refused")
-            self._tally(query.cls, SHED)
-            return query.reply.refused(query, min(SECOND, self.settings.max_retry_after or SECOND))
+            return self._turn_back(query, "over_held" if full else "over_behind",
+                                   min(SECOND, self.settings.max_retry_after or SECOND))
         self.queries[query.id] = query
         self._held += len(query.statement)
         if self.ledger is not None and query.token:
@@ -159,6 +152,14 @@
                                   memory_mb=query.memory_mb, tables=query.tables, attempts=attempts,
                                   repeat_within=within))
 
+    def _turn_back(self, query: Query, why: str, backoff: int) -> None:
+        """Refuse a request that was never taken on, at once, counted under `why`."""
+        query.closed = True
+        self.counters.add(why)
+        self.counters.add("refused")
+        self._tally(query.cls, SHED)
+        query.reply.refused(query, backoff)
+
     def ending(self, spare: int, capped: int) -> None:
         """SIGTERM came now. SIGKILL comes no sooner than the longest deadline, counted as `capped` where it is
         longer, and `spare` more: a request that could still be open then is refused when it comes."""
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -63,8 +64,6 @@
     def _staff(self, clock: UnixClock):
         """The second address, its figures and bans, which come from the process before this one where there was one.
         Nothing of it is loaded where no second address is set."""
-        import os
-
         from rackhub.ops import statefile
         from rackhub.ops.desk import OpsDesk
         from rackhub.ops.figures import Figures
@@ -81,20 +80,16 @@
         return len(self._listing.entries) if self._listing else 0
 
     def _pool_ejected(self) -> int:
-        if self._listing is None:
-            return 0
-        return sum(1 for entry in self._listing.entries if entry.engine in self.bans.out or entry.state != "Ready")
+        return self.bans.avoided(self._listing.entries) if self._listing else 0
 
     def _shown(self, listing: Listing) -> tuple:
         """The list as the module sees it: engines out by hand are draining there."""
         self._listing = listing
         if self.ops is None:
             return listing.entries
-        grew = not self.bans.listed.issuperset(entry.engine for entry in listing.entries)
-        shown = self.bans.shown(listing.entries)
-        if grew:
+        if self.bans.seen(listing.entries):  # the next process must know these ids too
             self._keep_bans()
-        return shown
+        return self.bans.shown(listing.entries)
 
     def _bans_changed(self) -> None:
         if self._listing is not None:
@@ -172,9 +167,9 @@
             signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
         for (host, port), front in self.fronts:
             self._ports.append(listen_shared(reactor, host, port, front, 512))
-        if self.ops is not None and self.config.operator is not None:
+        if self.ops is not None and self.config.operator is not None:  # open to the end: HEALTH says no meanwhile
             host, port = self.config.operator
-            self._ops_port = listen_shared(reactor, host, port, self.ops, 64)
+            listen_shared(reactor, host, port, self.ops, 64)
         self._serving = True
         LoopingCall(self.engines.sweep).start(0.1, now=False)
         log.info("%s serves on %s, %d engines known", self.config.name,
@@ -232,9 +227,9 @@
             reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
 
     def _stop_reading(self) -> None:
-        """No request that comes now is taken: one SIGKILL finds unanswered would be lost, and clients that keep their
-        connections would keep this process from ever being done. What is read is refused at once, for the process
-        that replaces this one; each connection closes once what it has open is answered."""
+        """Connections are drained: clients that keep theirs would keep this process from ever being done. What is
+        read on them still goes to the core, which refuses what could be open at SIGKILL (`Coordinator.ending`);
+        each connection closes once nothing is open on it and nothing is half read."""
         for _, front in self.fronts:
             front.end()
 
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -207,8 +207,8 @@
 
     def drain(self) -> None:
         """The process ends. Reading goes on, so that nothing sent is left unread when the connection closes: what
-        comes is refused at once. It closes once nothing is open on it and no message is half read: a request that
-        crosses that close is sent again by its client."""
+        comes goes to the core as before, which knows what can still be answered. It closes once nothing is open on
+        it and no message is half read: a request that crosses that close is sent again by its client."""
         if not self.ending:
             self.ending = self.closing = True
             self._end_if_done()
--- a/rackhub/ops/bans.py
+++ b/rackhub/ops/bans.py
@@ -21,8 +21,11 @@
         self.listed: set[str] = set(listed)  # every id seen in a list since the state was first kept
         self.back: dict[str, int] = dict(back or {})  # put back at, until a list shows the engine come up later
 
-    def seen(self, entries: Sequence[t.EngineEntry]) -> None:
+    def seen(self, entries: Sequence[t.EngineEntry]) -> bool:
+        """Note the ids of a list; whether any was new."""
+        before = len(self.listed)
         self.listed.update(entry.engine for entry in entries)
+        return len(self.listed) != before
 
     def offline(self, engine: str) -> bool:
         """Take `engine` out. False for an id never listed; taking one out twice is harmless."""
@@ -58,5 +61,5 @@
         return tuple(shown)
 
     def avoided(self, entries: Sequence[t.EngineEntry]) -> int:
-        """Listed engines that are out by hand."""
-        return sum(1 for entry in entries if entry.engine in self.out)
+        """Listed engines that nothing new goes to: out by hand, or draining by the list."""
+        return sum(1 for entry in entries if entry.engine in self.out or entry.state != "Ready")
--- a/rackhub/ops/statefile.py
+++ b/rackhub/ops/statefile.py
@@ -7,7 +7,7 @@
 
 import logging
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 import msgspec
@@ -34,7 +34,7 @@
     """The file is there but can't be used; the text says why."""
 
 
-def place(environment: dict[str, str] | os._Environ[str]) -> Path:
+def place(environment: Mapping[str, str]) -> Path:
     return Path(environment.get("TMPDIR") or "/tmp") / NAME
 
 
