Refuse loads that would stand still behind loads of their area

Short memory is ruled out as the first cause: the line for it was made of the same loads. At fault: choose() sent a load behind any number of others when no engine of its side was free ("or able").

--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -297,7 +297,9 @@
             side = sorted(self.engines, key=lambda e: zlib.crc32(f"{tables} {e}".encode()) * MIX % 2**32)
             able = [e for e in able if e.id in side[:max(round(len(side) * LOAD_PART), 1)]] or able
         if told.blocked_by_loads or told.holds_tables:
-            able = [e for e in able if not e.loads.get(tables) and e.holds.get(tables, now) <= now] or able
+            free = [e for e in able if not e.loads.get(tables) and e.holds.get(tables, now) <= now]
+            line = told.holds_tables * query.cls.mean * self.set.gateways  # an own one stands for one of each
+            able = free or [e for e in able if e.loads.get(tables, 0) * line <= told.objective]
         mean = sum([e.threads for e in able]) / max(sum([e.cores for e in able]), 1) + LOAD_SLACK
         able = [e for e in able if e.threads <= mean * e.cores] or able
         engine = rotate(able, self.warmth)  # told cores, less while cold
@@ -684,12 +686,10 @@
 
 
 def rotate(engines, weight):  # smooth weighted round robin
-    best, total = None, 0.0
-    for engine in engines:
-        gain = weight(engine)
+    gains = [weight(engine) for engine in engines]
+    for engine, gain in zip(engines, gains, strict=True):
         engine.turn += gain
-        total += gain
-        best = engine if best is None or engine.turn > best.turn else best
+    best = max(engines, key=lambda engine: engine.turn, default=None)
     if best:
-        best.turn -= total
+        best.turn -= sum(gains)
     return best
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -482,11 +482,33 @@
 def test_a_load_goes_where_it_can_when_none_of_its_engines_is_there():
     load = cls("dedup", "load", holds_tables=True, threads=2)
     gateway = Gateway(classes=(load,), engines=6)
-    first = {only(gateway.ask("load", within=20 * S, tables=1, tenant=""), t.Send).engine for _ in range(12)}
+    first = {only(gateway.ask("load", within=20 * S, tables=1, tenant=""), t.Send).engine for _ in range(4)}
     gateway.list([gateway.entry(f"e{i}", state="Terminating" if f"e{i}" in first else "Ready") for i in range(6)])
     assert only(gateway.ask("load", within=20 * S, tables=1, tenant=""), t.Send).engine not in first
 
 
+def test_loads_that_would_stand_still_behind_loads_are_refused_at_once_with_a_back_off():
+    """Overload day 311: half of all threads in the tally were of loads behind loads, and lookups paid for it."""
+    load = cls("fragile", "load", deadline=25 * S, objective=4 * S, holds_tables=True, threads=2)
+    gateway = Gateway(classes=(load,), engines=6, gateways=3)
+    gateway.teach(20, cls="load", within=20 * S, elapsed=2 * S, tenant="")
+    sent = [only(gateway.ask("load", within=20 * S, tables=1, tenant=""), t.Send) for _ in range(4)]
+    assert len({send.engine for send in sent}) == 4
+    assert only(gateway.ask("load", within=20 * S, tables=1, tenant=""), t.Refuse).retry_after > 0
+    assert of(gateway.ask("load", within=20 * S, tables=2, tenant=""), t.Send)
+    gateway.end(sent[2], elapsed=2 * S)
+    assert only(gateway.ask("load", within=20 * S, tables=1, tenant=""), t.Send).engine == sent[2].engine
+
+
+def test_a_load_waits_behind_another_where_both_end_in_the_wanted_time():
+    load = cls("fragile", "load", deadline=25 * S, objective=4 * S, holds_tables=True, threads=2)
+    gateway = Gateway(classes=(load,), engines=1)
+    gateway.teach(60, cls="load", within=20 * S, elapsed=1500 * MS, tenant="")
+    acts = [gateway.ask("load", within=20 * S, tables=1, tenant="") for _ in range(5)]
+    assert [len(of(each, t.Send)) for each in acts] == [1, 1, 1, 0, 0]  # behind two: 3 s of the 4 s are gone
+    assert all(of(each, t.Refuse) for each in acts[3:])
+
+
 # ---- bad plans and memory
 
 
