Refuse a load for the line before it only once answers tell how long that is

The line was reckoned with the first guess of a class's mean, 5 s here, and a class without an objective got no line at all. At fault: `line <= told.objective` in choose().

Change: before the first answer a load is never refused for the line, and where no objective is told the deadline stands in. Suite: 586 passed.

--- a/rackhub/control.py
+++ b/rackhub/control.py
@@ -298,8 +298,9 @@
             able = [e for e in able if e.id in side[:max(round(len(side) * LOAD_PART), 1)]] or able
         if told.blocked_by_loads or told.holds_tables:
             free = [e for e in able if not e.loads.get(tables) and e.holds.get(tables, now) <= now]
-            line = told.holds_tables * query.cls.mean * self.set.gateways  # an own one stands for one of each
-            able = free or [e for e in able if e.loads.get(tables, 0) * line <= told.objective]
+            line = query.cls.mean * self.set.gateways if told.holds_tables and query.cls.answers else 0
+            most = told.objective or told.deadline  # of the line; an own one stands for one of each
+            able = free or [e for e in able if e.loads.get(tables, 0) * line <= most]
         mean = sum([e.threads for e in able]) / max(sum([e.cores for e in able]), 1) + LOAD_SLACK
         able = [e for e in able if e.threads <= mean * e.cores] or able
         engine = rotate(able, self.warmth)  # told cores, less while cold
@@ -433,9 +434,8 @@
                 engine.ill.add(self.now, 1)
                 self.finish(query)  # not begun when it was wanted: it only lengthens the line
         self.blocked(attempt) if event.topic == 3 and event.value == 2 else None
-        if event.topic == 1 and not event.value:
-            attempt.began = self.now  # it stands still, which tells nothing of its pace
-        elif event.topic == 1 and self.now != self.stalled:
+        attempt.began = self.now if event.topic == 1 and not event.value else attempt.began  # stands still
+        if event.topic == 1 and event.value and self.now != self.stalled:
             self.progress(attempt, event.value)
 
     def blocked(self, attempt):  # a load, also another gateway's, holds what it reads: elsewhere it runs
