End a request in one place, and with it what has not left for it; attempts have states

Seen: a client that left (or an answer given at the deadline) while the attempt waited for its dial. Where the settings forbid cancels the module asks for none (policy/control.py close), and net/resp.py connectionMade wrote the attempt when its connection came up, long after the client had gone. A time-out in that wait was told as LATE, which a class that is unsafe to repeat must take for one that may have run. An engine that began to drain in that wait got the attempt as well.

Cause: the end of a request was written seven times over (leave, gathered, ended, _refuse, _fail, _sweep, _turn_back), none of them knew of attempts; `Attempt.over` meant both that an end is on its way and that it is told, and was turned back.

Now `Coordinator._end` ends a request: closes, counts, answers, and takes back what has not left. `Attempt.state` says where an attempt stands; HELD and DIALLING prove that it never ran, and what is given up there ends at once (NOP where the request is over, else NOCONN). A list that has its engine draining or gone takes it back too. `ended` is the port's word and `_over` the end. An id of a request that was turned back is not new any more, as of any that was answered. An attempt that ends late no longer takes from `Coordinator.out` the entry of a request that came again under its id.

Without the mend in test_crossings_requests.py: test_an_attempt_that_waits_for_its_dial_is_never_sent... fails at `assert empty(site)` ("may not") or at `out_nop == 1`; test_a_time_out_before_the_dial... at the list of reasons (LATE comes a hand-over later); ..._leaves_an_engine_that_begins_to_drain at its second dial; ..._turned_back... at `known`; ..._under_its_id_again with a KeyError.

Ruled out (right before, kept as tests): all that can come inside the hand-over, an answer and a time-out in one turn in both orders, any two ends of a request, a send after the answer in one batch of actions.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from rackhub import interface as t
-from rackhub.core.request import Attempt, EnginePort, Query
+from rackhub.core.request import Attempt, EnginePort, Query, State
 from rackhub.core.timers import Clock, Timers
 from rackhub.counters import Counters
 from rackhub.limits import SECOND, Limits
@@ -47,6 +47,7 @@
         self.gathers: Gathers | None = None  # what is sent to several sites and answered once
         self.guide: Guide | None = None  # what the gateways of the fleet agree on, where they may speak to one another
         self._kinds: dict[str, str] = {}  # of engines, as the list has them
+        self._ready: set[str] = set()  # those of them that take new attempts
         self.on_idle: Callable[[], None] | None = None  # called when the last request has its answer
         self._control = Control(settings, seed)
         self._events: deque[object] = deque()
@@ -64,16 +65,22 @@
 
     def start(self, engines: EnginePort, entries: Sequence[t.EngineEntry], rev: int) -> None:
         self.engines = engines
-        self._kinds = {entry.engine: entry.kind for entry in entries}
         self._tell(t.Started())
-        self._tell(t.EngineList("Persisted", tuple(entries), rev))
+        self._list("Persisted", entries, rev)
         self._sweep()
 
     def listed(self, entries: Sequence[t.EngineEntry], rev: int) -> None:
         """The whole list of engines, as the resolver has it now."""
         self.counters.add("lists_told")
+        self._list("Complete", entries, rev)
+
+    def _list(self, scope: str, entries: Sequence[t.EngineEntry], rev: int) -> None:
         self._kinds = {entry.engine: entry.kind for entry in entries}
-        self._tell(t.EngineList("Complete", tuple(entries), rev))
+        self._ready = {entry.engine for entry in entries if entry.state == "Ready"}
+        self._tell(t.EngineList(scope, tuple(entries), rev))
+        for attempt in list(self.out.values()):  # a drain forbids what begins after it, whoever chose the engine before
+            if attempt.unsent and attempt.engine not in self._ready:
+                self._give_up(attempt, "NOCONN")
 
     def known(self, id: str) -> bool:
         """Whether a request of this id is open, or was answered or withdrawn lately. Ids are new with each request,
@@ -119,11 +126,8 @@
 
     def _turn_back(self, query: Query, why: str, backoff: int) -> None:
         """Refuse a request that was never taken on, at once, counted under `why`."""
-        query.closed = True
         self.counters.add(why)
-        self.counters.add("refused")
-        self._tally(query.cls, SHED)
-        query.reply.refused(query, backoff)
+        self._end(query, "refused", backoff)
 
     def ending(self, spare: int, capped: int) -> None:
         """SIGTERM came now. SIGKILL comes no sooner than the longest deadline, counted as `capped` where it is
@@ -136,45 +140,38 @@
 
     def leave(self, query: Query) -> None:
         """The client cancelled or is gone: no answer is owed, and what runs for it is stopped."""
-        if not query.closed:
-            self.counters.add("left")
-            self._close(query, "left")
-            self._answered(query)  # hundreds came under one id, each withdrawn at once
-            if not query.gathering:
-                self._tell(t.ClientLeft(query.id))
-            elif self.gathers is not None:
-                self.gathers.left(query)
+        if self._end(query, "left"):
+            self._call_off(query)
+
+    def _call_off(self, query: Query) -> None:
+        """It is over without the word of whoever decides on it."""
+        if not query.gathering:
+            self._tell(t.ClientLeft(query.id))
+        elif self.gathers is not None:
+            self.gathers.left(query)
 
     def gathered(self, query: Query, how: str, rows: Sequence[bytes] = (), backoff: int = 0) -> bool:
         """The answer of a request that `gathers` took: served with `rows` (and `query.mark`), refused with `backoff` in
         microseconds, or failed. False: it has had its answer, or its client is gone."""
-        if query.closed:
-            return False
-        self._close(query, how)
-        self._answered(query)
-        self.counters.add(how)
-        if how == "served":
-            query.reply.served(query, rows)
-        elif how == "refused":
-            query.reply.refused(query, min(backoff, self.settings.max_retry_after or backoff))
-        else:
-            query.reply.failed(query, "failed: too few of its sites have answered")
-        return True
+        return self._end(query, how, {"served": rows, "refused": min(backoff, self.settings.max_retry_after or backoff),
+                                      "failed": "failed: too few of its sites have answered"}[how])
 
     def ended(self, attempt: Attempt, reason: str, report: dict[str, float] | None = None,
               rows: Sequence[bytes] = ()) -> None:
-        """The one end of an attempt. With GOOD `rows` are all pages: the client has them before the module knows."""
-        if attempt.over:  # an end that crossed with a time-out or a cancel: the first one counts
-            return
-        attempt.over, query, now = True, attempt.query, self.clock.now()
+        """What the port tells of an attempt's end. With GOOD `rows` are all pages."""
+        if not attempt.over:  # an end that crossed with a time-out or a cancel: the first one counts
+            self._over(attempt, reason, report, rows)
+
+    def _over(self, attempt: Attempt, reason: str, report: dict[str, float] | None = None,
+              rows: Sequence[bytes] = ()) -> None:
+        """The one end of an attempt. Its client has the answer before the module knows."""
+        attempt.state, query, now = State.OVER, attempt.query, self.clock.now()
         query.out.pop(attempt.number, None)
-        sent = self.out.pop((query.id, attempt.number), None) is attempt
+        if sent := self.out.get((query.id, attempt.number)) is attempt:
+            del self.out[query.id, attempt.number]
         self.counters.add(f"out_{reason.lower()}")
-        if reason == "GOOD" and not query.closed:
-            self._close(query, "served")
-            self._answered(query)
-            self.counters.add("served")
-            query.reply.served(query, rows)
+        if reason == "GOOD":
+            self._end(query, "served", rows)
         again, wait, backoff = True, 0, 0
         if self.guide is not None and sent:
             self.guide.ended(attempt, reason, now)
@@ -242,14 +239,12 @@
         self.timers.at(self.clock.now() + act.delay, self._due, act.ref)
 
     def _refuse(self, act: t.Refuse) -> None:
-        if query := self._answerable(act.query, "refused"):
-            self.counters.add("refused")
-            query.reply.refused(query, act.retry_after)
+        if query := self.queries.get(act.query):
+            self._end(query, "refused", act.retry_after)
 
     def _fail(self, act: t.Fail) -> None:
-        if query := self._answerable(act.query, "failed"):
-            self.counters.add("failed")
-            query.reply.failed(query, "failed: its effect is not known")
+        if query := self.queries.get(act.query):
+            self._end(query, "failed", "failed: its effect is not known")
 
     def _close_idle(self, act: t.CloseIdle) -> None:
         self.engines.close_idle(act.engine)
@@ -260,40 +255,43 @@
     def _due(self, ref: int) -> None:
         self._tell(t.TimerFired(ref))
 
-    def _answered(self, query: Query) -> None:
-        """It is over for its client: its id is not new any more."""
-        self._recent[query.id] = None
-        if len(self._recent) > self.limits.recent_ids:
-            del self._recent[next(iter(self._recent))]
-
-    def _answerable(self, id: str, how: str) -> Query | None:
-        """The request that an answer of the module is for: closed here, so that a second one finds nothing."""
-        query = self.queries.get(id)
-        if query is not None:
-            self._close(query, how)
-            self._answered(query)
-        return query
-
     def _tally(self, cls: str, what: int) -> None:
         counts = self.by_class.get(cls)
         if counts is None:
             counts = self.by_class[cls] = [0, 0, 0, 0]
         counts[what] += 1
 
-    def _close(self, query: Query, how: str) -> None:
+    def _end(self, query: Query, how: str, *said: object) -> bool:
+        """The one end of a request: `how` (served, refused, failed or left) is counted, what has not left for it never
+        will, and its client is told what was `said`. False: it was over before."""
+        if query.closed:
+            return False
         query.closed = True
+        self._recent[query.id] = None  # its id is not new any more: hundreds came under one, each withdrawn at once
+        if len(self._recent) > self.limits.recent_ids:
+            del self._recent[next(iter(self._recent))]
+        self.counters.add(how)
         if (what := TALLY.get(how)) is not None:
             self._tally(query.cls, what)
+        if self.queries.get(query.id) is query:  # else it was turned back, and nobody knows of it
+            self._forget(query, how)
+        if how != "left":
+            getattr(query.reply, how)(query, *said)
+        for attempt in [attempt for attempt in query.out.values() if attempt.unsent]:
+            self._give_up(attempt, "NOP")
+        if not self.queries and self.on_idle:
+            self.on_idle()
+        return True
+
+    def _forget(self, query: Query, how: str) -> None:
+        del self.queries[query.id]
+        self._held -= len(query.statement)
         if self.ledger is not None and query.token:
             self.ledger.over(query, how)
         if query.life is not None and self.desk is not None:
             self.desk.end(query.life, self.clock.now())
         if self.guide is not None and not query.gathering:
             self.guide.closed(query, how, self.clock.now())
-        if self.queries.pop(query.id, None) is not None:
-            self._held -= len(query.statement)
-        if not self.queries and self.on_idle:
-            self.on_idle()
 
     def _send(self, act: t.Send) -> None:
         query, timeout = self.queries.get(act.query), act.timeout
@@ -305,13 +303,13 @@
         beside = bool(query.out) and (not self.settings.second_copies or len(query.out) > 1)
         if beside or query.tries >= self.settings.max_attempts or timeout < 0 or until <= now:
             self.counters.add("attempts_not_sent")
-            return self.ended(attempt, "NOP")
+            return self._over(attempt, "NOP")
         copy_after = 0
         if query.life is not None and self.desk is not None:
             kind, copy = self._kinds.get(act.engine, ""), bool(query.out) and query.copying
             if query.tries and not self.desk.may_send(query.life, query.tries, copy, now):
                 self.counters.add("attempts_not_sent")
-                return self.ended(attempt, "NOP")
+                return self._over(attempt, "NOP")
             sending = self.desk.sending(query.life, attempt.number, kind, copy, now)
             attempt.send_by, copy_after = sending.send_by, sending.copy_after
             if sending.timeout and now + sending.timeout < until:
@@ -329,6 +327,14 @@
             self.guide.sent(attempt, now)
         if copy_after and now + copy_after < until:
             self.timers.at(now + copy_after, self._copy_due, attempt)
+        self._begin(attempt)
+
+    def _begin(self, attempt: Attempt) -> None:
+        attempt.sent = self.clock.now()
+        if why := attempt.barred(attempt.sent):
+            self.counters.add("attempts_not_sent")
+            return self._over(attempt, why)
+        attempt.state = State.OUT
         self.engines.send(attempt)
 
     def _copy_due(self, attempt: Attempt) -> None:
@@ -357,21 +363,20 @@
             self._give_up(attempt, "CXL")
 
     def _give_up(self, attempt: Attempt, reason: str) -> None:
-        """Stop waiting for an attempt. Its outcome is told a little later, as the give-up has a way to go: a further
-        attempt that overtook it on another connection would be a second one out at the same time. What is written
-        leaves in the next turn of the loop, which may be a long one: so the time runs from the turn after."""
+        """Stop waiting for an attempt. One of which nothing has left ends at once, as one that surely never ran. The
+        outcome of any other is told a little later, as the give-up has a way to go: a further attempt that overtook it
+        on another connection would be a second one out at the same time. What is written leaves in the next turn of
+        the loop, which may be a long one: so the time runs from the turn after."""
         if attempt.over:  # it is on its way out already: a second hand-over would end it twice
             return
-        attempt.over = True
+        unsent, attempt.state = attempt.unsent, State.LEAVING
         self.engines.give_up(attempt)
+        if unsent:
+            return self._over(attempt, "NOP" if attempt.query.closed else "NOCONN")
         self.timers.at(self.clock.now(), self._left, attempt, reason)
 
     def _left(self, attempt: Attempt, reason: str) -> None:
-        self.timers.at(self.clock.now() + self.limits.handover, self._given_up, attempt, reason)
-
-    def _given_up(self, attempt: Attempt, reason: str) -> None:
-        attempt.over = False
-        self.ended(attempt, reason)
+        self.timers.at(self.clock.now() + self.limits.handover, self._over, attempt, reason)
 
     def _sweep(self) -> None:
         """Time-outs, and the backstop for requests whose deadline the module has let pass.
@@ -391,15 +396,8 @@
         # by the time the sweep was due at: run late, it comes before the module's own timers of the time since
         edge = min(now, self._sweep_due) - self.limits.backstop
         for query in [query for query in self.queries.values() if query.deadline <= edge]:
-            if not query.closed:
+            if self._end(query, "failed", "deadline passed"):
                 self.counters.add("backstop_answers")
-                self._close(query, "failed")
-                self._answered(query)
-                self.counters.add("failed")
-                query.reply.failed(query, "deadline passed")
-                if not query.gathering:
-                    self._tell(t.ClientLeft(query.id))
-                elif self.gathers is not None:
-                    self.gathers.left(query)
+                self._call_off(query)
         self._sweep_due = now + self.limits.sweep
         self.timers.at(self._sweep_due, self._sweep)
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -1,5 +1,6 @@
 """What passes between fronts, core and engine ports: requests, attempts, and where answers go."""
 
+import enum
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -38,17 +39,42 @@
         self.fixed = self.copying = False  # its priority is the operator's; a second copy is being asked for
 
 
+class State(enum.Enum):
+    """Where an attempt stands. Before `OUT` nothing of it has left, which proves that it never ran."""
+
+    HELD = enum.auto()  # not with the port yet
+    DIALLING = enum.auto()  # with the port, whose connection for it is not up: set by the port, as is `OUT` after it
+    OUT = enum.auto()
+    LEAVING = enum.auto()  # given up, and that has a way to go: what still comes of it counts for nothing
+    OVER = enum.auto()
+
+
 class Attempt:
     """One try of a query on an engine. `link` is the port's own: what carries the attempt."""
 
-    __slots__ = ("query", "number", "engine", "sent", "until", "over", "link", "send_by", "timed")
+    __slots__ = ("query", "number", "engine", "sent", "until", "state", "link", "send_by", "timed")
 
     def __init__(self, query: Query, number: int, engine: str, sent: int):
         self.query, self.number, self.engine, self.sent = query, number, engine, sent
-        self.until, self.over, self.link = sent, False, None
+        self.until, self.state, self.link = sent, State.HELD, None
         self.send_by = 0  # a port that has not sent it by then must not: 0, no such time
         self.timed = False  # its time is the operator's, not what is left of the request's
 
+    @property
+    def over(self) -> bool:
+        """Whether its end is told or on its way."""
+        return self.state in (State.LEAVING, State.OVER)
+
+    @property
+    def unsent(self) -> bool:
+        """Whether it surely never ran, as nothing of it has left."""
+        return self.state in (State.HELD, State.DIALLING)
+
+    def barred(self, now: int) -> str:
+        """Why it must not leave now, as its end is worded; empty: it may. A key that is too old
+        is one that an engine may have forgotten."""
+        return "NOCONN" if 0 < self.send_by <= now else ""
+
 
 class EnginePort(Protocol):
     """The way to the engines. It reports by `Coordinator.ended` and `.noted`."""
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -16,7 +16,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.request import Attempt
+from rackhub.core.request import Attempt, State
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
@@ -142,6 +142,8 @@
         self.open[attempt.query.id.encode()] = attempt
         if self.up:
             self._write(attempt)
+        else:
+            attempt.state = State.DIALLING
 
     def give_up(self, attempt: Attempt) -> None:
         id, now = attempt.query.id.encode(), self.clock.now()
@@ -214,7 +216,7 @@
             self.close_if_idle()
 
     def _write(self, attempt: Attempt) -> None:
-        query = attempt.query
+        attempt.state, query = State.OUT, attempt.query
         left = max((query.deadline - self.clock.now()) // 1_000, 1)
         fields = b"profile=%s,max=%d,level=%d" % (query.cls.encode(), left, query.level)
         if query.token:
@@ -226,14 +228,24 @@
     # ---- Twisted
 
     def connectionMade(self) -> None:
-        self.up, self.heard = True, self.clock.now()
+        self.heard = self.clock.now()
         self.transport.setTcpNoDelay(True)
+        self._end_barred()
+        self._opened()
+
+    def _end_barred(self) -> None:
         for id, attempt in list(self.open.items()):
-            if attempt.send_by and self.heard >= attempt.send_by:  # it waited too long for this: its key is stale
+            if why := attempt.barred(self.clock.now()):  # it waited too long for this
                 del self.open[id]
-                self.core.ended(attempt, "NOCONN")
-            else:
-                self._write(attempt)
+                self.core.ended(attempt, why)
+
+    def _opened(self) -> None:
+        if self.closed:  # lost meanwhile, or what came on it was no answer
+            return self.transport.abortConnection()
+        self._end_barred()
+        self.up = True
+        for attempt in self.open.values():
+            self._write(attempt)
         self.transport.registerProducer(self, False)  # asked for more at once, and again when all has left
 
     # what the transport tells a producer: here only that the first bytes have left
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -17,7 +17,7 @@
 from twisted.internet.interfaces import IReactorTCP
 
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.request import Attempt
+from rackhub.core.request import Attempt, State
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
@@ -66,6 +66,7 @@
     def carry(self, attempt: Attempt) -> None:
         attempt.link = self
         self._attempt = attempt
+        attempt.state = State.DIALLING
         if self.state == self.READY:
             self._call()
 
@@ -142,13 +143,13 @@
 
     def _call(self) -> None:
         query, now = self._attempt.query, self.clock.now()
-        if self._attempt.send_by and now >= self._attempt.send_by:  # it waited for the login: its key is stale
-            return self._end("NOCONN")
+        if why := self._attempt.barred(now):  # it waited for the login
+            return self._end(why)
         arguments = {"@id": query.id, "@class": query.cls, "@budget_ms": max((query.deadline - now) // 1_000, 1),
                      "@level": query.level, "@statement": query.statement.decode("utf-8", "surrogateescape")}
         if query.token:
             arguments["@key"] = query.token
-        self.state, self.used = self.BUSY, now
+        self.state, self.used, self._attempt.state = self.BUSY, now, State.OUT
         self._start_answer()
         try:
             body = codec.rpc("rackhub_want", arguments)
--- /dev/null
+++ b/tests/test_crossings_requests.py
@@ -0,0 +1,318 @@
+"""Requests, attempts and clients that go, where two events cross: each order is made to happen, by peers and ports that
+the test holds, a clock that it moves and a loop that it turns one turn at a time. Nothing here waits for an order."""
+
+import base64
+import json
+import socket
+
+import pytest
+from msgspec.structs import replace
+from stands import LIMITS, MS, SETTINGS, S, Site, Stand, spin
+from test_core import Core, Scripted
+from twisted.internet import reactor
+
+from rackhub import interface as t
+from rackhub.core.request import State
+from rackhub.net.pool import DialFactory
+
+ROWS = b"a\tb\tc\n"
+
+
+def answers(connection, word, id, *_):
+    if word == b"want":
+        connection.say(id, b"200", b"chunks=1", ROWS)
+
+
+class Raw:
+    """A client on a plain socket: what it does is in the kernel at once, and the program's loop has not turned."""
+
+    def __init__(self, site):
+        front = site.fronts[0]
+        known = set(front.connections)
+        self.socket = socket.create_connection(("127.0.0.1", site.ports[0].getHost().port))
+        site.raw.append(self)
+        spin(lambda: len(front.connections) > len(known))
+        self.served_by, = front.connections - known
+
+    def ask(self, number, budget=2_000, cls="lookup"):
+        body = base64.b64encode(b"SELECT 1 FROM a_3.b").decode()
+        self.say({"jsonrpc": "2.0", "id": number, "method": cls, "params": {
+            "rid": f"{number:016x}", "budget": budget, "acct": "acme", "body": body, "token": "k"}})
+        return f"{number:016x}"
+
+    def cancel(self, number):
+        self.say({"jsonrpc": "2.0", "id": None, "method": "cancelRequest", "params": {"id": number}})
+
+    def say(self, message):
+        self.socket.sendall(json.dumps(message).encode() + b"\n")
+
+    def go(self, number, how):
+        self.cancel(number) if how == "cancel" else self.socket.close()
+
+    def heard(self):
+        """All answers that are there."""
+        self.socket.setblocking(False)
+        try:
+            return [json.loads(line) for line in self.socket.recv(1 << 20).splitlines()]
+        except BlockingIOError:
+            return []
+
+
+class Held:
+    """The way to engines, with each dial in the test's hands: it is made when the test releases it."""
+
+    def __init__(self, pools):
+        self.make, self.waiting = pools._dial._make, []
+        pools._dial = self
+
+    def __call__(self, pool):
+        link = self.make(pool)
+        self.waiting.append((pool, link))
+        return link
+
+    def release(self):
+        """The oldest dial is made, and has come up on both sides."""
+        pool, link = self.waiting.pop(0)
+        reactor.connectTCP(*pool.address, DialFactory(pool, link))
+        return link
+
+
+@pytest.fixture
+def site(request):
+    """A coordinator with two engines that answer nothing unless told to. Indirect parameters: further arguments."""
+    here = Site(Stand(), Stand(), **getattr(request, "param", {}))
+    here.raw = []
+    yield here
+    for client in here.raw:
+        client.socket.close()
+    here.close()
+
+
+def turn(site):
+    """One turn of the loop in the reactor's order: calls that are due, once, then whatever can be read."""
+    if site.clock._wake and site.clock._wake[0] <= site.clock.time:
+        (_, call), site.clock._wake = site.clock._wake, None
+        call()
+    reactor.iterate(0)
+
+
+def turns(site, count=12):
+    for _ in range(count):
+        turn(site)
+
+
+def late(site, span=200 * MS):
+    """The loop stood still: time has passed, and no call was made and nothing read meanwhile."""
+    site.clock.time += span
+
+
+def wants(site):
+    return [words for stand in site.stands for words in stand.wants()]
+
+
+def empty(site):
+    """Nothing of any request is left anywhere."""
+    links = [link for pool in site.pools.pools.values() for link in pool.links]
+    return not (site.core.queries or site.core.out or any(link.open for link in links)
+                or any(connection.open for connection in site.fronts[0].connections))
+
+
+def warm(site):
+    """A connection to e0 is up, and all is at rest."""
+    site.stands[0].act = answers
+    client = Raw(site)
+    script(site, lambda event: [t.Send(event.query, "e0")])
+    client.ask(0xfff)
+    spin(lambda: empty(site) and wants(site))
+    site.stands[0].act = lambda *_: None
+    site.stands[0].heard.clear()
+
+
+def script(site, arrived, **acts):
+    """A module that does what the test says."""
+    site.core._control = module = Scripted()
+    module.acts[t.QueryArrived] = arrived
+    for name, act in acts.items():
+        module.acts[getattr(t, name)] = act
+    return module
+
+
+# ---- the client goes, or its answer is given, while the attempt waits for its connection
+
+
+SILENT = {"settings": t.Settings(**{name: getattr(SETTINGS, name) for name in SETTINGS.__slots__ if name != "cancel"})}
+
+
+@pytest.mark.parametrize("how", ["close", "cancel", "deadline"])
+@pytest.mark.parametrize("site", [{}, SILENT], ids=["may cancel", "may not"], indirect=True)
+def test_an_attempt_that_waits_for_its_dial_is_never_sent_once_its_request_is_over(site, how):
+    """Where a site forbids cancels, the module asks for none, and the attempt left as its connection came up."""
+    held, client = Held(site.pools), Raw(site)
+    client.ask(1, budget=900)
+    spin(lambda: held.waiting)
+    if how == "deadline":
+        site.clock.advance(S)
+    else:
+        client.go(1, how)
+    spin(lambda: not site.core.queries)
+    assert empty(site)
+    link = held.release()
+    spin(lambda: link.up)
+    turns(site)
+    assert wants(site) == [] and empty(site) and site.counters["out_nop"] == 1
+    assert len(client.heard() if how == "deadline" else []) == (how == "deadline")
+
+
+def test_a_time_out_before_the_dial_has_ended_proves_that_nothing_ran(site):
+    """It was told as late, which a class that is unsafe to repeat has to take for one that may have run."""
+    held, client = Held(site.pools), Raw(site)
+    module = script(site, lambda event: [t.Send(event.query, "e0", 200 * MS)],
+                    AttemptEnded=lambda event: [t.Send(event.query, "e1")])
+    client.ask(1)
+    spin(lambda: held.waiting)
+    site.clock.advance(200 * MS + LIMITS.sweep)
+    assert [event.reason for event in module.events if isinstance(event, t.AttemptEnded)] == ["NOCONN"]
+    site.stands[1].act = answers
+    first, second = held.release(), held.release()
+    spin(lambda: first.up and second.up and empty(site))
+    assert not site.stands[0].wants() and len(site.stands[1].wants()) == 1
+
+
+def test_an_attempt_that_waits_for_its_dial_leaves_an_engine_that_begins_to_drain(site):
+    held, client = Held(site.pools), Raw(site)
+    script(site, lambda event: [t.Send(event.query, "e0")], AttemptEnded=lambda event: [t.Send(event.query, "e1")])
+    client.ask(1)
+    spin(lambda: held.waiting)
+    site.core.listed([t.EngineEntry("e0", "z", "std", state="Draining"), t.EngineEntry("e1", "z", "std")], 2)
+    site.stands[1].act = answers
+    first, second = held.release(), held.release()
+    spin(lambda: first.up and second.up and empty(site))
+    assert not site.stands[0].wants() and len(site.stands[1].wants()) == 1
+
+
+# ---- inside the hand-over from a give-up to its end
+
+
+def handing_over(here, module):
+    module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0", 200 * MS)]
+    module.acts[t.AttemptEnded] = lambda event: [] if event.settled else [t.Send(event.query, "e1")]
+    query = here.ask(budget=2 * S)
+    attempt, = here.port.sent
+    here.clock.advance(200 * MS + LIMITS.sweep)
+    assert attempt.state is State.LEAVING
+    return query, attempt
+
+
+@pytest.mark.parametrize("event", ["leaves", "answer", "reset", "cancel", "time-out again", "backstop", "refused"])
+def test_what_comes_inside_the_hand_over_ends_the_attempt_once_and_the_request_once(event):
+    module = Scripted()
+    here = Core(module)
+    query, attempt = handing_over(here, module)
+    if event == "leaves":
+        here.core.leave(query)
+        here.core.leave(query)
+    elif event in ("answer", "reset"):
+        here.core.ended(attempt, "GOOD" if event == "answer" else "RST", {}, (ROWS,))
+    elif event == "cancel":
+        here.core._cancel(t.Cancel(query.id, 0))
+    elif event == "time-out again":
+        here.core._give_up(attempt, "LATE")
+    elif event == "backstop":
+        query.deadline = here.clock.now() - LIMITS.backstop - LIMITS.sweep
+        here.core._sweep()
+    else:
+        here.core._refuse(t.Refuse(query.id, 5))
+        here.core._fail(t.Fail(query.id))
+    assert list(here.core.out.values()) == [attempt] and here.port.given_up == [attempt]
+    here.clock.advance(LIMITS.handover + MS)
+    over = event in ("leaves", "backstop", "refused")
+    assert [sent.engine for sent in here.port.sent] == ["e0"] if over else ["e0", "e1"]
+    assert here.counters["out_late"] == 1 and not here.counters["out_good"] and not here.counters["out_rst"]
+    if not over:
+        here.core.ended(here.port.sent[-1], "GOOD", {}, (ROWS,))
+    assert len(here.port.answers) == (event != "leaves") and not here.core.queries and not here.core.out
+    ended = [told for told in module.events if isinstance(told, t.AttemptEnded)]
+    assert [told.attempt for told in ended] == ([0] if over else [0, 1])
+
+
+@pytest.mark.parametrize("first", ["answer", "time-out"])
+def test_an_answer_and_a_time_out_in_one_turn_give_one_answer(site, first):
+    warm(site)
+    client = Raw(site)
+    script(site, lambda event: [t.Send(event.query, "e0", 200 * MS)],
+           AttemptEnded=lambda event: [] if event.settled else [t.Refuse(event.query, 5)])
+    id = client.ask(1).encode()
+    spin(lambda: wants(site))
+    answer = site.stands[0].connections[0].say
+    if first == "answer":
+        answer(id, b"200", b"chunks=1", ROWS)
+        spin(lambda: not site.core.queries)
+        late(site)
+    else:
+        site.clock.advance(200 * MS + LIMITS.sweep)
+        answer(id, b"200", b"chunks=1", ROWS)  # it crosses the give-up
+        spin(lambda: site.counters["engine_strays"])
+        site.clock.advance(LIMITS.handover + MS)
+    answer(id, b"200", b"chunks=1", ROWS)  # and a second one
+    spin(lambda: site.counters["engine_strays"] == 1 + (first == "time-out"))
+    turns(site)
+    assert ["result" in answer for answer in client.heard()] == [first == "answer"]
+    assert empty(site) and site.counters["served"] + site.counters["refused"] == 1 + 1  # and that of `warm`
+
+
+# ---- one end of a request, whoever brings it
+
+
+ENDS = {
+    "served": lambda here, query: here.core.ended(next(iter(query.out.values())), "GOOD", {}, (ROWS,)),
+    "refused": lambda here, query: here.core._refuse(t.Refuse(query.id, 5)),
+    "failed": lambda here, query: here.core._fail(t.Fail(query.id)),
+    "left": lambda here, query: here.core.leave(query)}
+
+
+@pytest.mark.parametrize("second", ENDS)
+@pytest.mark.parametrize("first", ENDS)
+def test_two_ends_of_a_request_in_one_turn_count_and_tell_one(first, second):
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0")]
+    here = Core(module)
+    query = here.ask()
+    attempt, = here.port.sent
+    ENDS[first](here, query)
+    ENDS[second](here, query) if query.out else here.core.ended(attempt, "GOOD", {}, (ROWS,))
+    here.clock.advance(3 * S)
+    here.core.ended(attempt, "GOOD", {}, (ROWS,))
+    counts = {how: here.counters[how] for how in ENDS}
+    assert counts == {how: int(how == first) for how in ENDS} and not here.core.queries and not here.core.out
+    assert [kind for kind, *_ in here.port.answers] == [first] * (first != "left") and here.core._held == 0
+
+
+def test_a_send_after_the_answer_in_one_batch_sends_nothing():
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: [t.Refuse(event.query, 5), t.Send(event.query, "e0")]
+    here = Core(module)
+    here.ask()
+    assert here.port.sent == [] and len(here.port.answers) == 1 and not here.core.out
+
+
+def test_a_request_that_is_turned_back_has_one_end_and_its_id_is_not_new():
+    here = Core(limits=replace(LIMITS, held_requests=0))
+    query = here.ask()
+    here.core.leave(query)  # its client goes in the same turn
+    assert here.core.known(query.id) and [kind for kind, *_ in here.port.answers] == ["refused"]
+    assert here.counters["refused"] == 1 and not here.counters["left"] and here.core._held == 0
+
+
+def test_an_attempt_that_ends_late_takes_nothing_from_a_request_that_came_under_its_id_again():
+    """Attempts are kept by their request's id and their number, and few ids are remembered."""
+    module = Scripted()
+    module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0")]
+    here = Core(module, limits=replace(LIMITS, recent_ids=1))
+    first = here.ask()
+    here.core.leave(first)
+    here.core.leave(here.ask())
+    here.made = 0
+    second = here.ask()
+    assert second.id == first.id
+    here.core.ended(here.port.sent[0], "RST")
+    assert here.core.out[second.id, 0] is second.out[0]
