Begin no attempt in a late turn of the loop before the sockets were read

Seen: a client closes or cancels while the loop stands still for 0.2 s; then a back-off ends, an engine's refusal is read, a dial comes up, or the request itself is read with its client's end behind it. The attempt left for a client that had gone long before.

Cause: Twisted makes the calls that are due before it reads, and of one read neither the end behind its bytes nor what came since the events were fetched is seen. Nothing told a late turn from one in time.

Now `Timers.when_read` puts a call off where the last wake-up or the present turn is more than `limits.unread_turn` late: for two turns, in which every socket is read, also behind its last bytes; once and never again, so that nothing starves. Attempts (`Coordinator._send`) and the writes of a dial that has come up (`EngineConnection._opened`) go by it; deadlines, time-outs and answers do not wait.

Without the mend: the tests under "the loop is late" fail at their count of wants.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -327,9 +327,12 @@
             self.guide.sent(attempt, now)
         if copy_after and now + copy_after < until:
             self.timers.at(now + copy_after, self._copy_due, attempt)
-        self._begin(attempt)
+        self.timers.when_read(self.limits.unread_turn, self._begin, attempt)
 
     def _begin(self, attempt: Attempt) -> None:
+        """The attempt goes to the port, unless it was called off while it was held."""
+        if attempt.state is not State.HELD:
+            return
         attempt.sent = self.clock.now()
         if why := attempt.barred(attempt.sent):
             self.counters.add("attempts_not_sent")
--- a/rackhub/core/timers.py
+++ b/rackhub/core/timers.py
@@ -25,6 +25,7 @@
         self._clock, self._waker = clock, waker
         self._heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._asked, self._armed = 0, 0
+        self._late = 0  # by how much the last wake-up was late
 
     def at(self, when: int, call: Callable[..., None], *args: Any) -> None:
         self._asked += 1
@@ -37,9 +38,19 @@
         if self._armed:
             self._waker.wake_after(max(self._armed - self._clock.now(), 0), self.run_due)
 
+    def when_read(self, late: int, call: Callable[..., None], *args: Any) -> None:
+        """Call now; where the loop is more than `late` behind its time, after all sockets have been read twice. The
+        loop makes calls that are due before it reads, and what it reads may be long there: a client's end may lie in
+        the kernel, alone or behind its last bytes, that a turn in time would have seen. Put off once, never again."""
+        now = self._clock.now()
+        if max(self._late, now - (self._armed or now)) <= late:
+            return call(*args)
+        self.at(now, lambda: self.at(self._clock.now(), call, *args))
+
     def run_due(self) -> None:
         """Make the calls that are due; those asked for meanwhile wait for the next turn of the loop."""
         now, last = self._clock.now(), self._asked
+        self._late = now - self._armed
         held = []
         while self._heap and self._heap[0][0] <= now:
             due = heapq.heappop(self._heap)
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -35,6 +35,7 @@
     penance_most: int = 1 * SECOND
     recent_ids: int = 2_048  # ids of requests answered last, which are not new
     linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes
+    unread_turn: int = 30 * MS  # the loop is so late: attempts wait until sockets are read; clients may have gone
 
     # engines
     dial_timeout: int = 250 * MS
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -231,7 +231,7 @@
         self.heard = self.clock.now()
         self.transport.setTcpNoDelay(True)
         self._end_barred()
-        self._opened()
+        self.core.timers.when_read(self.limits.unread_turn, self._opened)
 
     def _end_barred(self) -> None:
         for id, attempt in list(self.open.items()):
--- a/tests/test_crossings_requests.py
+++ b/tests/test_crossings_requests.py
@@ -137,6 +137,95 @@
     return module
 
 
+# ---- the loop is late, and the client's end lies in the kernel
+
+
+@pytest.mark.parametrize("how", ["close", "cancel"])
+def test_a_back_off_that_ends_in_a_late_turn_begins_nothing_for_a_client_that_has_gone(site, how):
+    """The loop makes its calls before it reads: the further attempt began for a client that had gone long before."""
+    client = Raw(site)
+    module = script(site, lambda event: [t.Send(event.query, "e0")], AttemptEnded=[t.Timer(100 * MS, 1)],
+                    TimerFired=lambda event: [t.Send(f"{1:016x}", "e1")])
+    client.ask(1)
+    spin(lambda: wants(site))
+    site.stands[0].connections[0].say(f"{1:016x}".encode(), b"503")
+    spin(lambda: site.counters["out_full"])
+    client.go(1, how)
+    late(site)
+    turns(site)
+    assert len(wants(site)) == 1 and empty(site) and site.counters["left"] == 1
+    assert any(isinstance(event, t.TimerFired) for event in module.events)
+
+
+@pytest.mark.parametrize("span", [60 * MS, 200 * MS])
+@pytest.mark.parametrize("order", ["calls first", "reads first"])
+def test_a_request_read_in_a_late_turn_with_its_clients_end_behind_it_is_not_begun(site, order, span):
+    """Reads come first where it is the reading itself that takes so long."""
+    warm(site)
+    client = Raw(site)
+    client.ask(1)
+    client.socket.close()  # behind the request: the read that brings the one does not show the other
+    late(site, span)
+    if order == "reads first":
+        reactor.iterate(0)
+    turns(site)
+    assert wants(site) == [] and empty(site)
+    assert site.counters["left"] + site.counters["over_behind"] == 1
+
+
+@pytest.mark.parametrize("order", ["calls first", "reads first"])
+def test_an_answer_read_in_a_late_turn_begins_nothing_for_a_client_that_has_gone(site, order):
+    """An engine that is full sends the request elsewhere: not if its client's end lies unread since the loop stood."""
+    warm(site)
+    client = Raw(site)
+    script(site, lambda event: [t.Send(event.query, "e0")],
+           AttemptEnded=lambda event: [] if event.settled else [t.Send(event.query, "e1")])
+    client.ask(1)
+    spin(lambda: wants(site))
+    client.served_by.transport.stopReading()  # the turn's events were fetched before the client's end came
+    site.stands[0].connections[0].say(f"{1:016x}".encode(), b"503")
+    client.socket.close()
+    late(site)
+    for _ in range(100):
+        if site.counters["out_full"]:
+            break
+        turn(site) if order == "calls first" else reactor.iterate(0)
+        late(site)
+    client.served_by.transport.startReading()
+    turns(site)
+    assert site.counters["out_full"] == 1 and len(wants(site)) == 1 and empty(site)
+
+
+def test_a_dial_that_ends_in_a_late_turn_writes_nothing_for_a_client_that_has_gone(site):
+    held, client = Held(site.pools), Raw(site)
+    script(site, lambda event: [t.Send(event.query, "e0")])
+    client.ask(1)
+    spin(lambda: held.waiting)
+    client.served_by.transport.stopReading()
+    client.socket.close()
+    link = held.release()
+    late(site)
+    spin(lambda: link.transport is not None and link.transport.connected)
+    client.served_by.transport.startReading()
+    turns(site)
+    spin(lambda: link.up)
+    turns(site)
+    assert wants(site) == [] and empty(site)
+
+
+def test_a_late_turn_holds_an_attempt_back_for_two_turns_and_no_longer(site):
+    """Nothing starves: with the loop late in every turn it goes out all the same, once the sockets were read."""
+    warm(site)
+    client = Raw(site)
+    client.ask(1)
+    for _ in range(6):
+        late(site, 60 * MS)
+        turn(site)
+    assert len(wants(site)) == 1
+    site.stands[0].connections[0].say(f"{1:016x}".encode(), b"200", b"chunks=1", ROWS)
+    spin(lambda: empty(site))
+
+
 # ---- the client goes, or its answer is given, while the attempt waits for its connection
 
 
@@ -190,6 +279,18 @@
     assert not site.stands[0].wants() and len(site.stands[1].wants()) == 1
 
 
+def test_an_attempt_held_in_a_late_turn_leaves_an_engine_that_begins_to_drain():
+    here = Core(module := Scripted())
+    module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0")]
+    module.acts[t.AttemptEnded] = lambda event: [t.Send(event.query, "e1")]
+    here.clock.time += 200 * MS
+    query = here.ask()
+    assert [attempt.state for attempt in query.out.values()] == [State.HELD]
+    here.core.listed([t.EngineEntry("e0", state="Draining"), t.EngineEntry("e1")], 2)
+    here.clock.advance(0)
+    assert [attempt.engine for attempt in here.port.sent] == ["e1"]
+
+
 # ---- inside the hand-over from a give-up to its end
 
 
