Begin no attempt for a client that is not being read from

Seen: a client that takes none of its answers, or is slowed for its faults, is paused; its close can't be seen, and further attempts of what it has open went on for as long as that lasted.

Now `Reply.deaf` says so (the front sets it), and `Attempt.barred`, asked when an attempt goes to the port and when its dial has come up, ends it as one that never ran and has no time (NOP): the module gives the request its one answer.

Without the mend: test_nothing_begins_for_a_client_that_is_not_read_from... fails at `len(here.port.sent) == further`, and test_a_dial_that_ends_while_the_client_is_not_read_from... at its list of wants.

--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -10,7 +10,10 @@
 
 class Reply(Protocol):
     """Where a front takes its one answer. `rows` are the pages of the result, in order. One that has
-    `marks` true tells beside them what stands in `Query.mark`; no other is given an answer that needs it."""
+    `marks` true tells beside them what stands in `Query.mark`; no other is given an answer that needs it.
+    While `deaf` is true nothing is read from the client, so it can't be seen that it has gone."""
+
+    deaf: bool = False
 
     def served(self, query: "Query", rows: Sequence[bytes]) -> None: ...
     def refused(self, query: "Query", backoff: int) -> None: ...
@@ -71,8 +74,10 @@
         return self.state in (State.HELD, State.DIALLING)
 
     def barred(self, now: int) -> str:
-        """Why it must not leave now, as its end is worded; empty: it may. A key that is too old
-        is one that an engine may have forgotten."""
+        """Why it must not leave now, as its end is worded; empty: it may. A client that is not read from may have gone
+        long ago; a key that is too old is one that an engine may have forgotten."""
+        if self.query.reply.deaf:
+            return "NOP"
         return "NOCONN" if 0 < self.send_by <= now else ""
 
 
--- a/rackhub/gather/desk.py
+++ b/rackhub/gather/desk.py
@@ -10,7 +10,7 @@
 
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.gather import Missing
-from rackhub.core.request import Query
+from rackhub.core.request import Query, Reply
 from rackhub.core.source import Address, Listing
 from rackhub.fleet.ports import Level
 from rackhub.gather import hops
@@ -30,7 +30,7 @@
     def call_off(self) -> None: ...
 
 
-class Local:
+class Local(Reply):
     """A part that runs in this list's zones: a request of the core's own, whose answer comes here."""
 
     __slots__ = ("desk", "open", "site", "number", "query", "over")
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -73,7 +73,7 @@
     unread: int
 
 
-class Client:
+class Client(Reply):
     """One client's connection, as far as the rules of service go; the front's protocol fills in the rest.
 
     `half_since` is when a message began that has not come whole, `choked_since` when the client stopped taking what
--- a/rackhub/timings/rig.py
+++ b/rackhub/timings/rig.py
@@ -16,7 +16,7 @@
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.request import Attempt, Query
+from rackhub.core.request import Attempt, Query, Reply
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.limits import Limits
@@ -138,7 +138,7 @@
     unanswered: int
 
 
-class Rig:
+class Rig(Reply):
     """One run."""
 
     def __init__(self, scene: Scene, routes: Sequence[Route] | None, seed: int):
--- a/rackhub/trials/fleet/overload_world.py
+++ b/rackhub/trials/fleet/overload_world.py
@@ -11,7 +11,7 @@
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.request import Attempt, Query
+from rackhub.core.request import Attempt, Query, Reply
 from rackhub.core.source import Listing
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
@@ -138,7 +138,7 @@
     def tell(self, peer: int, contents: bytes) -> None: ...
 
 
-class Request:
+class Request(Reply):
     """One request of a client, over all gateways that it is carried to."""
 
     def __init__(self, world: "World", number: int, cls: str, tenant: str, work: float, until: int):
--- a/rackhub/trials/virtual/cost.py
+++ b/rackhub/trials/virtual/cost.py
@@ -13,7 +13,7 @@
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.request import Attempt, Query
+from rackhub.core.request import Attempt, Query, Reply
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.limits import Limits
@@ -54,7 +54,7 @@
         self.time = until
 
 
-class Answers:
+class Answers(Reply):
     """Engines, and the clients that take what they say: the oldest attempt is answered when room is needed."""
 
     def __init__(self, engines: int):
--- a/rackhub/trials/virtual/rig.py
+++ b/rackhub/trials/virtual/rig.py
@@ -16,7 +16,7 @@
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
-from rackhub.core.request import Attempt, Query
+from rackhub.core.request import Attempt, Query, Reply
 from rackhub.core.source import Listing
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
@@ -349,7 +349,7 @@
                                estimate=work, tenant="one", tables=self.random.randrange(50)))
 
 
-class World:
+class World(Reply):
     """The clock, the engines, the resolver, and what is counted."""
 
     def __init__(self, scene: Scene, seed: int = 1, limits: Limits | None = None):
--- a/tests/test_crossings_requests.py
+++ b/tests/test_crossings_requests.py
@@ -291,6 +291,47 @@
     assert [attempt.engine for attempt in here.port.sent] == ["e1"]
 
 
+# ---- a client that is not read from
+
+
+@pytest.mark.parametrize("further", [False, True])
+def test_nothing_begins_for_a_client_that_is_not_read_from_and_it_has_one_answer(further):
+    here = Core()
+    here.port.deaf = not further
+    here.ask()
+    if further:
+        here.port.deaf = True
+        here.core.ended(here.port.sent[0], "FULL")
+    here.clock.advance(2 * S)
+    assert len(here.port.sent) == further and [kind for kind, *_ in here.port.answers] == ["refused"]
+    assert not here.core.queries and not here.core.out
+
+
+def test_a_dial_that_ends_while_the_client_is_not_read_from_writes_nothing(site):
+    held, client = Held(site.pools), Raw(site)
+    client.ask(1)
+    spin(lambda: held.waiting)
+    query, = site.core.queries.values()
+    query.reply = Deaf(query.reply)
+    link = held.release()
+    spin(lambda: link.up)
+    site.clock.advance(3 * S)
+    spin(lambda: empty(site))
+    assert wants(site) == [] and len(query.reply.said) == 1
+
+
+class Deaf:
+    """The client's connection as it is while it is paused."""
+
+    deaf = True
+
+    def __init__(self, connection):
+        self.connection, self.said = connection, []
+
+    def __getattr__(self, how):
+        return lambda query, *said: (self.said.append(how), getattr(self.connection, how)(query, *said))
+
+
 # ---- inside the hand-over from a give-up to its end
 
 
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -415,6 +415,8 @@
 
 
 class Client:
+    deaf = False
+
     def __init__(self, marks=True):
         self.marks, self.said = marks, []
 
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import logging
+from types import SimpleNamespace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -24,6 +25,7 @@
 
 STEPS = settings(derandomize=True, max_examples=25, stateful_step_count=40, deadline=None, database=None)
 CUTS = st.lists(st.integers(1, 40), max_size=3)
+HEARD = SimpleNamespace(deaf=False)  # a client that is read from
 BACK = (("served", [b"a\tb\tc\n", b"d\te\tf\n"]), ("refused", 250_500), ("failed", "why"))
 
 
@@ -314,7 +316,7 @@
     @rule()
     def carry(self):
         id = f"{next(self.numbers):016x}"
-        query = Query(id, "depot-load", b"INSERT", self.core.clock.now() + 9 * S, None, token="key")
+        query = Query(id, "depot-load", b"INSERT", self.core.clock.now() + 9 * S, HEARD, token="key")
         attempt = self.attempts[id] = Attempt(query, 0, "e0", self.core.clock.now())
         assert self.connection.takes(attempt) != self.silent
         if self.silent:
