Send a keyed repeat within its class's window, and nothing for a client that went during the dial

Seen: whether a repeat is still within its window was asked when it was decided on (further.py may_resend), not when it was written. One that then waited for its dial left up to dial_timeout later, beyond a short window; `send_by` stood only where an operator's terms set it. In the same wait a client could go: where the site allows no cancel the module calls nothing off, and connectionMade wrote the attempt whenever the dial ended.

Now the core notes of a keyed request which attempts may have run and since when, and sets `send_by` of each further one from the earliest of them, the window less a twentieth (at least limits.handover). The operator's term still holds where it is shorter. `Attempt.may_leave` says whether a port may still write it; both ports ask it at the write, RESP in _write, so also for a connection that is up. What may not leave ends NOCONN: it never ran.

Ruled out: an attempt that surely never ran starts no window.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -16,6 +16,7 @@
 from rackhub.counters import Counters
 from rackhub.limits import SECOND, Limits
 from rackhub.policy.control import Control
+from rackhub.policy.further import PROVEN
 
 if TYPE_CHECKING:  # ports of parts that may be off: nothing of them is loaded here
     from rackhub.core.fleet import Guide
@@ -169,6 +170,8 @@
         attempt.over, query, now = True, attempt.query, self.clock.now()
         query.out.pop(attempt.number, None)
         sent = self.out.pop((query.id, attempt.number), None) is attempt
+        if reason in PROVEN:
+            query.maybe.pop(attempt.number, None)
         self.counters.add(f"out_{reason.lower()}")
         if reason == "GOOD" and not query.closed:
             self._close(query, "served")
@@ -318,6 +321,12 @@
                 until, attempt.timed = now + sending.timeout, True
             if sending.priority is not None:
                 query.level, query.fixed = sending.priority, True
+        told = self.classes.get(query.cls)
+        if told is not None and told.effect == "dedup":  # where the attempt waits for a dial, that counts as well
+            if query.maybe:
+                edge = min(query.maybe.values()) + told.window - max(told.window // 20, self.limits.handover)
+                attempt.send_by = min(attempt.send_by or edge, edge)
+            query.maybe[attempt.number] = now
         query.tries += 1
         query.out[attempt.number] = self.out[query.id, attempt.number] = attempt
         attempt.until = until
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -21,7 +21,7 @@
 
     __slots__ = ("id", "cls", "statement", "deadline", "tenant", "token", "estimate", "memory_mb", "tables",
                  "reply", "tag", "closed", "tries", "out", "level", "fixed", "life", "copying", "zones", "mark",
-                 "part", "gathering")
+                 "part", "gathering", "maybe")
 
     def __init__(self, id: str, cls: str, statement: bytes, deadline: int, reply: Reply, *, tag: object = None,
                  tenant: str = "", token: str = "", estimate: int = 0, memory_mb: float = 0.0,
@@ -31,6 +31,7 @@
         self.estimate, self.memory_mb, self.tables = estimate, memory_mb, tables
         self.closed, self.tries, self.level = False, 0, 1
         self.out: dict[int, Attempt] = {}  # by number: more than one only where the site allows it
+        self.maybe: dict[int, int] = {}  # of a keyed request: its attempts that may have run, and when they were sent
         self.life: Life | None = None  # where an operator has set terms
         self.zones: tuple[str, ...] = ()  # a part of a gather goes to engines of these alone; none: to any
         self.part = self.gathering = False  # a part of a gather; a request that gathers took
@@ -49,6 +50,11 @@
         self.send_by = 0  # a port that has not sent it by then must not: 0, no such time
         self.timed = False  # its time is the operator's, not what is left of the request's
 
+    def may_leave(self, now: int) -> bool:
+        """Whether a port may still write it, asked at the write: it may have waited for a dial, and meanwhile its
+        client may have gone, or the time in which its key may be repeated may be over."""
+        return not self.query.closed and not 0 < self.send_by <= now
+
 
 class EnginePort(Protocol):
     """The way to the engines. It reports by `Coordinator.ended` and `.noted`."""
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -214,12 +214,15 @@
             self.close_if_idle()
 
     def _write(self, attempt: Attempt) -> None:
-        query = attempt.query
-        left = max((query.deadline - self.clock.now()) // 1_000, 1)
+        query, now = attempt.query, self.clock.now()
+        if not attempt.may_leave(now):
+            del self.open[query.id.encode()]
+            return self.core.ended(attempt, "NOCONN")
+        left = max((query.deadline - now) // 1_000, 1)
         fields = b"profile=%s,max=%d,level=%d" % (query.cls.encode(), left, query.level)
         if query.token:
             fields += b",replay=" + query.token.encode()
-        self.used = self.clock.now()
+        self.used = now
         self._early += len(query.statement) + 256
         self.transport.writeSequence(command(b"want", query.id.encode(), fields, query.statement))
 
@@ -228,11 +231,8 @@
     def connectionMade(self) -> None:
         self.up, self.heard = True, self.clock.now()
         self.transport.setTcpNoDelay(True)
-        for id, attempt in list(self.open.items()):
-            if attempt.send_by and self.heard >= attempt.send_by:  # it waited too long for this: its key is stale
-                del self.open[id]
-                self.core.ended(attempt, "NOCONN")
-            else:
+        for attempt in list(self.open.values()):
+            if self.open.get(attempt.query.id.encode()) is attempt:  # the end of one before may have ended others
                 self._write(attempt)
         self.transport.registerProducer(self, False)  # asked for more at once, and again when all has left
 
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -142,7 +142,7 @@
 
     def _call(self) -> None:
         query, now = self._attempt.query, self.clock.now()
-        if self._attempt.send_by and now >= self._attempt.send_by:  # it waited for the login: its key is stale
+        if not self._attempt.may_leave(now):  # it waited for the login
             return self._end("NOCONN")
         arguments = {"@id": query.id, "@class": query.cls, "@budget_ms": max((query.deadline - now) // 1_000, 1),
                      "@level": query.level, "@statement": query.statement.decode("utf-8", "surrogateescape")}
