Tell of each attempt on a lost connection whether it surely never ran, by what has left of it

Seen: a connection had one flag, `wrote`, set once the first bytes had left. An attempt put on a rested connection whose engine had just closed it (FIN or RST already in this machine's kernel) ended RST although not a byte of it had left: a class that is unsafe to repeat failed, a keyed one spent its window. The flag was also false while part of the first writes had left, which `_early` and limits.unsplit guarded by a bound on a new socket's buffer.

Now the connection counts the bytes it has given the transport, and where each attempt ends among them; what the transport still holds has not left. `EngineConnection.surely_unread` is the one place that says so, for dials that fail as well. The producer, `wrote`, `_early`, `_resumed` and limits.unsplit go.

No look at the socket before a write is needed: the reactor reads a socket before it writes to it, and a write leaves in a later turn than it is given, so a close that is in the kernel by then is met with the attempt unsent.

The model of a RESP connection had the flag in it too: it now has each attempt's end among the bytes, and a step in which part of them leaves; its check is the stricter one.

--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -44,7 +44,6 @@
     engine_links: int = 400  # to all engines: what clients leave of the descriptors
     head: int = 64  # a RESP head line
     frame: int = 16_384  # one bulk string of an engine
-    unsplit: int = 4_096  # what a new socket takes whole or not at all
     page: int = 6_000  # the most that a page may hold
     result: int = 48_000  # all pages of a result
     pages: int = 64
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -109,8 +109,7 @@
     """One connection to an engine and the attempts on it, by the id of their request.
 
     States: dialling (attempts wait in `open`, unsent), up, closing (lost or dropped). The reader's state
-    is in `_due`: how many bulk strings the present array still needs, 0 between arrays. `wrote` turns true once
-    the first bytes have left: a reset before that proves that nothing on the connection ran.
+    is in `_due`: how many bulk strings the present array still needs, 0 between arrays.
     """
 
     MAX_LENGTH = 65_536  # per instance from the limits: see __init__
@@ -122,11 +121,12 @@
         self.open: dict[bytes, Attempt] = {}
         self.paging: dict[bytes, Paging] = {}
         self.stale: dict[bytes, int] = {}  # ids that ended here without success -> when; oldest first
-        self.up = self.closed = self.silent = self.retired = self.wrote = False
+        self.up = self.closed = self.silent = self.retired = False
         self.half_since = 0  # when the part of a frame began that has not come whole
         self.heard = self.used = clock.now()
         self._due, self._parts, self._need, self._got, self._got_size = 0, [], -1, [], 0
-        self._frames, self._resumed, self._early = 0, 0, 0
+        self._frames = self._given = 0
+        self._ends: dict[bytes, int] = {}  # by the ids in `open` that are written: how much is gone once they are
 
     # ---- what the pool asks
 
@@ -143,12 +143,21 @@
         if self.up:
             self._write(attempt)
 
+    def surely_unread(self, id: bytes) -> bool:
+        """Whether an open attempt surely never ran: not all of it has left for the engine. What has, may have run,
+        whatever came of the connection since. What came and was not read yet tells in time: a transport is read from
+        before it is written to."""
+        wire = self.transport
+        return id not in self._ends or \
+            self._given - (len(wire.dataBuffer) - wire.offset + wire._tempDataLen) < self._ends[id]
+
     def give_up(self, attempt: Attempt) -> None:
         id, now = attempt.query.id.encode(), self.clock.now()
         if self.open.pop(id, None) is None:
             return
+        self._ends.pop(id, None)
         if self.up and not self.closed:
-            self.transport.writeSequence(command(b"shut" if id in self.paging else b"never_mind", id))
+            self._say(command(b"shut" if id in self.paging else b"never_mind", id))
             self._stale(id, now)
             # a vanished host gives no sign. Without this, all that follows would wait on the dead connection
             # for its deadline, where a new one fails in the time to dial and proves that nothing ran.
@@ -161,7 +170,7 @@
     def hurry(self, attempt: Attempt) -> None:
         id = attempt.query.id.encode()
         if self.up and not self.closed and id in self.open and id not in self.paging:
-            self.transport.writeSequence(command(b"hurry", id, b"%d" % attempt.query.level))
+            self._say(command(b"hurry", id, b"%d" % attempt.query.level))
 
     def close_if_idle(self) -> None:
         if self.up and not self.closed and not self.open:
@@ -193,7 +202,7 @@
     def refused(self) -> None:
         """The dial failed: nothing that waited for it ever left."""
         self.closed = True
-        self._end_all("NOCONN")
+        self._end_all()
 
     def _stale(self, id: bytes, now: int) -> None:
         self._forget()
@@ -223,8 +232,13 @@
         if query.token:
             fields += b",replay=" + query.token.encode()
         self.used = now
-        self._early += len(query.statement) + 256
-        self.transport.writeSequence(command(b"want", query.id.encode(), fields, query.statement))
+        id = query.id.encode()
+        self._say(command(b"want", id, fields, query.statement))
+        self._ends[id] = self._given
+
+    def _say(self, pieces: list[bytes]) -> None:
+        self._given += sum(map(len, pieces))
+        self.transport.writeSequence(pieces)
 
     # ---- Twisted
 
@@ -234,34 +248,23 @@
         for attempt in list(self.open.values()):
             if self.open.get(attempt.query.id.encode()) is attempt:  # the end of one before may have ended others
                 self._write(attempt)
-        self.transport.registerProducer(self, False)  # asked for more at once, and again when all has left
-
-    # what the transport tells a producer: here only that the first bytes have left
-    def resumeProducing(self) -> None:
-        self._resumed += 1
-        if self._resumed > 1:
-            self.wrote = True
-            self.transport.unregisterProducer()
-
-    def stopProducing(self) -> None:
-        pass
 
     def connectionLost(self, reason: object = None) -> None:
         if self.open:
             self.counters.add("engine_losses")
         self.up, self.closed = False, True
         self.pool.lost(self)
-        # what is small is taken whole or not at all by a socket that is new, so none of it has gone
-        proven = not self.wrote and self._early <= self.limits.unsplit
-        if self.open and proven:
+        if any(map(self.surely_unread, self.open)):
             self.counters.add("engine_lost_unwritten")
-        self._end_all("NOCONN" if proven else "RST")
+        self._end_all()
 
-    def _end_all(self, how: str) -> None:
-        ended, self.open = list(self.open.values()), {}
+    def _end_all(self) -> None:
+        ended = [(attempt, self.surely_unread(id)) for id, attempt in self.open.items()]
+        self.open.clear()
+        self._ends.clear()
         self.paging.clear()
-        for attempt in ended:
-            self.core.ended(attempt, how)
+        for attempt, unread in ended:
+            self.core.ended(attempt, "NOCONN" if unread else "RST")
 
     def dataReceived(self, data: bytes) -> None:
         if self.closed:
@@ -395,7 +398,7 @@
         pieces = []
         for page in range(1, count):
             pieces += command(b"turn", id, b"%d" % page)
-        self.transport.writeSequence(pieces)
+        self._say(pieces)
 
     def _page(self, id: bytes, attempt: Attempt, fields: dict[bytes, bytes], body: bytes) -> None:
         paging, at = self.paging.get(id), int(figure(fields, b"at", int))
@@ -426,7 +429,7 @@
 
     def _over(self, id: bytes, attempt: Attempt, reason: str, report: dict[str, float],
               rows: Iterable[bytes] = ()) -> None:
-        del self.open[id]
+        del self.open[id], self._ends[id]
         self.paging.pop(id, None)
         if reason != "GOOD":  # tried again here, it could be credited with a second copy of this end
             self._stale(id, self.clock.now())
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -4,13 +4,16 @@
 until the test has done its part, and the core's clock is the test's.
 """
 
+import socket
 from dataclasses import replace
 
 import pytest
-from stands import CLASSES, MS, SETTINGS, RespEngine, S, Site, Stand, TdsEngine, spin
+from msgspec.structs import replace as limits_with
+from stands import CLASSES, LIMITS, MS, SETTINGS, RespEngine, S, Site, Stand, TdsEngine, spin
 
 from rackhub import interface as t
 from rackhub.core.request import Query
+from rackhub.net.resp import command
 
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 ROWS = b"a\tb\tc\n"
@@ -150,3 +153,106 @@
     spin(lambda: stays.closed)
     assert [words[1] for words in here.wants()] == [stays.id.encode()] and gone.reply.came == []
     assert stays.reply.came == [("served", ROWS)]
+
+
+# ---- what a lost connection proves
+
+
+def rest(here):
+    """A connection to the one engine on which nothing is open."""
+    here.stands[0].act = answer
+    first = here.ask("report")
+    spin(lambda: first.closed)
+    here.stands[0].act = lambda *_: None
+    link, = here.links()
+    assert link.up and not link.open
+    return link
+
+
+def shut(connection):
+    """The engine's end closes, without a turn of the loop: what it says is in this machine's kernel when this returns.
+    Loopback delivers within the call."""
+    connection.transport.socket.shutdown(socket.SHUT_RDWR)
+
+
+def reset(connection):
+    """In the next turn, before that looks at any socket."""
+    connection.transport.abortConnection()
+
+
+@pytest.mark.parametrize("end", [shut, reset])
+def test_what_is_sent_on_a_connection_that_its_engine_has_just_closed_surely_never_ran(make, end):
+    """The close is in the kernel, and the loop has not read it: nothing of the new attempt has left."""
+    here = make(2, settings=FRAGILE)
+    here.told("Ready", "Terminating")
+    link = rest(here)
+    here.told("Ready", "Ready")
+    for _ in range(20):  # to whichever engine it goes: the module draws
+        query = here.ask()
+        if [attempt.link for attempt in query.out.values()] == [link]:
+            break
+    end(here.stands[0].connections[0])
+    here.stands[1].act = answer
+    spin(lambda: query.closed)
+    assert query.reply.came == [("served", ROWS)]  # of a class that is tried again only on proof
+    assert here.wants(query) == here.stands[1].wants()[-len(here.wants(query)):]
+
+
+def test_of_the_attempts_on_a_lost_connection_each_is_told_by_what_has_left_of_it(make):
+    """The first one has left whole, a second one has not begun to: the connection is lost under both."""
+    here = make(1, settings=FRAGILE)
+    ran = here.ask()
+    spin(lambda: here.wants(ran))
+    ends, told = [], here.core.ended
+    here.core.ended = lambda attempt, how, *more: (ends.append((attempt.query, how)), told(attempt, how, *more))
+    queued = here.ask()
+    assert len({attempt.link for query in (ran, queued) for attempt in query.out.values()}) == 1
+    reset(here.stands[0].connections[0])
+    spin(lambda: ran.closed)
+    assert ends[:2] == [(ran, "RST"), (queued, "NOCONN")]
+    assert ran.reply.came == [("failed", b"")]
+
+
+def test_a_connection_that_is_refused_room_half_way_through_an_attempt_proves_that_it_never_ran(make):
+    """An engine that reads nothing: what the kernel takes is gone, and what it took a part of can't be read."""
+    here = make(1, settings=FRAGILE)
+    link = rest(here)
+    here.stands[0].connections[0].transport.pauseProducing()
+    here.stands[0].connections[0].transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    link.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    whole, ends, told = [], [], here.core.ended
+    here.core.ended = lambda attempt, how, *more: (ends.append((attempt.query, how)), told(attempt, how, *more))
+    while not link.transport.dataBuffer[link.transport.offset:]:
+        whole.append(here.ask(statement=b"x" * 40_000))
+        before = link.transport._tempDataLen
+        spin(lambda before=before: link.transport._tempDataLen < before)
+    part = whole.pop()
+    assert 0 < len(link.transport.dataBuffer) - link.transport.offset < 40_000
+    reset(here.stands[0].connections[0])
+    spin(lambda: any(query is part for query, _ in ends))
+    assert (part, "NOCONN") in ends and not any((query, "NOCONN") in ends for query in whole)
+    assert all((query, "RST") in ends for query in whole)
+
+
+@pytest.mark.parametrize("count,writing", [(24, False), (10, True)])
+def test_an_answer_that_came_whole_before_a_reset_is_passed_on(make, count, writing):
+    """All are in the kernel with the reset before the loop reads any, more of them than one read takes. Where something
+    is to be written as well, the reset shows with the first read."""
+    here = make(1, settings=replace(FRAGILE, kind_cores={"std": 64.0}))
+    here.pools._limits = limits_with(LIMITS, spread=1)
+    link = rest(here)
+    engine, = here.stands[0].connections
+    queries = [here.ask() for _ in range(count)]
+    assert {attempt.link for query in queries for attempt in query.out.values()} == {link}
+    spin(lambda: all(here.wants(query) for query in queries))
+    body = b"a\tb\t" + b"c" * 5_900 + b"\n"
+    said = b"".join(b"".join(command(query.id.encode(), b"200", b"chunks=1", body)) for query in queries)
+    assert writing or len(said) > 2 * 65_536
+    link.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+    engine.transport.socket.sendall(said)
+    assert len(link.transport.socket.recv(1 << 20, socket.MSG_PEEK)) == len(said)
+    reset(engine)
+    if writing:
+        assert here.ask().out[0].link is link
+    spin(lambda: all(query.closed for query in queries))
+    assert [query.reply.came for query in queries] == [[("served", body)]] * len(queries)
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -28,9 +28,18 @@
 
 
 class Transport(StringTransport):
-    """A transport in memory that keeps what was done to it."""
+    """A transport in memory that keeps what was done to it: how many bytes were written, and how many of them are
+    gone, all with `flush`; the others it tells of as the reactor's transports do."""
 
-    aborted = False
+    aborted, written, gone, dataBuffer, offset = False, 0, 0, b"", 0
+
+    def write(self, data):
+        super().write(data)
+        self.written += len(data)
+
+    @property
+    def _tempDataLen(self):
+        return self.written - self.gone
 
     def setTcpNoDelay(self, on):
         pass
@@ -42,6 +51,7 @@
 
     def flush(self):
         """What was written has left."""
+        self.gone = self.written
         if self.producer and not self.streaming:
             self.producer.resumeProducing()
 
@@ -284,8 +294,8 @@
 
 class RespModel(RuleBasedStateMachine):
     """Model: the attempts on the connection with the pages each still needs, the ids that ended on it without
-    success, its state, whether anything has left it, whether part of a frame lies unread, and whether it has gone
-    silent: then it takes nothing new and is dropped when nothing is open on it."""
+    success, its state, how much is gone once an attempt has left whole, whether part of a frame lies unread, and
+    whether it has gone silent: then it takes nothing new and is dropped when nothing is open on it."""
 
     def __init__(self):
         super().__init__()
@@ -296,7 +306,7 @@
         self.wire, self.state = Transport(), "dialling"
         self.attempts, self.stale, self.pages, self.expected = {}, set(), {}, []
         self.numbers, self.heard, self.silent = itertools.count(1), 0, False
-        self.wrote = self.half = False
+        self.ends, self.half = {}, False
 
     def say(self, *words, cuts=()):
         self.heard = self.core.clock.now()
@@ -310,7 +320,7 @@
         self.pages.pop(id, None)
         self.expected.append((id, reason, rows))
 
-    @precondition(lambda self: self.state in ("dialling", "up") and len(self.attempts) < 15)  # so many fit unsplit
+    @precondition(lambda self: self.state in ("dialling", "up") and len(self.attempts) < 15)
     @rule()
     def carry(self):
         id = f"{next(self.numbers):016x}"
@@ -323,6 +333,7 @@
         assert not self.connection.takes(Attempt(query, 1, "e0", 0))  # its id is in use here
         want = b"".join(command(b"want", id.encode(), b"profile=depot-load,max=9000,level=1,replay=key", b"INSERT"))
         assert self.wire.take() == (want if self.state == "up" else b"")
+        self.ends[id] = self.wire.written
 
     @precondition(lambda self: self.state == "dialling")
     @rule(works=st.integers(0, 9))
@@ -331,6 +342,8 @@
             self.state, self.heard = "up", self.core.clock.now()
             self.connection.makeConnection(self.wire)
             assert self.wire.take().count(b"$4\r\nwant\r\n") == len(self.attempts)
+            for number, id in enumerate(self.attempts, 1):  # all are of one size
+                self.ends[id] = self.wire.written * number // len(self.attempts)
             if works > 3:
                 self.flush()
         else:
@@ -343,7 +356,11 @@
     @rule()
     def flush(self):
         self.wire.flush()
-        self.wrote = True
+
+    @precondition(lambda self: self.state == "up" and self.wire.gone < self.wire.written)
+    @rule(size=st.integers(1, 200))
+    def leaves_in_part(self, size):
+        self.wire.gone = min(self.wire.gone + size, self.wire.written)
 
     @precondition(lambda self: self.state == "up" and self.attempts)
     @rule(data=st.data(), cuts=CUTS, count=st.integers(1, 4))
@@ -412,7 +429,7 @@
         self.connection.connectionLost()
         self.state = "lost"
         for id in list(self.attempts):
-            self.over(id, "RST" if self.wrote else "NOCONN")
+            self.over(id, "RST" if self.wire.gone >= self.ends[id] else "NOCONN")
 
     @precondition(lambda self: self.state == "up")
     @rule(seldom=st.integers(0, 5), cuts=CUTS, part=st.integers(1, 30), whole=st.booleans())
