--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -25,7 +25,7 @@
 
     __slots__ = ("id", "cls", "statement", "deadline", "tenant", "token", "estimate", "memory_mb", "tables",
                  "reply", "tag", "closed", "tries", "out", "level", "fixed", "life", "copying", "zones", "mark",
-                 "part", "gathering")
+                 "part", "gathering", "maybe")
 
     def __init__(self, id: str, cls: str, statement: bytes, deadline: int, reply: Reply, *, tag: object = None,
                  tenant: str = "", token: str = "", estimate: int = 0, memory_mb: float = 0.0,
@@ -35,6 +35,7 @@
         self.estimate, self.memory_mb, self.tables = estimate, memory_mb, tables
         self.closed, self.tries, self.level = False, 0, 1
         self.out: dict[int, Attempt] = {}  # by number: more than one only where the site allows it
+        self.maybe: dict[int, int] = {}  # of a keyed request: its attempts that may have run, and when they were sent
         self.life: Life | None = None  # where an operator has set terms
         self.zones: tuple[str, ...] = ()  # a part of a gather goes to engines of these alone; none: to any
         self.part = self.gathering = False  # a part of a gather; a request that gathers took
