--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -34,8 +34,11 @@
         if self._call is not None and self._call.active():
             self._call.cancel()
         if self._wake and self._wake[0] <= self.time:
-            (_, call), self._wake = self._wake, None
-            self._call = reactor.callLater(0, call)
+            self._call = reactor.callLater(0, self._due)
+
+    def _due(self):
+        (_, call), self._wake = self._wake, None
+        call()
 
 
 class Raw:
