Refuse every request read after SIGTERM at once; the core alone says whether work is taken

Seen: `Coordinator.submit` refused after SIGTERM only what could still be open at the earliest SIGKILL (`end_by`, from the longest budget seen, `kill_spare` and `kill_capped`); all else was taken and sent on. Whether the process took new work stood in three places: `Daemon._draining`, `Front.draining`, `Coordinator.end_by`.

The operators' new term is that a request read after the end began is refused at once and never sent on. So the test of the old one is replaced by one as strict of the new: a short request is refused as a long one is, and what was taken before goes on with all its attempts.

Change: `Coordinator.taking` is the one place; `ending` clears it. `alive`, the second address (`Host.serving`) and a second SIGTERM go by it. Parts of a gather that was taken are taken. The back-off is what the settings allow, as the client's own coordinator is the one that restarts; none where another process serves on the address by then. `kill_spare` and the longest budget are gone; `kill_capped` stays, which the fleet's shares go by.

Without the mend `short` is sent in test_after_sigterm_every_request_is_refused_at_once_and_counted_by_class_and_what_was_taken_goes_on (`port.answers` holds one), and test_a_request_read_after_the_end_began_is_refused_and_never_sent_on never sees its answers, as the request waits for its dial.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -56,8 +56,8 @@
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
         self._held = 0  # bytes of the statements of all open requests
         self._lag = 0  # how late the loop lately was at worst; it fades
-        self.longest = 0  # the longest budget of a request taken, microseconds
-        self.end_by: int | None = None  # from SIGTERM: what can't be answered by then is refused as it comes
+        self.taking = True  # the one place that says whether this process takes new work: from SIGTERM on it does not
+        self._away = 0  # the back-off of who comes after that
         self.by_class: dict[str, list[int]] = {name: [0, 0, 0, 0] for name in self.classes}  # see `TALLY`
 
     # ---- what the ports bring
@@ -89,9 +89,8 @@
         self.counters.add("requests_in")
         full = len(self.queries) >= self.limits.held_requests or \
             self._held + len(query.statement) > self.limits.held_bytes
-        self.longest = max(self.longest, query.deadline - self.clock.now())
-        if self.end_by is not None and query.deadline > self.end_by:  # SIGKILL would find it: another process serves
-            return self._turn_back(query, "refused_ending", 0)
+        if not self.taking and not query.part:  # a part is of a request that was taken before
+            return self._turn_back(query, "refused_ending", self._away)
         if full or self._behind:  # memory and the one core are bounded: nothing ran, so say so at once
             return self._turn_back(query, "over_held" if full else "over_behind",
                                    min(SECOND, self.settings.max_retry_after or SECOND))
@@ -125,10 +124,10 @@
         self._tally(query.cls, SHED)
         query.reply.refused(query, backoff)
 
-    def ending(self, spare: int, capped: int) -> None:
-        """SIGTERM came now. SIGKILL comes no sooner than the longest deadline, counted as `capped` where it is
-        longer, and `spare` more: a request that could still be open then is refused when it comes."""
-        self.end_by = self.clock.now() + min(self.longest, capped) + spare
+    def ending(self, away: int) -> None:
+        """SIGTERM came: what was taken is answered as before, every request read from now on is refused at once and
+        never sent on, with the back-off `away` in microseconds."""
+        self.taking, self._away = False, away
 
     def _margin(self) -> int:
         """How much earlier than the client's own deadline an answer is due here: more as the loop lags."""
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -53,10 +53,10 @@
             self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
                                 tds_front(operator.tds_front, self.core, config.limits, self.counters)))
         self._ports: list[SharedPort] = []
-        self._draining = self._leaving = self._serving = False
+        self._leaving = self._serving = False
         self._listing: Listing | None = None
         self._host = Host(reactor, clock, config, operator, self.core, self.source, self.counters,
-                          lambda: self._serving and not self._draining, self._relist, reread)
+                          lambda: self._serving and self.core.taking, self._relist, reread)
         self.parts = self._host.parts
         for name in parts.wanted(config, operator):
             self.parts[name] = parts.load(name, self._host)
@@ -148,16 +148,15 @@
     # ---- the end
 
     def _term(self) -> None:
-        """Go on taking requests while clients still come, then answer what is open and leave."""
-        if not self._draining:
-            self._draining = True
-            self.core.ending(self.config.limits.kill_spare, self.config.limits.kill_capped)
-            for _, front in self.fronts:
-                front.draining = True
+        """Answer what was taken, refuse what clients still send, then leave."""
+        if self.core.taking:
+            succeeded = any(part.succeeded() for part in self.parts.values())
+            # where another process serves on the address the next try goes there, and need not wait
+            self.core.ending(0 if succeeded else self.config.settings.max_retry_after)
             log.info("told to end: %d requests open", len(self.core.queries))
             for part in self.parts.values():
                 part.drain()
-            if any(part.succeeded() for part in self.parts.values()):
+            if succeeded:
                 self._hand_over()
             reactor.callLater(self.config.limits.read_after_term / 1_000_000, self._stop_reading)
             reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
@@ -171,8 +170,8 @@
 
     def _stop_reading(self) -> None:
         """Connections are drained: clients that keep theirs would keep this process from ever being done. What is
-        read on them still goes to the core, which refuses what could be open at SIGKILL (`Coordinator.ending`);
-        each connection closes once nothing is open on it and nothing is half read."""
+        read on them still goes to the core, which refuses it (`Coordinator.ending`); each connection closes once
+        nothing is open on it and nothing is half read."""
         for _, front in self.fronts:
             front.drain()
 
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -82,6 +82,5 @@
 
     # the end
     read_after_term: int = 650 * MS  # requests on open connections: what comes 0.7 s after SIGTERM is lost unanswered
-    kill_spare: int = 550 * MS  # SIGKILL comes 0.7 s after the longest deadline at the soonest; the rest is slack
     kill_capped: int = 3 * SECOND  # the longest deadline is counted as this where it is longer
     accept_after_term: int = 900 * MS  # 0.7 s are promised; the rest is slack for a late scheduler
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -171,7 +171,7 @@
 
 
 class Front(protocol.ServerFactory):
-    """A listening side: its connections, how many there may be, and whether the program is on its way out."""
+    """A listening side: its connections, how many there may be, and whether another process takes its place."""
 
     noisy = False
 
@@ -181,7 +181,7 @@
         self.core, self.limits, self.counters = core, limits, counters
         self.connections: set[Client] = set()
         self._leaving: set[Client] = set()  # cut, but their descriptors are not free yet
-        self.draining = self.succeeded = False  # the process ends; another one serves on the same address
+        self.succeeded = False  # the process ends, and another one serves on the same address
         core.timers.at(core.clock.now() + limits.look, self.look)
 
     def buildProtocol(self, addr: object) -> protocol.Protocol | None:
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -144,7 +144,7 @@
         elif message.method == "alive":
             self.counters.add("alives_in")
             if message.id is not NO_ID:
-                self._write(message.id, b'"result":{"pass":%s}' % (b"false" if self.front.draining else b"true"))
+                self._write(message.id, b'"result":{"pass":%s}' % (b"true" if self.core.taking else b"false"))
             else:
                 self._no_id()
         elif message.id is NO_ID or message.id is None:
