Hold SIGHUP and SIGUSR1 until their handlers stand, and end in order whenever SIGTERM comes

Seen: until `Daemon.run` sets its handlers SIGHUP, SIGUSR1 and SIGTERM have their default actions, and the imports before it take seconds on a slow core: a reload sent to a process that just starts ended it with status -1, SIGTERM with -15. When the reactor has ended, Python's finalizer puts the handlers back to the defaults: a second SIGTERM then ended a process that was done with -15.

Ruled out: signals between the handlers and `reactor.run` (they wait in the reactor's queue, whose waker is there from its making), and SIGHUP before or after SIGTERM there; the tests for these points pass without the mend.

At the very end the signals are ignored, which the finalizer leaves so.

--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -29,6 +29,7 @@
 from rackhub.operatorfile import Operator
 
 log = logging.getLogger(__name__)
+SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
 
 
 class Daemon:
@@ -99,9 +100,9 @@
         PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
         self.source.follow(self._listed)
         # before anyone can connect: a signal that comes then would end the process
-        for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell),
-                             (signal.SIGHUP, self._reload)):
+        for number, call in zip(SIGNALS, (self._term, self._term, self.tell, self._reload), strict=True):
             signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # see `rackhub.__main__`
         for (host, port), front in self.fronts:
             self._ports.append(SharedPort(reactor, host, port, front, 512))
         for part in list(self.parts.values()):  # the rule book that a part holds may turn another one on
@@ -121,6 +122,9 @@
         for part in reversed(self.parts.values()):
             part.stop()
         self.tell()
+        # as Python ends it puts the handlers back to those that end a process: one told twice ended as by a crash
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
 
     def _listed(self, listing: Listing) -> None:
         # the module first: once it knows of a drain it sends nothing there, whatever the pools still hold
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -3,12 +3,17 @@
 
 import base64
 import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 
 import pytest
 import stands
 from msgspec.structs import replace
 from stands import LIMITS, MS, FakeClock, S, Site, Stand, spin
+from test_config import endpoint, notice, told
 from twisted.internet import reactor
 
 from rackhub.net.jsonrpc import JsonRpcConnection
@@ -444,3 +449,161 @@
     spin(lambda: len(client.answers()) == 3)
     assert client.answers()[-1]["id"] == 1 and "result" in client.answers()[-1]
     assert len(stand.wants()) == 1 and here.counters["refused_ending"] == 2
+
+
+# what the process does at a point of its start that the test names; the gate is a pipe, so the order is the test's
+GATED = """
+import os, runpy, sys
+def gate(name, write=os.write, read=os.read):
+    write({say}, name + b"\\n")
+    read({hear}, 1)
+{plant}
+sys.argv = ["rackhub", "serve", "--config", {config!r}]
+runpy.run_module("rackhub", run_name="__main__", alter_sys=False)
+"""
+IMPORTING = """
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "rackhub.cli":
+            sys.meta_path.remove(self)
+            gate(b"importing")
+sys.meta_path.insert(0, Finder())
+"""
+LISTENING = """
+import rackhub.net.listen as listen
+inner = listen.SharedPort.__init__
+def init(*given):
+    gate(b"listening")
+    inner(*given)
+listen.SharedPort.__init__ = init
+"""
+RUNNING = """
+from twisted.internet import reactor
+inner = reactor.run
+def run(**how):
+    gate(b"running")
+    inner(**how)
+reactor.run = run
+"""
+ENDING = """
+class Last:
+    def __del__(self, gate=gate):
+        gate(b"ending")
+sys.last = Last()
+"""
+
+
+class Gated:
+    """A process of the program that stops at a point of its start until it is let on."""
+
+    def __init__(self, place, plant, engine=("127.0.0.1", 1), budget=2.0):
+        self.place, self.engine = place, engine
+        self.nameserver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.nameserver.bind(("127.0.0.1", 0))
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.port = probe.getsockname()[1]
+        self.write()
+        (self.said, say), (hear, self.let) = os.pipe(), os.pipe()
+        program = GATED.format(say=say, hear=hear, plant=plant, config=str(place / "c.json"))
+        self.child = subprocess.Popen([sys.executable, "-c", program], stderr=subprocess.PIPE, pass_fds=(say, hear),
+                                      cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
+                                      env=os.environ | {"TMPDIR": str(place)}, text=True)
+        os.close(say)
+        os.close(hear)
+
+    def write(self, **more):
+        entry = endpoint("a") | {"address": "{}:{}".format(*self.engine)}
+        (self.place / "c.json").write_text(json.dumps(told(
+            listen=f"127.0.0.1:{self.port}", known={"rev": 3, "notices": [notice(3, entry)]},
+            nameserver=f"127.0.0.1:{self.nameserver.getsockname()[1]}") | more))
+
+    def at(self, name):
+        assert os.read(self.said, 64).decode().strip() == name, self.child.communicate(timeout=60)[1]
+
+    def go_on(self):
+        os.write(self.let, b"x")
+
+    def until(self, text):
+        lines = []
+        while not lines or text not in lines[-1]:
+            line = self.child.stderr.readline()
+            assert line, "".join(lines)
+            lines.append(line)
+        return "".join(lines)
+
+    def ended(self):
+        rest = self.child.communicate(timeout=60)[1]
+        return self.child.returncode, rest
+
+    def client(self):
+        there = socket.create_connection(("127.0.0.1", self.port), 60)
+        there.settimeout(60)
+        return there, there.makefile("rwb")
+
+    def close(self):
+        self.child.kill()
+        self.child.wait()
+        self.child.stderr.close()
+        self.nameserver.close()
+        for each in (self.said, self.let):
+            os.close(each)
+
+
+@pytest.fixture
+def gated(tmp_path):
+    made = []
+
+    def make(plant="", **more):
+        made.append(Gated(tmp_path, plant, **more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.mark.parametrize("where, plant", [("importing", IMPORTING), ("listening", LISTENING), ("running", RUNNING)])
+def test_signals_before_ready_are_kept_for_it(gated, where, plant):
+    """SIGHUP during the imports ended the process: a crash of one that was just restarted. What SIGHUP brings is taken
+    up once the handlers stand."""
+    process = gated(plant)
+    process.at(where)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as moved:
+        moved.bind(("127.0.0.1", 0))
+        moved.settimeout(60)
+        if where != "importing":  # it has read the file by now
+            process.write(nameserver=f"127.0.0.1:{moved.getsockname()[1]}")
+        for number in (signal.SIGHUP, signal.SIGUSR1):
+            process.child.send_signal(number)
+        process.go_on()
+        process.until("counters: ")
+        if where != "importing":
+            assert b"_app" in moved.recv(512)
+    process.child.send_signal(signal.SIGTERM)
+    assert process.ended()[0] == 0
+
+
+@pytest.mark.parametrize("where, plant", [("importing", IMPORTING), ("listening", LISTENING), ("running", RUNNING)])
+@pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGTERM, signal.SIGTERM),
+                                     (signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP)],
+                         ids=["once", "twice", "after SIGHUP", "before SIGHUP"])
+def test_sigterm_before_ready_ends_the_process_in_order(gated, where, plant, numbers):
+    process = gated(plant)
+    process.at(where)
+    for number in numbers:
+        process.child.send_signal(number)
+    process.go_on()
+    status, said = process.ended()
+    assert status == 0 and "Traceback" not in said
+
+
+def test_signals_as_the_interpreter_ends_change_nothing(gated):
+    process = gated(ENDING)
+    process.until("serves on")
+    process.child.send_signal(signal.SIGTERM)
+    process.at("ending")  # Python has put its handlers back by now
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1):
+        process.child.send_signal(number)
+    process.go_on()
+    assert process.ended()[0] == 0
