--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -607,3 +607,140 @@
         process.child.send_signal(number)
     process.go_on()
     assert process.ended()[0] == 0
+
+
+CLOSING = """
+import rackhub.net.front as front
+inner = front.Client.close
+def close(self):
+    if not self.closed_at:
+        gate(b"closing")
+    inner(self)
+front.Client.close = close
+"""
+UNLISTENED = """
+import rackhub.net.listen as listen
+inner = listen.SharedPort._take_rest
+def take_rest(self):
+    gate(b"unlistened")
+    inner(self)
+listen.SharedPort._take_rest = take_rest
+"""
+PATIENT = """
+import rackhub.core.coordinator as coordinator
+inner = coordinator.Coordinator._sweep
+def sweep(self):
+    inner(self)
+    self._behind = False
+coordinator.Coordinator._sweep = sweep
+"""  # on a machine that does ten things at once a late loop refuses what the test needs taken
+
+
+def line(message):
+    return json.dumps(message).encode() + b"\n"
+
+
+class Unreachable:
+    """An engine whose machine took the dial and says nothing."""
+
+    def __init__(self):
+        self.port = socket.socket()
+        self.port.bind(("127.0.0.1", 0))
+        self.port.listen()
+        self.port.settimeout(60)
+        self.address = self.port.getsockname()
+
+    def heard(self):
+        """All that has come on its connections, which have all ended."""
+        self.port.setblocking(False)
+        said = b""
+        while True:
+            try:
+                connection, _ = self.port.accept()
+            except BlockingIOError:
+                return said
+            with connection:
+                connection.settimeout(60)
+                try:
+                    while data := connection.recv(1 << 16):
+                        said += data
+                except ConnectionResetError:
+                    pass
+
+
+@pytest.fixture
+def unreachable():
+    engine = Unreachable()
+    yield engine
+    engine.port.close()
+
+
+def test_a_resting_client_that_sends_as_the_process_closes_its_connection_hears_of_a_close(gated, unreachable):
+    process = gated(CLOSING, engine=unreachable.address)
+    process.until("serves on")
+    resting, lines = process.client()
+    with resting, lines:
+        lines.write(line(ALIVE))
+        lines.flush()
+        assert json.loads(lines.readline())["result"] == {"pass": True}
+        process.child.send_signal(signal.SIGTERM)
+        process.at("closing")  # it is decided, and not done
+        lines.write(line(ask(1)))
+        lines.flush()
+        process.go_on()
+        assert lines.readline() == b"" and resting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    status, said = process.ended()
+    assert status == 0 and "lines_dropped=1" in said and "requests_in" not in said and not unreachable.heard()
+
+
+def test_what_came_as_the_listener_closes_is_answered(gated, unreachable):
+    process = gated(UNLISTENED, engine=unreachable.address)
+    process.until("serves on")
+    process.child.send_signal(signal.SIGTERM)
+    process.at("unlistened")  # Twisted's port has let go of the socket, and the kernel still takes newcomers
+    late, lines = process.client()
+    with late, lines:
+        lines.write(line(ask(1)))
+        lines.flush()
+        process.go_on()
+        assert json.loads(lines.readline())["error"]["code"] == -32008 and lines.readline() == b""
+    status, said = process.ended()
+    assert status == 0 and "refused_ending=1" in said and not unreachable.heard()
+
+
+def test_half_a_request_at_sigterm_is_dropped_and_what_was_taken_is_answered(gated, unreachable):
+    """Discovery and the engines are silent, so that the request waits up to its time."""
+    process = gated(PATIENT, engine=unreachable.address)
+    process.until("serves on")
+    (whole, said_whole), (half, said_half) = process.client(), process.client()
+    with whole, said_whole, half, said_half:
+        for there, message in ((said_whole, ask(1, budget=1500)), (said_whole, ALIVE), (said_half, ALIVE)):
+            there.write(line(message))
+            there.flush()
+        for there in (said_whole, said_half):
+            assert json.loads(there.readline())["result"] == {"pass": True}
+        said_half.write(line(ask(2))[:-30])
+        said_half.flush()
+        process.child.send_signal(signal.SIGTERM)
+        answer = json.loads(said_whole.readline())
+        assert answer["id"] == 1 and "error" in answer and said_whole.readline() == b""
+        told = said_half.read()  # it hears of its half message, if its time is up before the process is done
+        assert b'"result"' not in told
+    status, said = process.ended()
+    assert status == 0 and "requests_in=1 " in said and "halves_dropped=1" in said
+    assert f"{2:016x}".encode() not in unreachable.heard()
+
+
+def test_requests_that_wait_for_engines_that_refuse_are_answered_at_sigterm(gated):
+    process = gated()  # nothing listens where its engine is, and discovery is down
+    process.until("serves on")
+    client, lines = process.client()
+    with client, lines:
+        lines.write(line(ask(1, budget=1500)) + line(ALIVE))
+        lines.flush()
+        answers = [json.loads(lines.readline())]
+        process.child.send_signal(signal.SIGTERM)
+        process.child.send_signal(signal.SIGTERM)
+        answers.append(json.loads(lines.readline()))
+        assert {said["id"] for said in answers} == {1, ALIVE["id"]} and lines.readline() == b""
+    assert process.ended()[0] == 0
