Show that idle clients at the cap keep no newcomer, engine or resolver out while discovery is down

The code was right. With _make_room planted to make none, 24 of 60 are answered (assert heard == 60).

--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -2,6 +2,7 @@
 happen by a peer that holds back or by the clock that the test holds, never by a wait."""
 
 import base64
+import contextlib
 import json
 import os
 import signal
@@ -496,14 +497,14 @@
 class Gated:
     """A process of the program that stops at a point of its start until it is let on."""
 
-    def __init__(self, place, plant, engine=("127.0.0.1", 1), budget=2.0):
+    def __init__(self, place, plant, engine=("127.0.0.1", 1), **more):
         self.place, self.engine = place, engine
         self.nameserver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.nameserver.bind(("127.0.0.1", 0))
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1]
-        self.write()
+        self.write(**more)
         (self.said, say), (hear, self.let) = os.pipe(), os.pipe()
         program = GATED.format(say=say, hear=hear, plant=plant, config=str(place / "c.json"))
         self.child = subprocess.Popen([sys.executable, "-c", program], stderr=subprocess.PIPE, pass_fds=(say, hear),
@@ -744,3 +745,93 @@
         answers.append(json.loads(lines.readline()))
         assert {said["id"] for said in answers} == {1, ALIVE["id"]} and lines.readline() == b""
     assert process.ended()[0] == 0
+
+
+# ---- descriptors
+
+
+FEW = """
+import resource
+resource.setrlimit(resource.RLIMIT_NOFILE, ({files}, {files}))
+"""
+
+
+def crowd(process, count):
+    """Idle clients, each with a word said, so that none is closed for its silence, and how many were answered."""
+    made, heard = [], 0
+    for _ in range(count):
+        there = socket.create_connection(("127.0.0.1", process.port), 60)
+        there.settimeout(60)
+        made.append(there)
+        with contextlib.suppress(ConnectionError):
+            there.sendall(line(ALIVE))
+            heard += b"true" in there.recv(256)
+    return made, heard
+
+
+def say(process, *messages):
+    """A newcomer's answers; none where it is turned away."""
+    client, lines = process.client()
+    with client, lines:
+        try:
+            lines.write(b"".join(map(line, messages)))
+            lines.flush()
+            return [json.loads(lines.readline() or b"null") for _ in messages]
+        except ConnectionError:
+            return []
+
+
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down(gated, unreachable, planted=""):
+    """A newcomer's `alive` comes through, its request reaches an engine, and the resolver is asked still."""
+    process = gated(PATIENT + FEW.format(files=96) + planted, engine=unreachable.address,
+                    limits={"cores": 1.0, "memory_mb": 192, "sockets": 96})
+    process.until("serves on")
+    idle, heard = crowd(process, 60)  # over twice of what there is room for
+    try:
+        assert heard == 60
+        newcomer, lines = process.client()
+        with newcomer, lines:
+            lines.write(line(ALIVE) + line(ask(1, budget=9_000)))
+            lines.flush()
+            assert json.loads(lines.readline())["result"] == {"pass": True}
+            engine, _ = unreachable.port.accept()
+            with engine:
+                engine.settimeout(60)
+                assert f"{1:016x}".encode() in engine.recv(1 << 16)
+                process.nameserver.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    while process.nameserver.recv(512):  # asked up to now
+                        pass
+                process.nameserver.settimeout(60)
+                assert b"_app" in process.nameserver.recv(512)
+                process.child.send_signal(signal.SIGUSR1)
+                said = process.until("counters: ")
+                engine.sendall(b"*4\r\n$16\r\n%016x\r\n$3\r\n200\r\n$8\r\nchunks=1\r\n$6\r\na\tb\tc\n\r\n" % 1)
+                assert "result" in json.loads(lines.readline())
+        assert "clients_evicted" in said and "over_engine_links" not in said
+    finally:
+        for each in idle:
+            each.close()
+    process.child.send_signal(signal.SIGTERM)
+    assert process.ended()[0] == 0
+
+
+def test_without_room_made_for_newcomers_they_are_missed(gated, unreachable):
+    """The mistake planted that the test above must find."""
+    planted = "import rackhub.net.front as front\nfront.Front._make_room = lambda self: False\n"
+    with pytest.raises(AssertionError, match="assert 24 == 60"):
+        test_idle_clients_fill_the_descriptors_while_discovery_is_down(gated, unreachable, planted)
+
+
+def test_no_descriptor_for_a_newcomer_ends_nothing(gated):
+    """The process has fewer than it was told: accept fails, and goes on once there are some."""
+    process = gated(FEW.format(files=40))
+    process.until("serves on")
+    idle, heard = crowd(process, 60)
+    assert 0 < heard < 60  # those beyond were turned back
+    for each in idle:
+        each.close()
+    while not say(process, ALIVE):
+        pass
+    process.child.send_signal(signal.SIGTERM)
+    assert process.ended()[0] == 0
