--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -34,7 +34,8 @@
     penance: int = 100 * MS
     penance_most: int = 1 * SECOND
     recent_ids: int = 2_048  # ids of requests answered last, which are not new
-    linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes
+    linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes, and to close it too
+    dropped: int = 1_048_576  # bytes read and dropped of a client whose connection ends
     unread_turn: int = 30 * MS  # the loop is so late: attempts wait until sockets are read; clients may have gone
 
     # engines
@@ -81,6 +82,5 @@
 
     # the end
     read_after_term: int = 650 * MS  # requests on open connections: what comes 0.7 s after SIGTERM is lost unanswered
-    kill_spare: int = 550 * MS  # SIGKILL comes 0.7 s after the longest deadline at the soonest; the rest is slack
     kill_capped: int = 3 * SECOND  # the longest deadline is counted as this where it is longer
     accept_after_term: int = 900 * MS  # 0.7 s are promised; the rest is slack for a late scheduler
