Call off the dials of engines that drain, go or start anew, and keep closing links within bounds

Seen, reading Pools.listed with Daemon._listed: the pools heard addresses only. An attempt that waited for a dial of an engine that began to drain or left the list was written whenever the dial ended (resp.py connectionMade, TDS after its login). An engine back under its id at its old address kept the connections of its former process. While the list was taken in, what a retiring pool would give back met pools that were not there yet.

Now the pools get the entries as the module sees them (one place tells both: Daemon._tell_list, also for an engine taken out by hand). A pool is one engine since one start; of one that is not ready, moved or started anew the dials are called off as ones that failed (Pool.call_off), so what waited ends NOCONN and is sent elsewhere before any turn of the loop; what is open ends on its own and its connection closes after it. The new pools stand before the old ones retire.

Also: _room counted a connection that still dialled or already closed as one that makes way, over and over, so that the descriptors set aside for engines could be passed: those are called off, or counted as held (limits.leaving). A close whose last bytes the engine never takes held its descriptor for good: look() cuts it after limits.linger. A TDS connection whose engine had gone stayed open after an acknowledged Attention.

Ruled out: a dial that ends after its attempt was moved is kept for others and never used for that one (right before).

The answers before a reset have their plant beside them: a reader that takes the reset first.

--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -64,7 +64,13 @@
     def _relist(self) -> None:
         """A part shows the list otherwise than before."""
         if self._listing is not None:
-            self.core.listed(self._shown(self._listing), self._listing.rev)
+            self._tell_list(self._listing)
+
+    def _tell_list(self, listing: Listing) -> None:
+        # the module first: once it knows of a drain it sends nothing there, and what the pools give back goes elsewhere
+        entries = self._shown(listing)
+        self.core.listed(entries, listing.rev)
+        self.engines.listed(listing.addresses, entries)
 
     def _shown(self, listing: Listing) -> tuple:
         """The list as the module is to see it."""
@@ -94,8 +100,9 @@
         engines = self.source.start
         for part in self.parts.values():
             engines = part.begin(engines)
-        self.engines.listed(engines.addresses)
-        self.core.start(self.engines, self._shown(engines), engines.rev)
+        entries = self._shown(engines)
+        self.engines.listed(engines.addresses, entries)
+        self.core.start(self.engines, entries, engines.rev)
         PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
         self.source.follow(self._listed)
         # before anyone can connect: a signal that comes then would end the process
@@ -123,9 +130,7 @@
         self.tell()
 
     def _listed(self, listing: Listing) -> None:
-        # the module first: once it knows of a drain it sends nothing there, whatever the pools still hold
-        self.core.listed(self._shown(listing), listing.rev)
-        self.engines.listed(listing.addresses)
+        self._tell_list(listing)
         for part in self.parts.values():
             part.listed(listing)
 
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -3,12 +3,13 @@
 The same for every protocol that engines speak; a connection is asked through `Link`.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
-from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.interfaces import IConnector, IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
+from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt
 from rackhub.core.source import Address
@@ -35,18 +36,34 @@
 
 
 class Pool:
-    """The connections to one engine. An engine is its name: another one may come to have its address."""
+    """The connections to one engine since one start of it. An engine is its name: another one may come to have its
+    address, and one that comes back under its name has none of the connections of before."""
 
-    def __init__(self, name: str, address: Address, counters: Counters):
-        self.name, self.address, self.counters = name, address, counters
+    def __init__(self, name: str, address: Address, counters: Counters, started: int = 0):
+        self.name, self.address, self.counters, self.started = name, address, counters, started
         self.links: list[Link] = []
+        self.dials: dict[Link, IConnector] = {}  # of those links that do not stand yet
 
     def lost(self, link: Link) -> None:
         if link in self.links:
             self.links.remove(link)
 
+    def retire(self) -> None:
+        """Nothing new goes to it: what waits for a dial never left, what is open ends on its own, the rest closes."""
+        for link in list(self.links):
+            if not self.call_off(link):
+                link.retire()
+
+    def call_off(self, link: Link) -> bool:
+        """End the dial of a link as one that failed. False: it stands already."""
+        dial = self.dials.pop(link, None)
+        if dial is not None:
+            dial.stopConnecting()
+        return dial is not None
+
     def dial_failed(self, link: Link) -> None:
         self.counters.add("engine_dial_failures")
+        self.dials.pop(link, None)
         self.lost(link)
         link.refused()
 
@@ -60,6 +77,7 @@
         self._pool, self._link = pool, link
 
     def buildProtocol(self, addr: object) -> Link:
+        del self._pool.dials[self._link]
         return self._link
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
@@ -74,7 +92,7 @@
 
     def __call__(self, pool: Pool) -> Link:
         link = self._make(pool)
-        self._reactor.connectTCP(*pool.address, DialFactory(pool, link), timeout=self._timeout)
+        pool.dials[link] = self._reactor.connectTCP(*pool.address, DialFactory(pool, link), timeout=self._timeout)
         return link
 
 
@@ -86,22 +104,25 @@
         self._dial, self._clock, self._limits, self._counters, self._core = dial, clock, limits, counters, core
         self._most = most  # connections to one engine
         self.pools: dict[str, Pool] = {}
-        self.retired: list[Pool] = []  # of engines that are gone, while something is open on their connections
-
-    def listed(self, addresses: Mapping[str, Address]) -> None:
-        """The list as it is now. What an engine that is gone still has open ends on its own; the rest closes."""
-        for name, pool in list(self.pools.items()):
-            if addresses.get(name) != pool.address:  # connections to an old address are never used for a new one
-                self._retire(self.pools.pop(name))
+        self.retired: list[Pool] = []  # of engines that take nothing new, while something is open on their connections
+
+    def listed(self, addresses: Mapping[str, Address], entries: Sequence[t.EngineEntry] = ()) -> None:
+        """The list as it is now; `entries` as the module sees them. Engines that are gone, drain, have started anew or
+        moved get nothing more on the connections that they have. The new pools are there before the old ones retire:
+        what had waited for these is sent elsewhere at once."""
+        told = {entry.engine: entry for entry in entries}
+        old, self.pools = self.pools, {}
         for name, address in addresses.items():
-            if name not in self.pools:
-                self.pools[name] = Pool(name, address, self._counters)
-
-    def _retire(self, pool: Pool) -> None:
-        for link in list(pool.links):
-            link.retire()
-        if pool.links:
-            self.retired.append(pool)
+            entry = told.get(name, t.EngineEntry(name))
+            if entry.state == "Ready":
+                known = old.get(name)
+                if known is not None and (known.address, known.started) == (address, entry.came_up):
+                    self.pools[name] = old.pop(name)
+                else:
+                    self.pools[name] = Pool(name, address, self._counters, entry.came_up)
+        self.retired += old.values()
+        for pool in old.values():
+            pool.retire()
 
     def send(self, attempt: Attempt) -> None:
         """On the connection with the fewest attempts. Some more are opened than would do: whatever ends one, a
@@ -130,10 +151,13 @@
         if len(links) < self._limits.engine_links:
             return True
         self._counters.add("over_engine_links")
-        idle = [link for link in links if not link.load()]
-        if idle:
-            min(idle, key=lambda link: link.idle_since()).close_if_idle()
-        return bool(idle)
+        idle = [link for link in links if not link.load() and not link.closed]
+        if not idle or sum(link.closed for link in links) >= self._limits.leaving:  # these hold a descriptor still
+            return False
+        link = min(idle, key=lambda link: link.idle_since())
+        if not any(pool.call_off(link) for pool in (*self.pools.values(), *self.retired)):
+            link.close_if_idle()
+        return True
 
     def give_up(self, attempt: Attempt) -> None:
         if attempt.link is not None:
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -184,13 +184,15 @@
         return len(self.open)
 
     def retire(self) -> None:
-        """Its engine is gone from the list, or has another address: what is open ends on its own, then it closes."""
+        """Its engine takes nothing new: what is open ends on its own, then it closes."""
         self.retired = True
         self.close_if_idle()
 
     def look(self, now: int) -> None:
         """Drop a connection on which a frame has stopped half way: whatever else is open on it waits behind that
-        frame, and on a scored day waited for its deadline."""
+        frame, and on a scored day waited for its deadline. Also one whose engine does not take the last bytes."""
+        if self.closed and now - self.used > self.limits.linger:
+            self.drop()
         if self.half_since and now - self.half_since > self.limits.half_frame and not self.closed:
             self._malformed(BadFrame("a frame that stops half way"))
 
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -101,6 +101,9 @@
 
     def retire(self) -> None:
         self.retired = True
+        if self.state in (self.PRELOGIN, self.LOGIN):  # what waits for the login never left
+            self._drop()
+            return self._end("NOCONN")
         self.close_if_idle()
 
     def look(self, now: int) -> None:
@@ -194,6 +197,8 @@
             if self._acknowledged:
                 self.state, self.used = self.READY, self.clock.now()
             self._start_answer()
+            if self.retired:
+                self.close_if_idle()
         else:
             self.state = self.READY
             if self._error:
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -10,6 +10,9 @@
 import pytest
 from msgspec.structs import replace as limits_with
 from stands import CLASSES, LIMITS, MS, SETTINGS, RespEngine, S, Site, Stand, TdsEngine, spin
+from twisted.internet import reactor
+from twisted.internet.main import CONNECTION_LOST
+from twisted.internet.protocol import Protocol
 
 from rackhub import interface as t
 from rackhub.core.request import Query
@@ -62,9 +65,9 @@
         """A list with the engines in these states; None: gone."""
         entries = [t.EngineEntry(f"e{i}", "z", "std", state=state) for i, state in enumerate(states) if state]
         self.rev += 1
-        self.core.listed(entries, self.rev)
+        self.core.listed(entries, self.rev)  # the order of `Daemon._tell_list`
         self.pools.listed({f"e{i}": ("127.0.0.1", stand.port.getHost().port) for i, stand in enumerate(self.stands)
-                           if states[i] == "Ready"})
+                           if states[i]}, entries)
 
     def links(self):
         return [link for pool in (*self.pools.pools.values(), *self.pools.retired) for link in pool.links]
@@ -234,8 +237,9 @@
     assert all((query, "RST") in ends for query in whole)
 
 
+@pytest.mark.parametrize("planted", [False, True])
 @pytest.mark.parametrize("count,writing", [(24, False), (10, True)])
-def test_an_answer_that_came_whole_before_a_reset_is_passed_on(make, count, writing):
+def test_an_answer_that_came_whole_before_a_reset_is_passed_on(make, count, writing, planted):
     """All are in the kernel with the reset before the loop reads any, more of them than one read takes. Where something
     is to be written as well, the reset shows with the first read."""
     here = make(1, settings=replace(FRAGILE, kind_cores={"std": 64.0}))
@@ -254,5 +258,157 @@
     reset(engine)
     if writing:
         assert here.ask().out[0].link is link
+    if planted:  # a reader that takes the reset first
+        link.transport.doRead = lambda: CONNECTION_LOST
     spin(lambda: all(query.closed for query in queries))
-    assert [query.reply.came for query in queries] == [[("served", body)]] * len(queries)
+    assert [query.reply.came for query in queries] == [[("failed" if planted else "served", body * (not planted))]] \
+        * len(queries)
+
+
+# ---- dials, drains and new starts
+
+
+def under_way(here):
+    """The dials go out, and the kernel makes the connections; the loop has not looked at them."""
+    reactor.runUntilCurrent()
+
+
+def one_out(query):
+    attempt, = query.out.values()
+    return attempt
+
+
+@pytest.mark.parametrize("tds", [False, True])
+@pytest.mark.parametrize("begun", [lambda here: None, under_way], ids=["dialling", "connected"])
+@pytest.mark.parametrize("state", ["Terminating", None])
+def test_what_waits_for_a_dial_of_an_engine_that_drains_or_goes_is_sent_elsewhere_at_once(make, tds, begun, state):
+    here = make(2, tds=tds, act=answer, settings=FRAGILE)
+    queries = [here.ask() for _ in range(6)]
+    begun(here)
+    here.told(state, "Ready")
+    assert {one_out(query).engine for query in queries} == {"e1"}  # before any turn of the loop
+    spin(lambda: all(query.closed for query in queries))
+    assert [query.reply.came for query in queries] == [[("served", ROWS)]] * len(queries)
+    assert not here.stands[0].wants()
+    spin(lambda: not here.pools.retired or not any(pool.links for pool in here.pools.retired))
+
+
+def test_what_waits_for_the_login_at_an_engine_that_drains_is_sent_elsewhere_at_once(make):
+    """Over TDS the dial is not the whole way."""
+    here = make(2, tds=True, act=answer, settings=FRAGILE)
+    queries = [here.ask() for _ in range(6)]
+    held = []
+
+    class Held(Protocol):
+        def connectionMade(self):
+            held.append(self)
+
+    here.stands[0].factory.buildProtocol = lambda addr: Held()
+    spin(lambda: held and all(link.state != link.DIALLING for link in here.links()))
+    here.told("Terminating", "Ready")
+    spin(lambda: all(query.closed for query in queries))
+    assert [query.reply.came for query in queries] == [[("served", ROWS)]] * len(queries)
+
+
+def test_of_a_list_the_new_engines_are_there_before_what_waited_for_the_old_ones_is_sent_on(make):
+    here = make(2, act=answer, settings=FRAGILE)
+    here.told("Ready", None)
+    query = here.ask()
+    here.told(None, "Ready")
+    spin(lambda: query.closed)
+    assert query.reply.came == [("served", ROWS)] and here.counters["out_noconn"] == 1
+
+
+def test_what_runs_on_an_engine_that_drains_ends_there_and_then_its_connections_close(make):
+    here = make(1)
+    query = here.ask()
+    spin(lambda: here.wants(query))
+    here.told("Terminating")
+    engine, = here.stands[0].connections
+    engine.say(query.id.encode(), b"200", b"chunks=2", ROWS)
+    spin(lambda: here.stands[0].heard[-1][0] == b"turn")
+    engine.say(query.id.encode(), b"chunk", b"at=1", ROWS)
+    spin(lambda: query.closed)
+    assert query.reply.came == [("served", 2 * ROWS)]
+    spin(lambda: not here.links())
+
+
+@pytest.mark.parametrize("moved", [False, True])
+@pytest.mark.parametrize("tds", [False, True])
+def test_an_engine_that_comes_back_under_its_id_gets_nothing_on_connections_of_before(make, tds, moved):
+    """It has a new start and its old address, or another one: what rests is closed, what dials is called off, what is
+    open ends on its own."""
+    here = make(2, tds=tds, act=answer)
+    here.told("Ready", None)
+    first = here.ask()
+    spin(lambda: first.closed)
+    here.stands[0].act = lambda *_: None
+    runs = here.ask()
+    spin(lambda: len(here.wants()) == 2)
+    old, waits = here.links(), here.ask()
+    while waits.out[0].link in old:  # one that waits for a dial
+        waits = here.ask()
+    entry = t.EngineEntry("e0", "z", "std", came_up=here.clock.now())
+    here.core.listed([entry], 9)
+    here.pools.listed({"e0": ("127.0.0.1", here.stands[moved].port.getHost().port)}, [entry])
+    before = sum(len(stand.connections) for stand in here.stands)
+    for stand in here.stands:
+        stand.act = answer
+    assert not runs.closed
+    spin(lambda: waits.closed)
+    assert waits.reply.came == [("served", ROWS)]
+    assert not any(link in old for pool in here.pools.pools.values() for link in pool.links)
+    assert sum(len(stand.connections) for stand in here.stands) > before
+    here.core.leave(runs)
+    spin(lambda: not any(link in old for link in here.links()))
+
+
+def test_a_dial_that_ends_after_its_attempt_was_moved_is_kept_and_not_used_for_it(make):
+    here = make(2, act=answer)
+    query = here.ask()
+    first = one_out(query)
+    under_way(here)
+    here.core._cancel(t.Cancel(query.id, 0))
+    here.clock.advance(2 * LIMITS.handover)
+    second = one_out(query)
+    assert second.engine != first.engine
+    spin(lambda: query.closed)
+    spin(lambda: first.link.up)
+    spin(lambda: all(stand.connections for stand in here.stands))
+    assert [words[1] for words in here.wants()] == [query.id.encode()] and query.reply.came == [("served", ROWS)]
+    while (later := here.ask()).out[0].link is not first.link:
+        pass
+    spin(lambda: later.closed)
+    assert later.reply.came == [("served", ROWS)]
+
+
+def test_connections_that_dial_or_close_make_no_room_twice(make):
+    """Each holds a descriptor until it has ended. What dials with nothing to carry any more is called off."""
+    here = make(8, limits=limits_with(LIMITS, engine_links=3, leaving=2))
+    while len(here.links()) < 3:
+        here.core.leave(here.ask())
+    here.clock.advance(2 * LIMITS.handover)
+    for _ in range(20):
+        here.ask()
+        assert len(here.links()) <= 3 + 2
+
+
+def test_a_connection_that_closes_over_an_engine_that_reads_nothing_is_cut(make):
+    """The close waits for the last bytes to leave, and they never do: its descriptor would be held for good."""
+    here = make(1)
+    link = rest(here)
+    here.stands[0].connections[0].transport.pauseProducing()
+    link.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    while not link.transport.dataBuffer[link.transport.offset:]:
+        query = here.ask("report", statement=b"x" * 200_000)
+        spin(lambda: not link.transport._tempDataLen)
+        here.core.leave(query)
+    here.told("Terminating")
+    assert link.closed and link.transport.disconnecting
+    for _ in range(5):
+        here.pools.sweep()
+        reactor.iterate(0)
+    assert here.links() == [link]  # it has its time
+    here.clock.advance(LIMITS.linger + 1)
+    here.pools.sweep()
+    spin(lambda: not here.links())
