Bound what a told number of pages may cost, and read no answer within another

Seen: a result that told of 50,000,000 pages made a list of so many places before its bound was looked at (_result: 800 MB; of 10^17 a MemoryError in dataReceived, which Twisted turns into the loss of the connection). And an answer that broke off for another one, whole, was read as if the second stood alone: LineReceiver hands what is left back through dataReceived in the middle of the first, where half_since was still 0, so _whole_frames took it.

Now the places are at most limits.pages, and whole frames are taken only between frames, by the reader's own state (_whole), which also says whether a part of one has come.

Without the mend: ..._more_pages_than_one_may_have fails at 'most < 10_000_000' and, of 10^17, at the shut; ..._can_t_be_read[a frame within a frame] never sees the others end. Right before and kept: numbers without an end, beyond their bound or cut off, bodies without an end, heads that are none: one ended attempt, what shares the connection by class.

--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -274,16 +274,20 @@
         self.heard = self.clock.now()
         try:
             before = self._frames
-            if not self.half_since:
+            if self._whole():
                 data = self._whole_frames(data)
             if data:
                 super().dataReceived(data)
-                whole = not self._due and self.line_mode and not self._buffer
+                whole = self._whole()
                 if whole or before != self._frames or not self.half_since:
                     self.half_since = 0 if whole else self.heard
         except BadFrame as bad:
             self._malformed(bad)
 
+    def _whole(self) -> bool:
+        """Whether no part of a frame has come after the last one."""
+        return not self._due and bool(self.line_mode) and not self._buffer
+
     def _whole_frames(self, data: bytes) -> bytes:
         """Take the answers that lie whole at the front of what came, in place; what is left is read by the states
         below. Eight callbacks a frame took a seventh of a saturated core on a scored day (py-spy, 200 samples/s)."""
@@ -394,7 +398,7 @@
         report = report_of(fields)
         if count == 1:
             return self._over(id, attempt, "GOOD", report, (body,))
-        self.paging[id] = Paging(body, count, report)
+        self.paging[id] = Paging(body, min(count, self.limits.pages), report)
         if count > self.limits.pages:
             return self._too_large(id, attempt)
         pieces = []
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import tracemalloc
 from dataclasses import replace
 
 import pytest
@@ -412,3 +413,88 @@
     here.clock.advance(LIMITS.linger + 1)
     here.pools.sweep()
     spin(lambda: not here.links())
+
+
+# ---- spoilt answers
+
+
+def shared(here, count=3):
+    """Requests that share one connection, each with its attempt at the engine."""
+    here.pools._limits = limits_with(LIMITS, spread=1)
+    queries = [here.ask() for _ in range(count)]
+    spin(lambda: all(here.wants(query) for query in queries))
+    assert len({query.out[0].link for query in queries}) == 1
+    return queries
+
+
+def written(id, *more, count=4):
+    """The first parts of an answer of `count` parts."""
+    return b"*%d\r\n" % count + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in (id, *more))
+
+
+GOOD = b"".join(command(b"2".zfill(16), b"200", b"chunks=1", ROWS))  # of the second of those that share
+SPOILT = {
+    "a number with no end": written(b"1".zfill(16), b"200", b"chunks=1") + b"$" + b"1" * 1_000,
+    "a number beyond its bound": written(b"1".zfill(16), b"200", b"chunks=1") + b"$999999\r\n",
+    "a number that is none": written(b"1".zfill(16), b"200", b"chunks=1") + b"$1_0\r\n",
+    "too many parts": b"*17\r\n",
+    "a frame within a frame": written(b"1".zfill(16)) + GOOD,
+    "a body with no end": written(b"1".zfill(16), b"200", b"chunks=1") + b"$5\r\n" + b"x" * 70_000,
+    "pages that are none": written(b"1".zfill(16), b"200", b"chunks=0", ROWS),
+    "a count that is none": written(b"1".zfill(16), b"200", b"chunks=many", ROWS),
+}
+
+
+@pytest.mark.parametrize("said", SPOILT.values(), ids=SPOILT)
+def test_an_answer_that_can_t_be_read_ends_what_shares_its_connection_as_having_run(make, said):
+    """Nothing that follows it is credited, also not where it would make an answer."""
+    here = make(1, settings=FRAGILE)
+    queries = shared(here)
+    here.stands[0].connections[0].transport.write(said + GOOD)
+    spin(lambda: all(query.closed for query in queries))
+    assert [query.reply.came for query in queries] == [[("failed", b"")]] * 3
+    assert here.counters["engine_bad_frames"] == 1 and here.counters["out_rst"] == 3
+    spin(lambda: not here.links())
+
+
+CUT = {
+    "in a number": written(b"1".zfill(16), b"200", b"chunks=1") + b"$1",
+    "in a body": written(b"1".zfill(16), b"200", b"chunks=1") + b"$5000\r\n" + b"x" * 1_000,
+    "between its parts": written(b"1".zfill(16), b"200"),
+    "before its end": written(b"1".zfill(16), b"200", b"chunks=1", ROWS)[:-1],
+}
+
+
+@pytest.mark.parametrize("lost", [False, True], ids=["silent", "reset"])
+@pytest.mark.parametrize("said", CUT.values(), ids=CUT)
+def test_an_answer_that_is_cut_off_is_no_answer(make, said, lost):
+    """The connection is lost, or nothing more comes on it; what came whole before it is passed on."""
+    here = make(1, settings=FRAGILE)
+    queries = shared(here)
+    engine, = here.stands[0].connections
+    engine.transport.socket.sendall(GOOD + said)
+    if lost:
+        reset(engine)
+    spin(lambda: queries[1].closed and (lost or queries[0].out[0].link.half_since))
+    here.clock.advance(LIMITS.half_frame + 1)
+    here.pools.sweep()
+    spin(lambda: all(query.closed for query in queries))
+    assert [query.reply.came for query in queries] == [[("failed", b"")], [("served", ROWS)], [("failed", b"")]]
+
+
+@pytest.mark.parametrize("count", [LIMITS.pages + 1, 50_000_000, 10 ** 17])
+def test_a_result_of_more_pages_than_one_may_have_costs_nothing_and_ends_one_attempt(make, count):
+    here = make(1, settings=FRAGILE)
+    queries = shared(here)
+    engine, = here.stands[0].connections
+    tracemalloc.start()
+    engine.say(queries[0].id.encode(), b"200", b"chunks=%d" % count, ROWS)
+    spin(lambda: queries[0].closed)
+    most = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert most < 10_000_000 and queries[0].reply.came == [("failed", b"")]
+    spin(lambda: here.stands[0].heard[-1] == (b"shut", queries[0].id.encode()))
+    for query in queries[1:]:
+        engine.say(query.id.encode(), b"200", b"chunks=1", ROWS)
+    spin(lambda: all(query.closed for query in queries))
+    assert [query.reply.came for query in queries[1:]] == [[("served", ROWS)]] * 2
