Test the ends of an attempt that cross: late answers, second copies, an answer with its time-out

Each on real connections, with the answer in this machine's kernel before the give-up, the time-out or the next attempt. Planted: a connection that forgets which ids ended on it without success credits the old answer to the next attempt ([True] of ..._crossed_the_give_up). A time-out told before the answer is read answers once; the reverse too.

--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -498,3 +498,74 @@
         engine.say(query.id.encode(), b"200", b"chunks=1", ROWS)
     spin(lambda: all(query.closed for query in queries))
     assert [query.reply.came for query in queries[1:]] == [[("served", ROWS)]] * 2
+
+
+# ---- ends that cross
+
+
+@pytest.mark.parametrize("planted", [False, True])
+def test_an_answer_that_crossed_the_give_up_is_not_taken_for_that_of_the_next_attempt(make, planted):
+    """Both are on the same engine, under the same id: the second one takes another connection."""
+    here = make(1)
+    query = here.ask()
+    spin(lambda: here.wants(query))
+    first, id = one_out(query), query.id.encode()
+    engine, = here.stands[0].connections
+    engine.transport.socket.sendall(b"".join(command(id, b"200", b"chunks=1", b"old\told\told\n")))
+    here.core._cancel(t.Cancel(query.id, 0))
+    if planted:
+        first.link.stale.clear()
+    here.clock.advance(2 * LIMITS.handover)
+    second = one_out(query)
+    assert second is not first and (second.link is first.link) == planted
+    if planted:
+        spin(lambda: query.closed)
+        assert query.reply.came == [("served", b"old\told\told\n")]
+        return
+    spin(lambda: here.counters["engine_strays"] and len(here.wants(query)) == 2)
+    engine.say(id, b"200", b"chunks=1", b"old\told\told\n")  # and a second copy of it
+    spin(lambda: here.counters["engine_strays"] == 2)
+    assert not query.closed
+    here.stands[0].connections[1].say(id, b"200", b"chunks=1", ROWS)
+    spin(lambda: query.closed)
+    assert query.reply.came == [("served", ROWS)]
+
+
+@pytest.mark.parametrize("answer_first", [False, True])
+def test_of_an_answer_and_a_time_out_in_one_turn_the_first_counts(make, answer_first):
+    """One answer to the client, one end of the attempt, nothing sent again."""
+    here = make(2)
+    query = here.ask()
+    spin(lambda: here.wants(query))
+    attempt = one_out(query)
+    engine = next(connection for stand in here.stands for connection in stand.connections if stand.wants())
+    engine.transport.socket.sendall(b"".join(command(query.id.encode(), b"200", b"chunks=1", ROWS)))
+    if answer_first:
+        reactor.iterate(0.01)
+        spin(lambda: query.closed)
+    here.clock.advance(query.deadline - here.clock.now() + 50 * MS)
+    spin(lambda: query.closed)
+    spin(lambda: answer_first or attempt.link not in here.links())  # nothing was heard on it for so long
+    here.clock.advance(S)
+    assert len(query.reply.came) == 1 and (query.reply.came[0][0] == "served") == answer_first
+    assert attempt.over and not here.core.out and not here.core.queries and len(here.wants(query)) == 1
+
+
+def test_a_second_copy_of_an_answer_ends_nothing(make):
+    """It comes under an id that is over, beside one of a request that is open."""
+    here = make(1)
+    queries = shared(here, 2)
+    engine, = here.stands[0].connections
+    for _ in range(2):
+        engine.say(queries[0].id.encode(), b"200", b"chunks=1", ROWS)
+    spin(lambda: here.counters["engine_strays"])
+    assert queries[0].reply.came == [("served", ROWS)] and not queries[1].closed
+    engine.say(queries[1].id.encode(), b"200", b"chunks=1", ROWS)
+    spin(lambda: queries[1].closed)
+    assert queries[1].reply.came == [("served", ROWS)]
+
+
+def test_small_writes_to_an_engine_are_not_held_back(make):
+    here = make(1)
+    link = rest(here)
+    assert link.transport.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
