Leave it to the pools alone to take attempts from engines that drain or go

The pools call off the dials of what takes nothing new, and refuse what the core still holds: one owner is enough, and the core's goes.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -48,7 +48,6 @@
         self.gathers: Gathers | None = None  # what is sent to several sites and answered once
         self.guide: Guide | None = None  # what the gateways of the fleet agree on, where they may speak to one another
         self._kinds: dict[str, str] = {}  # of engines, as the list has them
-        self._ready: set[str] = set()  # those of them that take new attempts
         self.on_idle: Callable[[], None] | None = None  # called when the last request has its answer
         self._control = Control(settings, seed)
         self._events: deque[object] = deque()
@@ -66,22 +65,16 @@
 
     def start(self, engines: EnginePort, entries: Sequence[t.EngineEntry], rev: int) -> None:
         self.engines = engines
+        self._kinds = {entry.engine: entry.kind for entry in entries}
         self._tell(t.Started())
-        self._list("Persisted", entries, rev)
+        self._tell(t.EngineList("Persisted", tuple(entries), rev))
         self._sweep()
 
     def listed(self, entries: Sequence[t.EngineEntry], rev: int) -> None:
         """The whole list of engines, as the resolver has it now."""
         self.counters.add("lists_told")
-        self._list("Complete", entries, rev)
-
-    def _list(self, scope: str, entries: Sequence[t.EngineEntry], rev: int) -> None:
         self._kinds = {entry.engine: entry.kind for entry in entries}
-        self._ready = {entry.engine for entry in entries if entry.state == "Ready"}
-        self._tell(t.EngineList(scope, tuple(entries), rev))
-        for attempt in list(self.out.values()):  # a drain forbids what begins after it, whoever chose the engine before
-            if attempt.unsent and attempt.engine not in self._ready:
-                self._give_up(attempt, "NOCONN")
+        self._tell(t.EngineList("Complete", tuple(entries), rev))
 
     def known(self, id: str) -> bool:
         """Whether a request of this id is open, or was answered or withdrawn lately. Ids are new with each request,
