Hold what is read from a client that was not read from until its end would show

Now `Client.hear` marks the connection as `stale` where it was deaf for more than `limits.unread_turn`, until a read brings less than one read can; attempts of requests read meanwhile wait for two turns (`Timers.when_read`).

A dial that ends for an engine that was retired before it was read closes as it is taken up.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -328,7 +328,7 @@
             self.guide.sent(attempt, now)
         if copy_after and now + copy_after < until:
             self.timers.at(now + copy_after, self._copy_due, attempt)
-        self.timers.when_read(self.limits.unread_turn, self._begin, attempt)
+        self.timers.when_read(-1 if query.reply.stale else self.limits.unread_turn, self._begin, attempt)
 
     def _begin(self, attempt: Attempt) -> None:
         """The attempt goes to the port, unless it was called off while it was held."""
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -37,6 +37,7 @@
     linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes, and to close it too
     dropped: int = 1_048_576  # bytes read and dropped of a client whose connection ends
     unread_turn: int = 30 * MS  # the loop is so late: attempts wait until sockets are read; clients may have gone
+    read: int = 65_536  # bytes that one read of a socket brings at most
 
     # engines
     dial_timeout: int = 250 * MS
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -87,6 +87,7 @@
         self.front, self.core, self.counters = front, front.core, front.counters
         self.used = front.core.clock.now()  # when it connected, or last sent or got a whole message
         self.half_since = self.choked_since = self.held_until = self.closed_at = 0
+        self._deaf_from = 0  # when reading last stopped
         self.spoke = self.ending = False
         self.faults = 0
 
@@ -167,6 +168,10 @@
         """The one place that stops reading and goes on with it."""
         if self.held() != self.deaf:
             self.deaf = not self.deaf
+            now = self.core.clock.now()
+            if not self.deaf and now - self._deaf_from > self.front.limits.unread_turn:
+                self.stale = True  # until all that lies unread is read
+            self._deaf_from = now
             (self.transport.pauseProducing if self.deaf else self.transport.resumeProducing)()
 
 
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -99,6 +99,7 @@
             else:
                 self.lineReceived(line)
         self._reading = False
+        self.stale = self.stale and len(data) >= self.front.limits.read
         if len(self._buffer) > most:
             self._buffer = self._buffer[:most]
             if not self.ending:
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -263,6 +263,8 @@
         for attempt in list(self.open.values()):
             if self.open.get(attempt.query.id.encode()) is attempt:  # the end of one before may have ended others
                 self._write(attempt)
+        if self.retired:
+            self.close_if_idle()
 
     def connectionLost(self, reason: object = None) -> None:
         if self.open:
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -123,6 +123,7 @@
                 self._request(kind, body, bool(status & codec.RESET))
             else:
                 raise codec.BadTds("a request while another one runs")
+        self.stale = False
         # until it is logged in the time runs from its connecting
         self.came(whole and self.login is not None, self._in.begun)
 
