--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -9,12 +9,13 @@
 import socket
 import subprocess
 import sys
+import threading
 
 import pytest
 import stands
 from msgspec.structs import replace
 from stands import LIMITS, MS, FakeClock, S, Site, Stand, spin
-from test_config import endpoint, notice, told
+from test_config import SETTINGS, endpoint, notice, told
 from twisted.internet import reactor
 
 from rackhub.net.jsonrpc import JsonRpcConnection
@@ -526,11 +527,14 @@
         os.write(self.let, b"x")
 
     def until(self, text):
-        lines = []
-        while not lines or text not in lines[-1]:
-            line = self.child.stderr.readline()
-            assert line, "".join(lines)
-            lines.append(line)
+        lines, bound = [], threading.Timer(60, self.child.kill)
+        bound.start()
+        try:
+            while not lines or text not in lines[-1]:
+                lines.append(self.child.stderr.readline())
+                assert lines[-1], "".join(lines)
+        finally:
+            bound.cancel()
         return "".join(lines)
 
     def ended(self):
@@ -835,3 +839,37 @@
         pass
     process.child.send_signal(signal.SIGTERM)
     assert process.ended()[0] == 0
+
+
+# ---- settings
+
+
+def test_a_request_holds_the_settings_of_its_start_over_a_reload(gated, unreachable):
+    """Half of it is read before the reload, which names other classes and tenants, and the rest after it."""
+    process = gated(PATIENT, engine=unreachable.address)
+    process.until("serves on")
+    client, lines = process.client()
+    with client, lines:
+        whole = line(ask(1, budget=9_000))
+        lines.write(line(ALIVE) + whole[:50])
+        lines.flush()
+        assert json.loads(lines.readline())["result"] == {"pass": True}
+        report = {"Name": "report", "Deadline": 1_000_000, "Effect": "retryable", "Worth": 1.0}
+        other = SETTINGS | {"Services": [report], "Tenants": [{"Name": "others", "Fraction": 0.5}]}
+        process.write(settings=other)
+        process.child.send_signal(signal.SIGHUP)
+        process.until("settings changed too, which takes a restart")
+        lines.write(whole[50:])
+        lines.flush()
+        engine, _ = unreachable.port.accept()
+        with engine:
+            engine.settimeout(60)
+            want = engine.recv(1 << 16)
+            assert f"{1:016x}".encode() in want and b"profile=lookup" in want
+            engine.sendall(b"*4\r\n$16\r\n%016x\r\n$3\r\n200\r\n$8\r\nchunks=1\r\n$6\r\na\tb\tc\n\r\n" % 1)
+            assert "result" in json.loads(lines.readline())
+            lines.write(line(ask(2, "report")) + line(ask(3, acct="others")))  # the next as well
+            lines.flush()
+            assert {json.loads(lines.readline())["error"]["code"] for _ in range(2)} == {-32601, -32602}
+    process.child.send_signal(signal.SIGTERM)
+    assert process.ended()[0] == 0
