Hold a ban in both processes while one replaces the other

Seen: each process reads the bans once, as it starts, and writes its own whole view at each call and each new id in the list. Between the new one's start and the old one's end a call comes to either, as both share the second address: a ban told to the old one was gone with it, and a list that reached the old one later wrote the new one's ban out of the file.

What was kept last holds, whoever kept it. Without an operator's address nothing of it runs.

Without the mend `until(lambda: avoided(other) == 1)` never comes about in test_a_ban_told_to_one_of_two_processes_holds_in_both, told to the old one and told to the new one.

--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -79,6 +79,7 @@
     ops_line: int = 512  # one call
     ops_answer: int = 800 * MS  # a call not whole by then is told no: 1 s is owed
     ops_linger: int = 1 * SECOND  # for the caller to take the answer before the connection is cut
+    ops_fresh: int = 100 * MS  # how often it is looked whether another process was told of engines out by hand
 
     # the end
     read_after_term: int = 650 * MS  # requests on open connections: what comes 0.7 s after SIGTERM is lost unanswered
--- a/rackhub/ops/bans.py
+++ b/rackhub/ops/bans.py
@@ -45,6 +45,13 @@
             self.back[engine] = now
         return True
 
+    def take_up(self, out: set[str], listed: set[str], back: dict[str, int]) -> bool:
+        """What another process was told last holds here too; whether it is another than before."""
+        changed = (out, back) != (self.out, self.back)
+        self.out, self.back = out, dict(back)
+        self.listed |= listed
+        return changed
+
     def shown(self, entries: Sequence[t.EngineEntry]) -> tuple[t.EngineEntry, ...]:
         """The list as the module is to see it: those out are draining, those put back have come up when they did."""
         self.seen(entries)
--- a/rackhub/ops/desk.py
+++ b/rackhub/ops/desk.py
@@ -10,11 +10,13 @@
 
 class OpsDesk:
     """`ready()`: whether the process serves; `changed()`: the bans have changed, show the list anew and keep them;
-    `figures()`: the text of the figures; `now()`: microseconds."""
+    `figures()`: the text of the figures; `now()`: microseconds; `fresh()`: take up what another process was told."""
 
     def __init__(self, bans: Bans, ready: Callable[[], bool], changed: Callable[[], None],
-                 figures: Callable[[], bytes], now: Callable[[], int]):
+                 figures: Callable[[], bytes], now: Callable[[], int],
+                 fresh: Callable[[], None] = lambda: None):
         self.bans, self._ready, self._changed, self._figures, self._now = bans, ready, changed, figures, now
+        self._fresh = fresh
 
     def answer(self, line: bytes) -> bytes:
         """The whole answer to one line (without its end of line), ending in a newline."""
@@ -39,6 +41,7 @@
         if verb == "DUMP":
             return b"YES figures follow\n" + self._figures() + b"END\n"
         engine = rest[0]
+        self._fresh()
         done = self.bans.offline(engine) if verb == "OFFLINE" else self.bans.online(engine, self._now())
         if not done:
             return f"NO {engine[:80]} was never listed\n".encode()
--- a/rackhub/ops/statefile.py
+++ b/rackhub/ops/statefile.py
@@ -66,6 +66,15 @@
     return decode(data)
 
 
+def mark(path: Path) -> tuple[int, int] | None:
+    """What is another whenever the file was replaced; None where there is none."""
+    try:
+        told = path.stat()
+    except OSError:
+        return None
+    return told.st_ino, told.st_mtime_ns
+
+
 def write(path: Path, data: bytes) -> None:
     """Replace the file at once; raises OSError where it can't be written. It outlives the process, not the machine:
     forced to the disk it held the whole coordinator up for 50 to 75 ms at each change of the list."""
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -14,6 +14,7 @@
 import pytest
 import stands
 from msgspec.structs import replace
+from replacing import Engine, Process, free_ports, until
 from stands import LIMITS, MS, FakeClock, S, Site, Stand, spin
 from test_config import SETTINGS, endpoint, notice, told
 from twisted.internet import reactor
@@ -873,3 +874,58 @@
             assert {json.loads(lines.readline())["error"]["code"] for _ in range(2)} == {-32601, -32602}
     process.child.send_signal(signal.SIGTERM)
     assert process.ended()[0] == 0
+
+
+# ---- hand-over
+
+
+@pytest.fixture
+def pair(tmp_path):
+    """Two processes of one coordinator that serve side by side, as while one replaces the other, each with a second
+    address that the test can call by itself."""
+    listen, nameserver = free_ports(2)
+    engines, made = [Engine(0) for _ in range(2)], []
+
+    def start(name):
+        made.append(Process(tmp_path, name, listen, engines, nameserver))
+        return made[-1].until_serving()
+
+    yield start, engines
+    for process in made:
+        process.close()
+    for engine in engines:
+        engine.port.stopListening()
+        for connection in engine.connections:
+            connection.transport.abortConnection()
+    until(lambda: not any(connection.connected for engine in engines for connection in engine.connections))
+
+
+def avoided(process):
+    """How many engines a process sends nothing new to."""
+    with socket.create_connection(("127.0.0.1", process.operator), 60) as call:
+        call.settimeout(60)
+        call.sendall(b"DUMP\n")
+        said = b"".join(iter(lambda: call.recv(1 << 16), b""))
+    found, = (text.split() for text in said.decode().splitlines()
+              if text.startswith("balancer_pool_ejected "))
+    return int(float(found[-1]))
+
+
+@pytest.mark.parametrize("to_old", [True, False])
+def test_a_ban_told_to_one_of_two_processes_holds_in_both(pair, to_old):
+    """It lay with the one that was called: told to the old one it was gone with it, and what the old one kept later,
+    with each new list, took the new one's from the file."""
+    start, _ = pair
+    old, new = start("old"), start("new")
+    called, other = (old, new) if to_old else (new, old)
+    assert called.say("OFFLINE e0").startswith("YES")
+    until(lambda: avoided(other) == 1)
+    assert other.say("OFFLINE e1").startswith("YES")  # and each adds to what the other was told
+    until(lambda: avoided(called) == 2)
+    assert called.say("ONLINE e0").startswith("YES")
+    until(lambda: avoided(other) == 1)
+    old.end()
+    assert old.ended() == 0
+    assert avoided(new) == 1
+    third = start("third")
+    assert avoided(third) == 1
