End the process also where the last descriptor goes as its listener closes

Seen: `SharedPort._take_rest` minded a fault of accept alone. Where accept took the last descriptor, the reactor's copy of it failed with EMFILE, the fault went into the Deferred that `Daemon._close` waits for, and the process that was told to end never did. Now both are the same end of the queue, and the socket is closed.

Without the mend `assert ended == [None]` (it is the fault) in test_the_last_descriptor_taken_as_the_listener_closes_does_not_keep_the_process_from_its_end.

Shown beside it: a client that sends much at once and goes is given up whole as its close shows, and nothing of it is held beyond the bound of a line (right before; fails with `connectionLost` planted to leave nothing).

--- a/rackhub/net/listen.py
+++ b/rackhub/net/listen.py
@@ -82,9 +82,9 @@
         while True:
             try:
                 connection, _ = self._socket.accept()
-            except OSError:  # it is empty; or no descriptor is left, and what waits is turned back
+                with connection:  # the reactor has a copy
+                    connection.setblocking(False)
+                    self._reactor.adoptStreamConnection(connection.fileno(), socket.AF_INET, self._factory)
+            except OSError:  # it is empty; or no descriptor is left, for it or its copy, and what waits is turned back
                 break
-            connection.setblocking(False)
-            self._reactor.adoptStreamConnection(connection.fileno(), socket.AF_INET, self._factory)
-            connection.close()  # the reactor has a copy
         self._socket.close()
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -3,6 +3,7 @@
 
 import base64
 import contextlib
+import errno
 import json
 import os
 import signal
@@ -17,9 +18,11 @@
 from replacing import Engine, Process, free_ports, until
 from stands import LIMITS, MS, FakeClock, S, Site, Stand, spin
 from test_config import SETTINGS, endpoint, notice, told
+from test_listen import Adopting
 from twisted.internet import reactor
 
 from rackhub.net.jsonrpc import JsonRpcConnection
+from rackhub.net.listen import SharedPort
 
 ROWS = b"a\tb\tc\n"
 
@@ -394,6 +397,35 @@
     assert here.counters["left"] == 2
 
 
+def test_a_client_that_sends_much_at_once_and_goes_is_given_up_whole(site):
+    """Its faults have it read from slowly, so that its close shows late: nothing is held without bound meanwhile, and
+    as it shows all is given up."""
+    stand = Stand()
+    here = site(stand)
+    client = here.client()
+    client.send(*[ask(number, "report", budget=19_000) for number in range(1, 21)])
+    spin(lambda: len(stand.wants()) == 20)
+    left = b"".join(b"{%0998d\n" % number for number in range(200))
+    held = []
+    while left:
+        with contextlib.suppress(BlockingIOError):
+            left = left[client.socket.send(left):]
+        reactor.iterate(0)
+        here.clock.advance(100 * MS)
+        held.append(len(client.served_by._buffer))
+    client.socket.close()
+    while client.served_by in here.fronts[0].connections:
+        assert len(here.core.queries) == 20 and here.counters["left"] == 0
+        reactor.iterate(0)
+        here.clock.advance(100 * MS)
+        held.append(len(client.served_by._buffer))
+        assert here.clock.now() < 1_000_000 * S + 15 * S
+    assert max(held) <= here.core.limits.request_line
+    assert not here.core.queries and here.counters["left"] == 20 and here.counters["clients_slowed"]
+    spin(lambda: sum(words[0] == b"never_mind" for words in stand.heard) == 20)
+    assert len(stand.wants()) == 20
+
+
 def test_a_client_that_does_not_read_is_told_as_deaf_to(site):
     big = b"".join(b"%040d\tb\tc\n" % number for number in range(100))
 
@@ -828,6 +860,25 @@
         test_idle_clients_fill_the_descriptors_while_discovery_is_down(gated, unreachable, planted)
 
 
+def test_the_last_descriptor_taken_as_the_listener_closes_does_not_keep_the_process_from_its_end():
+    """accept took it, so that there was none for the reactor's copy: the fault went into the Deferred that the end of
+    the process waits for, and it never came."""
+
+    class Full(Adopting):
+        def adoptStreamConnection(self, fd, family, factory):  # noqa: N802 - Twisted's name
+            raise OSError(errno.EMFILE, "too many open files")
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        number = probe.getsockname()[1]
+    port, ended = SharedPort(Full(), "127.0.0.1", number, None, 16), []
+    with socket.create_connection(("127.0.0.1", number), 60), socket.create_connection(("127.0.0.1", number), 60):
+        port.close().addBoth(ended.append)
+        assert ended == [None]
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", number), 60)
+
+
 def test_no_descriptor_for_a_newcomer_ends_nothing(gated):
     """The process has fewer than it was told: accept fails, and goes on once there are some."""
     process = gated(FEW.format(files=40))
