--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -3,21 +3,26 @@
 
 import base64
 import contextlib
+import errno
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import threading
 
 import pytest
 import stands
 from msgspec.structs import replace
+from replacing import Engine, Process, free_ports, until
 from stands import LIMITS, MS, FakeClock, S, Site, Stand, spin
-from test_config import endpoint, notice, told
+from test_config import SETTINGS, endpoint, notice, told
+from test_listen import Adopting
 from twisted.internet import reactor
 
 from rackhub.net.jsonrpc import JsonRpcConnection
+from rackhub.net.listen import SharedPort
 
 ROWS = b"a\tb\tc\n"
 
@@ -392,6 +397,35 @@
     assert here.counters["left"] + here.counters["refused"] == 2  # refused, where its dial came up meanwhile
 
 
+def test_a_client_that_sends_much_at_once_and_goes_is_given_up_whole(site):
+    """Its faults have it read from slowly, so that its close shows late: nothing is held without bound meanwhile, and
+    as it shows all is given up."""
+    stand = Stand()
+    here = site(stand)
+    client = here.client()
+    client.send(*[ask(number, "report", budget=19_000) for number in range(1, 21)])
+    spin(lambda: len(stand.wants()) == 20)
+    left = b"".join(b"{%0998d\n" % number for number in range(200))
+    held = []
+    while left:
+        with contextlib.suppress(BlockingIOError):
+            left = left[client.socket.send(left):]
+        reactor.iterate(0)
+        here.clock.advance(100 * MS)
+        held.append(len(client.served_by._buffer))
+    client.socket.close()
+    while client.served_by in here.fronts[0].connections:
+        assert len(here.core.queries) == 20 and here.counters["left"] == 0
+        reactor.iterate(0)
+        here.clock.advance(100 * MS)
+        held.append(len(client.served_by._buffer))
+        assert here.clock.now() < 1_000_000 * S + 15 * S
+    assert max(held) <= here.core.limits.request_line
+    assert not here.core.queries and here.counters["left"] == 20 and here.counters["clients_slowed"]
+    spin(lambda: sum(words[0] == b"never_mind" for words in stand.heard) == 20)
+    assert len(stand.wants()) == 20
+
+
 def test_a_client_that_does_not_read_is_told_as_deaf_to(site):
     big = b"".join(b"%040d\tb\tc\n" % number for number in range(100))
 
@@ -523,14 +557,18 @@
         assert os.read(self.said, 64).decode().strip() == name, self.child.communicate(timeout=60)[1]
 
     def go_on(self):
-        os.write(self.let, b"x")
+        with contextlib.suppress(BrokenPipeError):  # a signal may have ended it at its gate
+            os.write(self.let, b"x")
 
     def until(self, text):
-        lines = []
-        while not lines or text not in lines[-1]:
-            line = self.child.stderr.readline()
-            assert line, "".join(lines)
-            lines.append(line)
+        lines, bound = [], threading.Timer(60, self.child.kill)
+        bound.start()
+        try:
+            while not lines or text not in lines[-1]:
+                lines.append(self.child.stderr.readline())
+                assert lines[-1], "".join(lines)
+        finally:
+            bound.cancel()
         return "".join(lines)
 
     def ended(self):
@@ -823,6 +861,25 @@
         test_idle_clients_fill_the_descriptors_while_discovery_is_down(gated, unreachable, planted)
 
 
+def test_the_last_descriptor_taken_as_the_listener_closes_does_not_keep_the_process_from_its_end():
+    """accept took it, so that there was none for the reactor's copy: the fault went into the Deferred that the end of
+    the process waits for, and it never came."""
+
+    class Full(Adopting):
+        def adoptStreamConnection(self, fd, family, factory):  # noqa: N802 - Twisted's name
+            raise OSError(errno.EMFILE, "too many open files")
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        number = probe.getsockname()[1]
+    port, ended = SharedPort(Full(), "127.0.0.1", number, None, 16), []
+    with socket.create_connection(("127.0.0.1", number), 60), socket.create_connection(("127.0.0.1", number), 60):
+        port.close().addBoth(ended.append)
+        assert ended == [None]
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", number), 60)
+
+
 def test_no_descriptor_for_a_newcomer_ends_nothing(gated):
     """The process has fewer than it was told: accept fails, and goes on once there are some."""
     process = gated(FEW.format(files=40))
@@ -835,3 +892,92 @@
         pass
     process.child.send_signal(signal.SIGTERM)
     assert process.ended()[0] == 0
+
+
+# ---- settings
+
+
+def test_a_request_holds_the_settings_of_its_start_over_a_reload(gated, unreachable):
+    """Half of it is read before the reload, which names other classes and tenants, and the rest after it."""
+    process = gated(PATIENT, engine=unreachable.address)
+    process.until("serves on")
+    client, lines = process.client()
+    with client, lines:
+        whole = line(ask(1, budget=9_000))
+        lines.write(line(ALIVE) + whole[:50])
+        lines.flush()
+        assert json.loads(lines.readline())["result"] == {"pass": True}
+        report = {"Name": "report", "Deadline": 1_000_000, "Effect": "retryable", "Worth": 1.0}
+        other = SETTINGS | {"Services": [report], "Tenants": [{"Name": "others", "Fraction": 0.5}]}
+        process.write(settings=other)
+        process.child.send_signal(signal.SIGHUP)
+        process.until("settings changed too, which takes a restart")
+        lines.write(whole[50:])
+        lines.flush()
+        engine, _ = unreachable.port.accept()
+        with engine:
+            engine.settimeout(60)
+            want = engine.recv(1 << 16)
+            assert f"{1:016x}".encode() in want and b"profile=lookup" in want
+            engine.sendall(b"*4\r\n$16\r\n%016x\r\n$3\r\n200\r\n$8\r\nchunks=1\r\n$6\r\na\tb\tc\n\r\n" % 1)
+            assert "result" in json.loads(lines.readline())
+            lines.write(line(ask(2, "report")) + line(ask(3, acct="others")))  # the next as well
+            lines.flush()
+            assert {json.loads(lines.readline())["error"]["code"] for _ in range(2)} == {-32601, -32602}
+    process.child.send_signal(signal.SIGTERM)
+    assert process.ended()[0] == 0
+
+
+# ---- hand-over
+
+
+@pytest.fixture
+def pair(tmp_path):
+    """Two processes of one coordinator that serve side by side, as while one replaces the other, each with a second
+    address that the test can call by itself."""
+    listen, nameserver = free_ports(2)
+    engines, made = [Engine(0) for _ in range(2)], []
+
+    def start(name):
+        made.append(Process(tmp_path, name, listen, engines, nameserver))
+        return made[-1].until_serving()
+
+    yield start, engines
+    for process in made:
+        process.close()
+    for engine in engines:
+        engine.port.stopListening()
+        for connection in engine.connections:
+            connection.transport.abortConnection()
+    until(lambda: not any(connection.connected for engine in engines for connection in engine.connections))
+
+
+def avoided(process):
+    """How many engines a process sends nothing new to."""
+    with socket.create_connection(("127.0.0.1", process.operator), 60) as call:
+        call.settimeout(60)
+        call.sendall(b"DUMP\n")
+        said = b"".join(iter(lambda: call.recv(1 << 16), b""))
+    found, = (text.split() for text in said.decode().splitlines()
+              if text.startswith("balancer_pool_ejected "))
+    return int(float(found[-1]))
+
+
+@pytest.mark.parametrize("to_old", [True, False])
+def test_a_ban_told_to_one_of_two_processes_holds_in_both(pair, to_old):
+    """It lay with the one that was called: told to the old one it was gone with it, and what the old one kept later,
+    with each new list, took the new one's from the file."""
+    start, _ = pair
+    old, new = start("old"), start("new")
+    called, other = (old, new) if to_old else (new, old)
+    assert called.say("OFFLINE e0").startswith("YES")
+    until(lambda: avoided(other) == 1)
+    assert other.say("OFFLINE e1").startswith("YES")  # and each adds to what the other was told
+    until(lambda: avoided(called) == 2)
+    assert called.say("ONLINE e0").startswith("YES")
+    until(lambda: avoided(other) == 1)
+    old.end()
+    assert old.ended() == 0
+    assert avoided(new) == 1
+    third = start("third")
+    assert avoided(third) == 1
