Wait for two whole reads of every socket, also where a dial ends before a client is read again

Seen by the model: a dial that came up in the turn in which a client was read from again wrote at once, before the client's end was read; and a call put off in the middle of a turn's reads had one whole read of each socket before it, not two, so an end behind the last bytes was still unread.

Now a dial's writes wait where one of its requests' clients is `stale`, and `Timers.when_read` counts three turns, of which the first may be half over.

--- a/rackhub/core/timers.py
+++ b/rackhub/core/timers.py
@@ -45,7 +45,14 @@
         now = self._clock.now()
         if max(self._late, now - (self._armed or now)) <= late:
             return call(*args)
-        self.at(now, lambda: self.at(self._clock.now(), call, *args))
+        self._after(3, call, args)
+
+    def _after(self, turns: int, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        """Call after so many turns: the reads of the present one may be half made, so they don't count."""
+        if turns:
+            self.at(self._clock.now(), self._after, turns - 1, call, args)
+        else:
+            call(*args)
 
     def run_due(self) -> None:
         """Make the calls that are due; those asked for meanwhile wait for the next turn of the loop."""
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -254,7 +254,8 @@
             if why := attempt.barred(self.heard):  # it waited too long for this
                 del self.open[id]
                 self.core.ended(attempt, why)
-        self.core.timers.when_read(self.limits.unread_turn, self._opened)
+        stale = any(attempt.query.reply.stale for attempt in self.open.values())
+        self.core.timers.when_read(-1 if stale else self.limits.unread_turn, self._opened)
 
     def _opened(self) -> None:
         if self.closed:  # lost meanwhile, or what came on it was no answer
