Have the model go while it is not read from, and close what an aborted connection had out

Two steps of the model were wrong: what was out on a connection that the coordinator aborts is given up by that, and what crosses an engine's end comes to nobody.

--- a/tests/test_crossings_model.py
+++ b/tests/test_crossings_model.py
@@ -241,6 +241,9 @@
         for socket in [*self.links.values(), *self.clients]:
             socket.read()
             self.look()
+        for link, socket in self.links.items():
+            if socket.wire.disconnecting:  # closed here, which gives up all that is open on it
+                self.nothing_out(link)
         for socket in [*self.links.values(), *self.clients]:
             socket.leave()
         self.look()
@@ -291,6 +294,8 @@
         assert told.effect != "fragile" or not asked.maybe, "a further attempt with no proof"
         window = min(asked.maybe.values(), default=now) + WINDOW
         assert told.effect != "dedup" or now < window, "out of its window"
+        if self.links[link].ended:  # it crosses the engine's end and comes to nobody
+            return
         asked.maybe[len(asked.wants)] = now
         asked.wants.append(now)
         asked.out = link
@@ -364,6 +369,13 @@
         if not self.client.over and self.client.wire.producerState == "producing":
             self.client.protocol.pauseProducing()
 
+    @precondition(lambda self: self.core.queries and not self.client.over)
+    @rule()
+    def goes_while_it_is_not_read_from(self):
+        self.stops_taking_its_answers()
+        self.goes(False)
+        self.run(250 * MS)
+
     @precondition(lambda self: self.client.wire.producerState == "paused")
     @rule()
     def takes_its_answers_again(self):
@@ -424,9 +436,11 @@
     def engine_ends_it(self, which, reset):
         link, socket = list(self.links.items())[which % len(self.links)]
         socket.end(reset)
+        self.nothing_out(link)
+
+    def nothing_out(self, link):
         for asked in self.asked.values():
-            if asked.out is link:
-                asked.out = None
+            asked.out = None if asked.out is link else asked.out
 
     @precondition(lambda self: self.core.queries)
     @rule(name=st.sampled_from(["e0", "e1"]), state=st.sampled_from(["Ready", "Draining", "gone"]))
