--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -11,11 +11,12 @@
 from typing import TYPE_CHECKING
 
 from rackhub import interface as t
-from rackhub.core.request import Attempt, EnginePort, Query
+from rackhub.core.request import Attempt, EnginePort, Query, State
 from rackhub.core.timers import Clock, Timers
 from rackhub.counters import Counters
 from rackhub.limits import SECOND, Limits
 from rackhub.policy.control import Control
+from rackhub.policy.further import PROVEN
 
 if TYPE_CHECKING:  # ports of parts that may be off: nothing of them is loaded here
     from rackhub.core.fleet import Guide
@@ -56,8 +57,8 @@
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
         self._held = 0  # bytes of the statements of all open requests
         self._lag = 0  # how late the loop lately was at worst; it fades
-        self.longest = 0  # the longest budget of a request taken, microseconds
-        self.end_by: int | None = None  # from SIGTERM: what can't be answered by then is refused as it comes
+        self.taking = True  # the one place that says whether this process takes new work: from SIGTERM on it does not
+        self._away = 0  # the back-off of who comes after that
         self.by_class: dict[str, list[int]] = {name: [0, 0, 0, 0] for name in self.classes}  # see `TALLY`
 
     # ---- what the ports bring
@@ -89,9 +90,8 @@
         self.counters.add("requests_in")
         full = len(self.queries) >= self.limits.held_requests or \
             self._held + len(query.statement) > self.limits.held_bytes
-        self.longest = max(self.longest, query.deadline - self.clock.now())
-        if self.end_by is not None and query.deadline > self.end_by:  # SIGKILL would find it: another process serves
-            return self._turn_back(query, "refused_ending", 0)
+        if not self.taking and not query.part:  # a part is of a request that was taken before
+            return self._turn_back(query, "refused_ending", self._away)
         if full or self._behind:  # memory and the one core are bounded: nothing ran, so say so at once
             return self._turn_back(query, "over_held" if full else "over_behind",
                                    min(SECOND, self.settings.max_retry_after or SECOND))
@@ -119,16 +119,13 @@
 
     def _turn_back(self, query: Query, why: str, backoff: int) -> None:
         """Refuse a request that was never taken on, at once, counted under `why`."""
-        query.closed = True
         self.counters.add(why)
-        self.counters.add("refused")
-        self._tally(query.cls, SHED)
-        query.reply.refused(query, backoff)
+        self._end(query, "refused", backoff)
 
-    def ending(self, spare: int, capped: int) -> None:
-        """SIGTERM came now. SIGKILL comes no sooner than the longest deadline, counted as `capped` where it is
-        longer, and `spare` more: a request that could still be open then is refused when it comes."""
-        self.end_by = self.clock.now() + min(self.longest, capped) + spare
+    def ending(self, away: int) -> None:
+        """SIGTERM came: what was taken is answered as before, every request read from now on is refused at once and
+        never sent on, with the back-off `away` in microseconds."""
+        self.taking, self._away = False, away
 
     def _margin(self) -> int:
         """How much earlier than the client's own deadline an answer is due here: more as the loop lags."""
@@ -136,45 +133,40 @@
 
     def leave(self, query: Query) -> None:
         """The client cancelled or is gone: no answer is owed, and what runs for it is stopped."""
-        if not query.closed:
-            self.counters.add("left")
-            self._close(query, "left")
-            self._answered(query)  # hundreds came under one id, each withdrawn at once
-            if not query.gathering:
-                self._tell(t.ClientLeft(query.id))
-            elif self.gathers is not None:
-                self.gathers.left(query)
+        if self._end(query, "left"):
+            self._call_off(query)
+
+    def _call_off(self, query: Query) -> None:
+        """It is over without the word of whoever decides on it."""
+        if not query.gathering:
+            self._tell(t.ClientLeft(query.id))
+        elif self.gathers is not None:
+            self.gathers.left(query)
 
     def gathered(self, query: Query, how: str, rows: Sequence[bytes] = (), backoff: int = 0) -> bool:
         """The answer of a request that `gathers` took: served with `rows` (and `query.mark`), refused with `backoff` in
         microseconds, or failed. False: it has had its answer, or its client is gone."""
-        if query.closed:
-            return False
-        self._close(query, how)
-        self._answered(query)
-        self.counters.add(how)
-        if how == "served":
-            query.reply.served(query, rows)
-        elif how == "refused":
-            query.reply.refused(query, min(backoff, self.settings.max_retry_after or backoff))
-        else:
-            query.reply.failed(query, "failed: too few of its sites have answered")
-        return True
+        return self._end(query, how, {"served": rows, "refused": min(backoff, self.settings.max_retry_after or backoff),
+                                      "failed": "failed: too few of its sites have answered"}[how])
 
     def ended(self, attempt: Attempt, reason: str, report: dict[str, float] | None = None,
               rows: Sequence[bytes] = ()) -> None:
-        """The one end of an attempt. With GOOD `rows` are all pages: the client has them before the module knows."""
-        if attempt.over:  # an end that crossed with a time-out or a cancel: the first one counts
-            return
-        attempt.over, query, now = True, attempt.query, self.clock.now()
+        """What the port tells of an attempt's end. With GOOD `rows` are all pages."""
+        if not attempt.over:  # an end that crossed with a time-out or a cancel: the first one counts
+            self._over(attempt, reason, report, rows)
+
+    def _over(self, attempt: Attempt, reason: str, report: dict[str, float] | None = None,
+              rows: Sequence[bytes] = ()) -> None:
+        """The one end of an attempt. Its client has the answer before the module knows."""
+        attempt.state, query, now = State.OVER, attempt.query, self.clock.now()
         query.out.pop(attempt.number, None)
-        sent = self.out.pop((query.id, attempt.number), None) is attempt
+        if sent := self.out.get((query.id, attempt.number)) is attempt:
+            del self.out[query.id, attempt.number]
+        if reason in PROVEN:
+            query.maybe.pop(attempt.number, None)
         self.counters.add(f"out_{reason.lower()}")
-        if reason == "GOOD" and not query.closed:
-            self._close(query, "served")
-            self._answered(query)
-            self.counters.add("served")
-            query.reply.served(query, rows)
+        if reason == "GOOD":
+            self._end(query, "served", rows)
         again, wait, backoff = True, 0, 0
         if self.guide is not None and sent:
             self.guide.ended(attempt, reason, now)
@@ -242,14 +234,12 @@
         self.timers.at(self.clock.now() + act.delay, self._due, act.ref)
 
     def _refuse(self, act: t.Refuse) -> None:
-        if query := self._answerable(act.query, "refused"):
-            self.counters.add("refused")
-            query.reply.refused(query, act.retry_after)
+        if query := self.queries.get(act.query):
+            self._end(query, "refused", act.retry_after)
 
     def _fail(self, act: t.Fail) -> None:
-        if query := self._answerable(act.query, "failed"):
-            self.counters.add("failed")
-            query.reply.failed(query, "failed: its effect is not known")
+        if query := self.queries.get(act.query):
+            self._end(query, "failed", "failed: its effect is not known")
 
     def _close_idle(self, act: t.CloseIdle) -> None:
         self.engines.close_idle(act.engine)
@@ -260,40 +250,43 @@
     def _due(self, ref: int) -> None:
         self._tell(t.TimerFired(ref))
 
-    def _answered(self, query: Query) -> None:
-        """It is over for its client: its id is not new any more."""
-        self._recent[query.id] = None
-        if len(self._recent) > self.limits.recent_ids:
-            del self._recent[next(iter(self._recent))]
-
-    def _answerable(self, id: str, how: str) -> Query | None:
-        """The request that an answer of the module is for: closed here, so that a second one finds nothing."""
-        query = self.queries.get(id)
-        if query is not None:
-            self._close(query, how)
-            self._answered(query)
-        return query
-
     def _tally(self, cls: str, what: int) -> None:
         counts = self.by_class.get(cls)
         if counts is None:
             counts = self.by_class[cls] = [0, 0, 0, 0]
         counts[what] += 1
 
-    def _close(self, query: Query, how: str) -> None:
+    def _end(self, query: Query, how: str, *said: object) -> bool:
+        """The one end of a request: `how` (served, refused, failed or left) is counted, what has not left for it never
+        will, and its client is told what was `said`. False: it was over before."""
+        if query.closed:
+            return False
         query.closed = True
+        self._recent[query.id] = None  # its id is not new any more: hundreds came under one, each withdrawn at once
+        if len(self._recent) > self.limits.recent_ids:
+            del self._recent[next(iter(self._recent))]
+        self.counters.add(how)
         if (what := TALLY.get(how)) is not None:
             self._tally(query.cls, what)
+        if self.queries.get(query.id) is query:  # else it was turned back, and nobody knows of it
+            self._forget(query, how)
+        if how != "left":
+            getattr(query.reply, how)(query, *said)
+        for attempt in [attempt for attempt in query.out.values() if attempt.unsent]:
+            self._give_up(attempt, "NOP")
+        if not self.queries and self.on_idle:
+            self.on_idle()
+        return True
+
+    def _forget(self, query: Query, how: str) -> None:
+        del self.queries[query.id]
+        self._held -= len(query.statement)
         if self.ledger is not None and query.token:
             self.ledger.over(query, how)
         if query.life is not None and self.desk is not None:
             self.desk.end(query.life, self.clock.now())
         if self.guide is not None and not query.gathering:
             self.guide.closed(query, how, self.clock.now())
-        if self.queries.pop(query.id, None) is not None:
-            self._held -= len(query.statement)
-        if not self.queries and self.on_idle:
-            self.on_idle()
 
     def _send(self, act: t.Send) -> None:
         query, timeout = self.queries.get(act.query), act.timeout
@@ -305,19 +298,25 @@
         beside = bool(query.out) and (not self.settings.second_copies or len(query.out) > 1)
         if beside or query.tries >= self.settings.max_attempts or timeout < 0 or until <= now:
             self.counters.add("attempts_not_sent")
-            return self.ended(attempt, "NOP")
+            return self._over(attempt, "NOP")
         copy_after = 0
         if query.life is not None and self.desk is not None:
             kind, copy = self._kinds.get(act.engine, ""), bool(query.out) and query.copying
             if query.tries and not self.desk.may_send(query.life, query.tries, copy, now):
                 self.counters.add("attempts_not_sent")
-                return self.ended(attempt, "NOP")
+                return self._over(attempt, "NOP")
             sending = self.desk.sending(query.life, attempt.number, kind, copy, now)
             attempt.send_by, copy_after = sending.send_by, sending.copy_after
             if sending.timeout and now + sending.timeout < until:
                 until, attempt.timed = now + sending.timeout, True
             if sending.priority is not None:
                 query.level, query.fixed = sending.priority, True
+        told = self.classes.get(query.cls)
+        if told is not None and told.effect == "dedup":  # where the attempt waits for a dial, that counts as well
+            if query.maybe:
+                edge = min(query.maybe.values()) + told.window - max(told.window // 20, self.limits.handover)
+                attempt.send_by = min(attempt.send_by or edge, edge)
+            query.maybe[attempt.number] = now
         query.tries += 1
         query.out[attempt.number] = self.out[query.id, attempt.number] = attempt
         attempt.until = until
@@ -329,6 +328,17 @@
             self.guide.sent(attempt, now)
         if copy_after and now + copy_after < until:
             self.timers.at(now + copy_after, self._copy_due, attempt)
+        self.timers.when_read(-1 if query.reply.stale else self.limits.unread_turn, self._begin, attempt)
+
+    def _begin(self, attempt: Attempt) -> None:
+        """The attempt goes to the port, unless it was called off while it was held."""
+        if attempt.state is not State.HELD:
+            return
+        attempt.sent = self.clock.now()
+        if why := attempt.barred(attempt.sent):
+            self.counters.add("attempts_not_sent")
+            return self._over(attempt, why)
+        attempt.state = State.OUT
         self.engines.send(attempt)
 
     def _copy_due(self, attempt: Attempt) -> None:
@@ -357,21 +367,20 @@
             self._give_up(attempt, "CXL")
 
     def _give_up(self, attempt: Attempt, reason: str) -> None:
-        """Stop waiting for an attempt. Its outcome is told a little later, as the give-up has a way to go: a further
-        attempt that overtook it on another connection would be a second one out at the same time. What is written
-        leaves in the next turn of the loop, which may be a long one: so the time runs from the turn after."""
+        """Stop waiting for an attempt. One of which nothing has left ends at once, as one that surely never ran. The
+        outcome of any other is told a little later, as the give-up has a way to go: a further attempt that overtook it
+        on another connection would be a second one out at the same time. What is written leaves in the next turn of
+        the loop, which may be a long one: so the time runs from the turn after."""
         if attempt.over:  # it is on its way out already: a second hand-over would end it twice
             return
-        attempt.over = True
+        unsent, attempt.state = attempt.unsent, State.LEAVING
         self.engines.give_up(attempt)
+        if unsent:
+            return self._over(attempt, "NOP" if attempt.query.closed else "NOCONN")
         self.timers.at(self.clock.now(), self._left, attempt, reason)
 
     def _left(self, attempt: Attempt, reason: str) -> None:
-        self.timers.at(self.clock.now() + self.limits.handover, self._given_up, attempt, reason)
-
-    def _given_up(self, attempt: Attempt, reason: str) -> None:
-        attempt.over = False
-        self.ended(attempt, reason)
+        self.timers.at(self.clock.now() + self.limits.handover, self._over, attempt, reason)
 
     def _sweep(self) -> None:
         """Time-outs, and the backstop for requests whose deadline the module has let pass.
@@ -391,15 +400,8 @@
         # by the time the sweep was due at: run late, it comes before the module's own timers of the time since
         edge = min(now, self._sweep_due) - self.limits.backstop
         for query in [query for query in self.queries.values() if query.deadline <= edge]:
-            if not query.closed:
+            if self._end(query, "failed", "deadline passed"):
                 self.counters.add("backstop_answers")
-                self._close(query, "failed")
-                self._answered(query)
-                self.counters.add("failed")
-                query.reply.failed(query, "deadline passed")
-                if not query.gathering:
-                    self._tell(t.ClientLeft(query.id))
-                elif self.gathers is not None:
-                    self.gathers.left(query)
+                self._call_off(query)
         self._sweep_due = now + self.limits.sweep
         self.timers.at(self._sweep_due, self._sweep)
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -29,6 +29,7 @@
 from rackhub.operatorfile import Operator
 
 log = logging.getLogger(__name__)
+SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
 
 
 class Daemon:
@@ -53,10 +54,10 @@
             self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
                                 tds_front(operator.tds_front, self.core, config.limits, self.counters)))
         self._ports: list[SharedPort] = []
-        self._draining = self._leaving = self._serving = False
+        self._leaving = self._serving = False
         self._listing: Listing | None = None
         self._host = Host(reactor, clock, config, operator, self.core, self.source, self.counters,
-                          lambda: self._serving and not self._draining, self._relist, reread)
+                          lambda: self._serving and self.core.taking, self._relist, reread)
         self.parts = self._host.parts
         for name in parts.wanted(config, operator):
             self.parts[name] = parts.load(name, self._host)
@@ -64,7 +65,13 @@
     def _relist(self) -> None:
         """A part shows the list otherwise than before."""
         if self._listing is not None:
-            self.core.listed(self._shown(self._listing), self._listing.rev)
+            self._tell_list(self._listing)
+
+    def _tell_list(self, listing: Listing) -> None:
+        # the module first: once it knows of a drain it sends nothing there, and what the pools give back goes elsewhere
+        entries = self._shown(listing)
+        self.core.listed(entries, listing.rev)
+        self.engines.listed(listing.addresses, entries)
 
     def _shown(self, listing: Listing) -> tuple:
         """The list as the module is to see it."""
@@ -94,14 +101,15 @@
         engines = self.source.start
         for part in self.parts.values():
             engines = part.begin(engines)
-        self.engines.listed(engines.addresses)
-        self.core.start(self.engines, self._shown(engines), engines.rev)
+        entries = self._shown(engines)
+        self.engines.listed(engines.addresses, entries)
+        self.core.start(self.engines, entries, engines.rev)
         PythonLoggingObserver().start()  # a fault in a callback of the reactor's shows in the log, not nowhere
         self.source.follow(self._listed)
         # before anyone can connect: a signal that comes then would end the process
-        for number, call in ((signal.SIGTERM, self._term), (signal.SIGINT, self._term), (signal.SIGUSR1, self.tell),
-                             (signal.SIGHUP, self._reload)):
+        for number, call in zip(SIGNALS, (self._term, self._term, self.tell, self._reload), strict=True):
             signal.signal(number, lambda *_, call=call: reactor.callFromThread(call))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # see `rackhub.__main__`
         for (host, port), front in self.fronts:
             self._ports.append(SharedPort(reactor, host, port, front, 512))
         for part in list(self.parts.values()):  # the rule book that a part holds may turn another one on
@@ -121,11 +129,12 @@
         for part in reversed(self.parts.values()):
             part.stop()
         self.tell()
+        # as Python ends it puts the handlers back to those that end a process: one told twice ended as by a crash
+        for number in SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
 
     def _listed(self, listing: Listing) -> None:
-        # the module first: once it knows of a drain it sends nothing there, whatever the pools still hold
-        self.core.listed(self._shown(listing), listing.rev)
-        self.engines.listed(listing.addresses)
+        self._tell_list(listing)
         for part in self.parts.values():
             part.listed(listing)
 
@@ -148,16 +157,15 @@
     # ---- the end
 
     def _term(self) -> None:
-        """Go on taking requests while clients still come, then answer what is open and leave."""
-        if not self._draining:
-            self._draining = True
-            self.core.ending(self.config.limits.kill_spare, self.config.limits.kill_capped)
-            for _, front in self.fronts:
-                front.draining = True
+        """Answer what was taken, refuse what clients still send, then leave."""
+        if self.core.taking:
+            succeeded = any(part.succeeded() for part in self.parts.values())
+            # where another process serves on the address the next try goes there, and need not wait
+            self.core.ending(0 if succeeded else self.config.settings.max_retry_after)
             log.info("told to end: %d requests open", len(self.core.queries))
             for part in self.parts.values():
                 part.drain()
-            if any(part.succeeded() for part in self.parts.values()):
+            if succeeded:
                 self._hand_over()
             reactor.callLater(self.config.limits.read_after_term / 1_000_000, self._stop_reading)
             reactor.callLater(self.config.limits.accept_after_term / 1_000_000, self._close)
@@ -171,10 +179,10 @@
 
     def _stop_reading(self) -> None:
         """Connections are drained: clients that keep theirs would keep this process from ever being done. What is
-        read on them still goes to the core, which refuses what could be open at SIGKILL (`Coordinator.ending`);
-        each connection closes once nothing is open on it and nothing is half read."""
+        read on them still goes to the core, which refuses it (`Coordinator.ending`); each connection closes once
+        nothing is open on it and nothing is half read."""
         for _, front in self.fronts:
-            front.end()
+            front.drain()
 
     def _close(self) -> None:
         gatherResults([port.close() for port in self._ports]).addCallback(self._closed)
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -34,7 +34,10 @@
     penance: int = 100 * MS
     penance_most: int = 1 * SECOND
     recent_ids: int = 2_048  # ids of requests answered last, which are not new
-    linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes
+    linger: int = 2 * SECOND  # for a peer to take the last bytes of a connection that closes, and to close it too
+    dropped: int = 1_048_576  # bytes read and dropped of a client whose connection ends
+    unread_turn: int = 30 * MS  # the loop is so late: attempts wait until sockets are read; clients may have gone
+    read: int = 65_536  # bytes that one read of a socket brings at most
 
     # engines
     dial_timeout: int = 250 * MS
@@ -44,7 +47,6 @@
     engine_links: int = 400  # to all engines: what clients leave of the descriptors
     head: int = 64  # a RESP head line
     frame: int = 16_384  # one bulk string of an engine
-    unsplit: int = 4_096  # what a new socket takes whole or not at all
     page: int = 6_000  # the most that a page may hold
     result: int = 48_000  # all pages of a result
     pages: int = 64
@@ -78,9 +80,9 @@
     ops_line: int = 512  # one call
     ops_answer: int = 800 * MS  # a call not whole by then is told no: 1 s is owed
     ops_linger: int = 1 * SECOND  # for the caller to take the answer before the connection is cut
+    ops_fresh: int = 100 * MS  # how often it is looked whether another process was told of engines out by hand
 
     # the end
     read_after_term: int = 650 * MS  # requests on open connections: what comes 0.7 s after SIGTERM is lost unanswered
-    kill_spare: int = 550 * MS  # SIGKILL comes 0.7 s after the longest deadline at the soonest; the rest is slack
     kill_capped: int = 3 * SECOND  # the longest deadline is counted as this where it is longer
     accept_after_term: int = 900 * MS  # 0.7 s are promised; the rest is slack for a late scheduler
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import logging
+from types import SimpleNamespace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -24,13 +25,23 @@
 
 STEPS = settings(derandomize=True, max_examples=25, stateful_step_count=40, deadline=None, database=None)
 CUTS = st.lists(st.integers(1, 40), max_size=3)
+HEARD = SimpleNamespace(deaf=False, stale=False)  # a client that is read from
 BACK = (("served", [b"a\tb\tc\n", b"d\te\tf\n"]), ("refused", 250_500), ("failed", "why"))
 
 
 class Transport(StringTransport):
-    """A transport in memory that keeps what was done to it."""
+    """A transport in memory that keeps what was done to it: how many bytes were written, and how many of them are
+    gone, all with `flush`; the others it tells of as the reactor's transports do."""
 
-    aborted = False
+    aborted, written, gone, dataBuffer, offset = False, 0, 0, b"", 0
+
+    def write(self, data):
+        super().write(data)
+        self.written += len(data)
+
+    @property
+    def _tempDataLen(self):
+        return self.written - self.gone
 
     def setTcpNoDelay(self, on):
         pass
@@ -42,9 +53,13 @@
 
     def flush(self):
         """What was written has left."""
+        self.gone = self.written
         if self.producer and not self.streaming:
             self.producer.resumeProducing()
 
+    def loseWriteConnection(self):
+        self.disconnecting = True  # all that is owed is written, and the other side hears of the close
+
     def abortConnection(self):
         self.aborted = self.disconnecting = True
 
@@ -62,7 +77,7 @@
         self.timers = Timers(self.clock, self.clock)
         self.open, self.left, self.ends, self.notes = {}, [], [], []
         self.tenants = {"acme"}
-        self.late = False
+        self.taking, self.late = True, False
 
     def known(self, id):
         return id in self.open
@@ -239,6 +254,10 @@
         self.core.clock.advance(span)
         if self.lost:
             return
+        closed = self.connection.closed_at
+        if closed and self.now - closed >= LIMITS.linger + LIMITS.look or self.wire.aborted and closed:
+            assert self.wire.aborted and self.now - closed >= min(LIMITS.linger, LIMITS.unread - (closed - self.choked))
+            return self.lose(0)
         if self.choked and self.now - self.choked >= LIMITS.unread + LIMITS.look or self.wire.aborted:
             assert self.wire.aborted and self.now - self.choked >= LIMITS.unread
             return self.lose(0)
@@ -263,6 +282,15 @@
     def deaf(self):
         assert self.say(self.ask(990, "00000000000000fd"), []) == []
 
+    @precondition(lambda self: not self.taking and not self.half and not self.lost)
+    @rule(data=st.data(), cuts=CUTS)
+    def cancel_at_the_end(self, data, cuts):
+        """No more is taken, but what is cancelled is over, and with the last of it the connection."""
+        id = data.draw(st.sampled_from([*sorted(self.open), 999]))
+        assert self.say({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": id}}, cuts) == []
+        if id in self.open:
+            assert self.core.left[-1] == self.open.pop(id)
+
     @precondition(lambda self: not self.lost)
     @rule(how=st.integers(0, 19))
     def lose(self, how):
@@ -276,16 +304,17 @@
     def agrees(self):
         assert {query.tag for query in self.core.open.values()} == set(self.open)
         assert self.lost or self.wire.disconnecting == (not self.taking and not self.open)
-        if not self.lost and not self.wire.disconnecting:
-            wanted = self.taking and not self.choked and self.now >= self.held
-            assert (self.wire.producerState == "producing") == wanted
+        if not self.lost and not self.wire.aborted:
+            # who is taken no more from is read from all the same: its close and its cancels have to show
+            wanted = not self.taking or not self.choked and self.now >= self.held
+            assert (self.wire.producerState == "producing") == wanted == (not self.connection.deaf)
         assert (self.connection in self.front.connections) != self.lost
 
 
 class RespModel(RuleBasedStateMachine):
     """Model: the attempts on the connection with the pages each still needs, the ids that ended on it without
-    success, its state, whether anything has left it, whether part of a frame lies unread, and whether it has gone
-    silent: then it takes nothing new and is dropped when nothing is open on it."""
+    success, its state, how much is gone once an attempt has left whole, whether part of a frame lies unread, and
+    whether it has gone silent: then it takes nothing new and is dropped when nothing is open on it."""
 
     def __init__(self):
         super().__init__()
@@ -296,7 +325,7 @@
         self.wire, self.state = Transport(), "dialling"
         self.attempts, self.stale, self.pages, self.expected = {}, set(), {}, []
         self.numbers, self.heard, self.silent = itertools.count(1), 0, False
-        self.wrote = self.half = False
+        self.ends, self.half = {}, False
 
     def say(self, *words, cuts=()):
         self.heard = self.core.clock.now()
@@ -310,11 +339,11 @@
         self.pages.pop(id, None)
         self.expected.append((id, reason, rows))
 
-    @precondition(lambda self: self.state in ("dialling", "up") and len(self.attempts) < 15)  # so many fit unsplit
+    @precondition(lambda self: self.state in ("dialling", "up") and len(self.attempts) < 15)
     @rule()
     def carry(self):
         id = f"{next(self.numbers):016x}"
-        query = Query(id, "depot-load", b"INSERT", self.core.clock.now() + 9 * S, None, token="key")
+        query = Query(id, "depot-load", b"INSERT", self.core.clock.now() + 9 * S, HEARD, token="key")
         attempt = self.attempts[id] = Attempt(query, 0, "e0", self.core.clock.now())
         assert self.connection.takes(attempt) != self.silent
         if self.silent:
@@ -323,6 +352,7 @@
         assert not self.connection.takes(Attempt(query, 1, "e0", 0))  # its id is in use here
         want = b"".join(command(b"want", id.encode(), b"profile=depot-load,max=9000,level=1,replay=key", b"INSERT"))
         assert self.wire.take() == (want if self.state == "up" else b"")
+        self.ends[id] = self.wire.written
 
     @precondition(lambda self: self.state == "dialling")
     @rule(works=st.integers(0, 9))
@@ -331,6 +361,8 @@
             self.state, self.heard = "up", self.core.clock.now()
             self.connection.makeConnection(self.wire)
             assert self.wire.take().count(b"$4\r\nwant\r\n") == len(self.attempts)
+            for number, id in enumerate(self.attempts, 1):  # all are of one size
+                self.ends[id] = self.wire.written * number // len(self.attempts)
             if works > 3:
                 self.flush()
         else:
@@ -343,7 +375,11 @@
     @rule()
     def flush(self):
         self.wire.flush()
-        self.wrote = True
+
+    @precondition(lambda self: self.state == "up" and self.wire.gone < self.wire.written)
+    @rule(size=st.integers(1, 200))
+    def leaves_in_part(self, size):
+        self.wire.gone = min(self.wire.gone + size, self.wire.written)
 
     @precondition(lambda self: self.state == "up" and self.attempts)
     @rule(data=st.data(), cuts=CUTS, count=st.integers(1, 4))
@@ -412,7 +448,7 @@
         self.connection.connectionLost()
         self.state = "lost"
         for id in list(self.attempts):
-            self.over(id, "RST" if self.wrote else "NOCONN")
+            self.over(id, "RST" if self.wire.gone >= self.ends[id] else "NOCONN")
 
     @precondition(lambda self: self.state == "up")
     @rule(seldom=st.integers(0, 5), cuts=CUTS, part=st.integers(1, 30), whole=st.booleans())
