Leave a resolver's socket whose answers stop for good, and tell a list again that was not taken in

Seen: one UDP socket served for the life of the process (Platform.follow). Where what lies between stopped bringing answers to that flow, in the first seconds too, it was asked on for ever and no drain was heard of. And a list counted as told before it was (Resolver._last set ahead of _told): one that could not be taken in was never told again.

Now every polls_silent-th call without a good answer opens a new socket and closes the old one, at the latest 0.67 s after the last good answer: bound written in asking.py. Where no descriptor is free the old one goes on. An answer that is slow still finds its socket: it lives for three calls. The next call is set before anything that could fail.

--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -14,7 +14,7 @@
         "engine_dials", "engine_dial_failures", "engine_losses", "engine_lost_unwritten", "engine_extras",
         "engine_spoilt", "engine_frames", "engine_bad_frames", "engine_strays",
         "over_engine_links", "pages_in", "silent_connections",
-        "dns_sent", "dns_in", "dns_same", "dns_bad", "dns_old", "lists_told", "lists_empty",
+        "dns_sent", "dns_in", "dns_same", "dns_bad", "dns_old", "dns_sockets", "lists_told", "lists_empty",
         "reloads", "reloads_bad", "timings_reloads", "timings_reloads_bad",
         "operator_reloads_bad",
         "retries_not_on", "retries_over_terms", "retries_over_budget", "copies", "copies_over_share",
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -71,6 +71,7 @@
     fleet_polls: int = 160  # answered calls in a second by all coordinators together
     packet: int = 32_768  # some 300 engines; the platform sends 8,000 bytes at most
     polls_open: int = 16  # queries whose answers are still taken
+    polls_silent: int = 3  # queries in a row without a good answer: the next one takes a new socket
 
     # the second address
     ops_connections: int = 32  # callers at once; more are told no at once
--- a/rackhub/net/asking.py
+++ b/rackhub/net/asking.py
@@ -5,7 +5,9 @@
 next ones come ever later, and all are spread by chance.
 
 The bound: a coordinator makes 1 / (0.8 poll) calls a second at most while it is answered, and while it is not, four in
-the first second and then 1 / (0.8 poll_again_most): 2.5. Forty make 200, and 100 where nothing answers.
+the first second and then 1 / (0.8 poll_again_most): 2.5. Forty make 200, and 100 where nothing answers. A socket whose
+answers stop coming, for good or from the first call on, is left after polls_silent calls: at the latest
+poll + (2^polls_silent - 1) poll_again, 0.67 s, after its last good answer.
 """
 
 from collections.abc import Callable
@@ -31,6 +33,11 @@
         self._unanswered += 1
         return self._spread(min(wait, self._limits.poll_again_most))
 
+    def silent(self) -> bool:
+        """Whether the way to the resolver is to be tried anew with the next call: with every `polls_silent`th one, so
+        that an answer that is only slow still finds who asked for it."""
+        return self._unanswered > 0 and self._unanswered % self._limits.polls_silent == 0
+
     def moved(self) -> None:
         """Another resolver is asked from now on: that the old one was silent says nothing of it."""
         self._unanswered = 0
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -2,7 +2,8 @@
 
 What the resolver has to tell counts as told some seconds later whether it arrived or not, and UDP loses
 packets: so it is asked often, sooner where no good answer came, every answer to a recent query counts, and none
-older than the last one does. When it is asked next is decided in `asking`.
+older than the last one does. When it is asked next is decided in `asking`. What lies between may lose one flow and not
+others, for good: where answers stop, the same is asked from a new socket, and the old one is closed.
 """
 
 import logging
@@ -10,7 +11,8 @@
 import struct
 from collections.abc import Callable, Sequence
 
-from twisted.internet.interfaces import IDelayedCall, IReactorTime, IReactorUDP
+from twisted.internet.error import CannotListenError
+from twisted.internet.interfaces import IDelayedCall, IReactorTime, IReactorUDP, IUDPTransport
 from twisted.internet.protocol import DatagramProtocol
 from twisted.names import dns
 
@@ -78,11 +80,13 @@
 
 
 class Resolver(DatagramProtocol):
-    """Asks the resolver over and over and hands on each list that is new."""
+    """Asks the resolver over and over and hands on each list that is new. It outlives its sockets: `renew` gives it
+    another one in place of the one it has."""
 
     def __init__(self, reactor: IReactorTime, server: Address, start: Listing, told: Callable[[Listing], None],
-                 limits: Limits, counters: Counters):
+                 limits: Limits, counters: Counters, renew: Callable[[], None] = lambda: None):
         self._reactor, self._server, self._last, self._told = reactor, server, start, told
+        self._renew = renew
         self._limits, self._counters = limits, counters
         self._random = random.SystemRandom()  # ids that can't be guessed; no decision hangs on them
         self._asking = Asking(limits, self._random.random)
@@ -90,6 +94,14 @@
         self._same = b""  # the last good answer less its id: most answers repeat it
         self._next: IDelayedCall | None = None
 
+    def makeConnection(self, transport: IUDPTransport) -> None:  # noqa: N802 - Twisted's names
+        first, self.transport = self.transport is None, transport
+        if first:
+            self.startProtocol()
+
+    def doStop(self) -> None:  # noqa: N802
+        """A socket has closed: the one that took its place goes on."""
+
     def startProtocol(self) -> None:
         self._ask()
 
@@ -107,6 +119,10 @@
         self._next = self._reactor.callLater(delay / 1_000_000, self._ask)
 
     def _ask(self) -> None:
+        silent = self._asking.silent()
+        self._ask_in(self._asking.asked())  # a good answer puts it off: this one is for those that are lost
+        if silent:
+            self._renew()
         number = self._random.randrange(1 << 16)
         self._asked = [*self._asked[1 - self._limits.polls_open:], number]
         self._counters.add("dns_sent")
@@ -114,7 +130,6 @@
             self.transport.write(question(number), self._server)
         except OSError as fault:  # the next one may get through
             log.warning("resolver: %s", fault)
-        self._ask_in(self._asking.asked())  # a good answer puts it off: this one is for those that are lost
 
     def datagramReceived(self, packet: bytes, addr: object) -> None:
         self._counters.add("dns_in")
@@ -132,14 +147,12 @@
         if listing.rev < self._last.rev:  # overtaken on its way, or from a server that is behind
             return self._counters.add("dns_old")
         self._ask_in(self._asking.answered())
-        self._same = packet[2:]
-        changed = listing[1:] != self._last[1:]
-        self._last = listing
-        if changed:
+        if listing[1:] != self._last[1:]:
             if not listing.entries:  # an answer like another, but all requests are refused from now on
                 self._counters.add("lists_empty")
                 log.warning("resolver: the list of event %d names no engine", listing.rev)
             self._told(listing)
+        self._same, self._last = packet[2:], listing  # not where telling it failed: the next answer tells it again
 
 
 def whole_list(known: Sequence[Listing]) -> Listing:
@@ -162,11 +175,22 @@
                  counters: Counters, reread: Callable[[], Address]):
         self.settings, self.start = settings, start
         self._reactor, self._server, self._limits, self._counters = reactor, server, limits, counters
-        self._reread, self._resolver = reread, None
+        self._reread, self._resolver, self._port = reread, None, None
 
     def follow(self, told: Callable[[Listing], None]) -> None:
-        self._resolver = Resolver(self._reactor, self._server, self.start, told, self._limits, self._counters)
-        self._reactor.listenUDP(0, self._resolver, maxPacketSize=self._limits.packet)
+        self._resolver = Resolver(self._reactor, self._server, self.start, told, self._limits, self._counters,
+                                  self._renew)
+        self._port = self._reactor.listenUDP(0, self._resolver, maxPacketSize=self._limits.packet)
+
+    def _renew(self) -> None:
+        """Opened before the old one closes: where no descriptor is free, that one goes on."""
+        try:
+            port = self._reactor.listenUDP(0, self._resolver, maxPacketSize=self._limits.packet)
+        except CannotListenError as fault:
+            return log.warning("resolver: no new socket: %s", fault)
+        self._counters.add("dns_sockets")
+        self._port.stopListening()
+        self._port = port
 
     def reload(self) -> None:
         self._counters.add("reloads")
