--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -60,6 +60,12 @@
     def loseWriteConnection(self):
         self.disconnecting = True  # all that is owed is written, and the other side hears of the close
 
+    def resumeProducing(self):
+        if not self.disconnecting:
+            return super().resumeProducing()
+        assert self.producerState == "paused"  # closed by half it may be read on, unlike after a whole close
+        self.producerState = "producing"
+
     def abortConnection(self):
         self.aborted = self.disconnecting = True
 
