Plant a mistake for each crossing that was right before and had none

The docstring of the first list after a silence now says what it plays. Left without: an answer and a time-out in one turn, a port that nobody listens on, and three plants not run.

--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -984,3 +984,25 @@
     assert avoided(new) == 1
     third = start("third")
     assert avoided(third) == 1
+
+
+# ---- planted mistakes: each of these tests can fail
+
+
+def test_a_planted_answer_that_an_idle_close_forgets_is_seen(site, monkeypatch):
+    inner = JsonRpcConnection._answer
+
+    def forgets(self, *given):
+        used = self.used
+        inner(self, *given)
+        self.used = used
+
+    monkeypatch.setattr(JsonRpcConnection, "_answer", forgets)
+    with pytest.raises(AssertionError):
+        test_an_answer_and_an_idle_close_in_one_turn(site)
+
+
+def test_planted_small_writes_that_are_held_back_are_seen(site, monkeypatch):
+    monkeypatch.setattr("twisted.internet.tcp.Connection.setTcpNoDelay", lambda self, on: None)
+    with pytest.raises(AssertionError):
+        test_small_writes_are_not_held_back(site)
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -7,6 +7,7 @@
 import socket
 import tracemalloc
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from msgspec.structs import replace as limits_with
@@ -17,7 +18,7 @@
 
 from rackhub import interface as t
 from rackhub.core.request import Query
-from rackhub.net.resp import command
+from rackhub.net.resp import EngineConnection, command
 
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 ROWS = b"a\tb\tc\n"
@@ -570,3 +571,38 @@
     here = make(1)
     link = rest(here)
     assert link.transport.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+# ---- planted mistakes: each of these tests can fail
+
+
+def unheeded(monkeypatch, name, instead):
+    monkeypatch.setattr(EngineConnection, name, instead)
+    monkeypatch.setitem(globals(), "spin", partial(spin, turns=100))  # what the plant keeps from coming never comes
+
+
+def test_a_planted_give_up_that_leaves_the_attempt_with_its_dial_is_seen(make, monkeypatch):
+    inner = EngineConnection.give_up
+    unheeded(monkeypatch, "give_up", lambda self, attempt: inner(self, attempt) if self.up else None)
+    with pytest.raises(AssertionError):
+        test_a_dial_that_ends_after_its_attempt_was_moved_is_kept_and_not_used_for_it(make)
+
+
+@pytest.mark.parametrize("said", SPOILT.values(), ids=SPOILT)
+def test_a_planted_reader_that_goes_on_after_a_bad_frame_is_seen(make, monkeypatch, said):
+    unheeded(monkeypatch, "_malformed", lambda self, bad: None)
+    with pytest.raises(AssertionError):
+        test_an_answer_that_can_t_be_read_ends_what_shares_its_connection_as_having_run(make, said)
+
+
+@pytest.mark.parametrize("said", CUT.values(), ids=CUT)
+def test_a_planted_patience_without_end_with_half_a_frame_is_seen(make, monkeypatch, said):
+    unheeded(monkeypatch, "look", lambda self, now: None)
+    with pytest.raises(AssertionError):
+        test_an_answer_that_is_cut_off_is_no_answer(make, said, False)
+
+
+def test_planted_small_writes_to_an_engine_that_are_held_back_are_seen(make, monkeypatch):
+    monkeypatch.setattr("twisted.internet.tcp.Connection.setTcpNoDelay", lambda self, on: None)
+    with pytest.raises(AssertionError):
+        test_small_writes_to_an_engine_are_not_held_back(make)
--- a/tests/test_crossings_requests.py
+++ b/tests/test_crossings_requests.py
@@ -13,6 +13,7 @@
 from twisted.internet import reactor
 
 from rackhub import interface as t
+from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import State
 from rackhub.net.pool import DialFactory
 
@@ -521,3 +522,9 @@
     assert second.id == first.id
     here.core.ended(here.port.sent[0], "RST")
     assert here.core.out[second.id, 0] is second.out[0]
+
+
+def test_a_planted_end_that_leaves_its_request_with_the_module_is_seen(monkeypatch):
+    monkeypatch.setattr(Coordinator, "_forget", lambda self, query, how: None)
+    with pytest.raises(AssertionError):
+        test_a_send_after_the_answer_in_one_batch_sends_nothing()
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -5,6 +5,7 @@
 """
 
 import errno
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -22,7 +23,7 @@
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.net.asking import Asking
-from rackhub.net.resolver import Platform
+from rackhub.net.resolver import Platform, Resolver
 
 A, B = ("a", "127.0.0.1", 0, 0), ("b", "127.0.0.2", 0, 0)
 DRAINS = ("b", "127.0.0.2", 1, 0)
@@ -249,7 +250,7 @@
 
 
 def test_the_first_list_after_a_silence_may_tell_of_a_drain_and_nothing_more_is_sent_there(desk, watches):
-    """The drain, a new engine and one that is gone in one list, with a request that waits for its back-off."""
+    """A drain and a new engine in one list: what comes then goes to the new one."""
     clock, sent = FakeClock(), []
 
     class Port:
@@ -284,3 +285,26 @@
         assert calls == polls and spent == limits.poll + sum(
             min(limits.poll_again << turn, limits.poll_again_most) for turn in range(polls))
     assert LIMITS.poll + 7 * LIMITS.poll_again < 700 * MS
+
+
+# ---- planted mistakes: each of these tests can fail
+
+
+def test_a_planted_list_that_goes_back_is_seen(desk, watches, monkeypatch):
+    inner = Resolver.datagramReceived
+
+    def forgets(self, packet, addr):
+        self._last = self._last._replace(rev=0)
+        inner(self, packet, addr)
+
+    monkeypatch.setattr(Resolver, "datagramReceived", forgets)
+    with pytest.raises(AssertionError):
+        test_answers_that_cross_change_nothing_back(desk, watches)
+
+
+def test_a_planted_module_that_is_not_told_of_drains_is_seen(desk, watches, monkeypatch):
+    inner = Coordinator.listed
+    monkeypatch.setattr(Coordinator, "listed", lambda self, entries, rev: inner(
+        self, [replace(entry, state="Ready") for entry in entries], rev))
+    with pytest.raises(AssertionError):
+        test_the_first_list_after_a_silence_may_tell_of_a_drain_and_nothing_more_is_sent_there(desk, watches)
