--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -1006,3 +1006,35 @@
     monkeypatch.setattr("twisted.internet.tcp.Connection.setTcpNoDelay", lambda self, on: None)
     with pytest.raises(AssertionError):
         test_small_writes_are_not_held_back(site)
+
+
+def test_a_planted_flood_whose_end_is_not_heard_is_seen(site, monkeypatch):
+    monkeypatch.setattr(JsonRpcConnection, "connectionLost", lambda self, reason=None: self.front.lost(self))
+    with pytest.raises(AssertionError):
+        test_a_client_that_sends_much_at_once_and_goes_is_given_up_whole(site)
+
+
+STOPS = """
+from twisted.internet import reactor
+import rackhub.daemon
+rackhub.daemon.Daemon._term = lambda self: reactor.stop()
+"""
+
+
+def test_a_request_whose_engine_is_silent_at_sigterm_is_answered(gated, unreachable, plant=""):
+    process = gated(PATIENT + plant, engine=unreachable.address)
+    process.until("serves on")
+    client, lines = process.client()
+    with client, lines:
+        lines.write(line(ask(1, budget=1500)) + line(ALIVE))
+        lines.flush()
+        assert json.loads(lines.readline())["id"] == ALIVE["id"]  # the request is open, and its engine says nothing
+        process.child.send_signal(signal.SIGTERM)
+        said = json.loads(lines.readline())
+        assert said["id"] == 1 and said["error"]["code"] == -32008 and lines.readline() == b""
+    assert process.ended()[0] == 0
+
+
+def test_a_planted_end_at_once_is_seen(gated, unreachable):
+    with pytest.raises(ValueError):  # the answer that is owed is no JSON, as it never came
+        test_a_request_whose_engine_is_silent_at_sigterm_is_answered(gated, unreachable, STOPS)
