--- a/rackhub/policy/control.py
+++ b/rackhub/policy/control.py
@@ -78,8 +78,8 @@
         if not (cls := self.classes.get(event.cls)):  # never told, so promises nothing: fragile, no aim
             cls = self.classes[event.cls] = Class(t.ClassSettings(event.cls))
         tenant = self.tenants.setdefault(event.tenant, new_tenant(0.0))
-        query = SimpleNamespace(event=event, cls=cls, tenant=tenant, id=event.query, tries=0,
-                                size=cls.size(event.estimate), out={}, maybe=[], tried=set(), closed=False)
+        query = SimpleNamespace(event=event, cls=cls, tenant=tenant, id=event.query, size=cls.size(event.estimate))
+        query.out, query.maybe, query.tried, query.tries, query.closed = {}, [], set(), 0, False
         query.failed_on, query.usual = None, cls.mean * query.size  # its error not explained; heavy is no ill
         self.queries[event.query], self.aside = query, self.aside + ASIDE
         cls.asked, cls.told_work = cls.asked + bool(event.estimate), cls.told_work + event.estimate
@@ -122,8 +122,8 @@
         told, now, memory = query.cls.told, self.now, self.grant(query)
         if self.set.priorities or self.set.grants:
             self.acts.append(t.Terms(query.id, round(memory), self.priority(query)))
-        attempt = SimpleNamespace(query=query, number=query.tries, engine=engine, sent=now, memory=memory,
-                                  threads=told.threads, spilled=False, asked=False, doubted=False)
+        attempt = SimpleNamespace(query=query, number=query.tries, engine=engine, sent=now, memory=memory)
+        attempt.threads, attempt.spilled, attempt.asked, attempt.doubted = told.threads, False, False, False
         attempt.noted = attempt.began = now
         query.out[attempt.number] = self.attempts[query.id, attempt.number] = attempt
         query.maybe.append((attempt.number, now, engine.group))
--- a/rackhub/policy/learning.py
+++ b/rackhub/policy/learning.py
@@ -28,8 +28,8 @@
         self.count += 1
         part, dx, dy = 1 / min(self.count, 200), math.log(told) - self.x, math.log(billed) - self.y
         self.x, self.y = self.x + dx * part, self.y + dy * part
-        self.xx, self.xy, self.yy = ((1 - part) * (old + part * new) for old, new in (
-            (self.xx, dx * dx), (self.xy, dx * dy), (self.yy, dy * dy)))
+        squares = (self.xx, dx * dx), (self.xy, dx * dy), (self.yy, dy * dy)
+        self.xx, self.xy, self.yy = ((1 - part) * (old + part * new) for old, new in squares)
         self.slope = (self.count * self.xy + BELIEF / 2) / (self.count * self.xx + BELIEF)
 
     def against_mean(self, told):  # the bill to expect, as a multiple of the mean one
