--- a/rackhub/adapter.py
+++ b/rackhub/adapter.py
@@ -22,33 +22,75 @@
 
 # wire message -> (event type, ((wire field, attribute, reader, needed), ...))
 EVENTS = {
-    "ORDER": (t.QueryArrived, (
-        ("RequestId", "query", word, True), ("Cls", "cls", word, True), ("DropDead", "drop_dead", whole, True),
-        ("Tenant", "tenant", str, False), ("IsRetry", "is_retry", truth, False),
-        ("Estimate", "estimate", whole, False), ("Object", "key", whole, False),
-        ("Write", "write", truth, False), ("FootprintMb", "memory_mb", number, False),
-        ("Tables", "tables", whole, False))),
-    "UNDER_WAY": (t.StreamBegan, (
-        ("RequestId", "query", word, True), ("SendNo", "attempt", whole, False),
-        ("Node", "engine", str, False), ("WaitTime", "elapsed", whole, False))),
-    "STATUS_NOTE": (t.Note, (
-        ("RequestId", "query", word, True), ("SendNo", "attempt", whole, False),
-        ("Topic", "topic", whole, True), ("Value", "value", number, False), ("Node", "engine", str, False))),
-    "OUTCOME": (t.AttemptEnded, (
-        ("RequestId", "query", word, True), ("SendNo", "attempt", whole, False),
-        ("Reason", "reason", word, True), ("Settled", "settled", truth, False), ("Node", "engine", str, False),
-        ("WaitTime", "elapsed", whole, False), ("Stats", "bill", whole, False),
-        ("Load", "report", report, False))),
+    "ORDER": (
+        t.QueryArrived,
+        (
+            ("RequestId", "query", word, True),
+            ("Cls", "cls", word, True),
+            ("DropDead", "drop_dead", whole, True),
+            ("Tenant", "tenant", str, False),
+            ("IsRetry", "is_retry", truth, False),
+            ("Estimate", "estimate", whole, False),
+            ("Object", "key", whole, False),
+            ("Write", "write", truth, False),
+            ("FootprintMb", "memory_mb", number, False),
+            ("Tables", "tables", whole, False),
+        ),
+    ),
+    "UNDER_WAY": (
+        t.StreamBegan,
+        (
+            ("RequestId", "query", word, True),
+            ("SendNo", "attempt", whole, False),
+            ("Node", "engine", str, False),
+            ("WaitTime", "elapsed", whole, False),
+        ),
+    ),
+    "STATUS_NOTE": (
+        t.Note,
+        (
+            ("RequestId", "query", word, True),
+            ("SendNo", "attempt", whole, False),
+            ("Topic", "topic", whole, True),
+            ("Value", "value", number, False),
+            ("Node", "engine", str, False),
+        ),
+    ),
+    "OUTCOME": (
+        t.AttemptEnded,
+        (
+            ("RequestId", "query", word, True),
+            ("SendNo", "attempt", whole, False),
+            ("Reason", "reason", word, True),
+            ("Settled", "settled", truth, False),
+            ("Node", "engine", str, False),
+            ("WaitTime", "elapsed", whole, False),
+            ("Stats", "bill", whole, False),
+            ("Load", "report", report, False),
+        ),
+    ),
     "CLIENT_LEFT": (t.ClientLeft, (("RequestId", "query", word, True),)),
     "ELAPSED": (t.TimerFired, (("Ref", "ref", whole, True),)),
-    "SAMPLED": (t.ProbeEnded, (
-        ("Node", "engine", word, True), ("Reason", "reason", word, True), ("WaitTime", "elapsed", whole, False),
-        ("Load", "report", report, False))),
+    "SAMPLED": (
+        t.ProbeEnded,
+        (
+            ("Node", "engine", word, True),
+            ("Reason", "reason", word, True),
+            ("WaitTime", "elapsed", whole, False),
+            ("Load", "report", report, False),
+        ),
+    ),
     "MAIL": (t.PeerSaid, (("OriginPeer", "peer", whole, True), ("Contents", "contents", plain_bytes, True))),
 }
-ENTRY = (("Node", "engine", word, True), ("Dc", "zone", str, False), ("Model", "kind", str, False),
-         ("Cohort", "cell", whole, False), ("StageState", "state", word, True), ("Size", "size", number, False),
-         ("CameUp", "came_up", whole, False))
+ENTRY = (
+    ("Node", "engine", word, True),
+    ("Dc", "zone", str, False),
+    ("Model", "kind", str, False),
+    ("Cohort", "cell", whole, False),
+    ("StageState", "state", word, True),
+    ("Size", "size", number, False),
+    ("CameUp", "came_up", whole, False),
+)
 MEMBERS = (("Scope", "scope", word, True), ("Rev", "rev", whole, False), ("Page", "page", whole, False))
 ABSENT = {"attempt": 0, "value": 0.0}  # a field at its zero value may be left off the line
 
--- a/rackhub/cli/__init__.py
+++ b/rackhub/cli/__init__.py
@@ -26,8 +26,17 @@
 from rackhub.cli.words import Ended, parse
 
 # one module a command, each with `run(words)`; loaded when it is called, so that none pays for another
-COMMANDS = {"serve": "serve", "config": "config", "check-config": "check_config", "hash-password": "hash_password",
-            "bench": "bench", "rig": "rig", "rules": "rules", "store": "store", "version": "show_version"}
+COMMANDS = {
+    "serve": "serve",
+    "config": "config",
+    "check-config": "check_config",
+    "hash-password": "hash_password",
+    "bench": "bench",
+    "rig": "rig",
+    "rules": "rules",
+    "store": "store",
+    "version": "show_version",
+}
 
 
 def main(words: Sequence[str] | None = None) -> int:
--- a/rackhub/cli/bench.py
+++ b/rackhub/cli/bench.py
@@ -38,8 +38,12 @@
         from tqdm import tqdm
 
         bar = tqdm(total=seeds * sum(len(ways) for _, ways in bench.SCENES.values()), leave=False)
-    report = bench.run(seeds, seconds, number(options, "--workers", 0, 1_024) or os.cpu_count() or 1,
-                       bar.update if bar is not None else lambda: None)
+    report = bench.run(
+        seeds,
+        seconds,
+        number(options, "--workers", 0, 1_024) or os.cpu_count() or 1,
+        bar.update if bar is not None else lambda: None,
+    )
     if bar is not None:
         bar.close()
     if options["--json"]:
@@ -49,12 +53,18 @@
         for row in report.rows:
             if row.scene != scene:
                 scene = row.scene
-                print(f"\n{scene}\n{'':<28}{'p50':>6}{'p99':>7}{'p99.9':>7}{'good/s':>8}{'served':>8}{'attempts':>9}"
-                      f"{'copies':>8}{'work':>7}")
-            print(f"{row.way:<28}{row.p50_ms:>6.0f}{row.p99_ms:>7.0f}{row.p999_ms:>7.0f}{row.good:>8.0f}"
-                  f"{row.served:>8.3f}{row.attempts:>9.3f}{row.copies:>8.3f}{row.work:>7.3f}")
-        print(f"\nCPU a request: {report.cost.none_us:.1f} us without routes, {report.cost.routes_us:.1f} us with "
-              f"{report.cost.routes}: ratio {report.cost.ratio:.3f}")
+                print(
+                    f"\n{scene}\n{'':<28}{'p50':>6}{'p99':>7}{'p99.9':>7}{'good/s':>8}{'served':>8}{'attempts':>9}"
+                    f"{'copies':>8}{'work':>7}"
+                )
+            print(
+                f"{row.way:<28}{row.p50_ms:>6.0f}{row.p99_ms:>7.0f}{row.p999_ms:>7.0f}{row.good:>8.0f}"
+                f"{row.served:>8.3f}{row.attempts:>9.3f}{row.copies:>8.3f}{row.work:>7.3f}"
+            )
+        print(
+            f"\nCPU a request: {report.cost.none_us:.1f} us without routes, {report.cost.routes_us:.1f} us with "
+            f"{report.cost.routes}: ratio {report.cost.ratio:.3f}"
+        )
     return 1 if any(row.wrong for row in report.rows) else 0
 
 
--- a/rackhub/cli/check_config.py
+++ b/rackhub/cli/check_config.py
@@ -19,6 +19,8 @@
 
 def run(words: Sequence[str]) -> int:
     config = configured(parse(__doc__ or "", words)).config
-    print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
-          f"{len(config.settings.classes)} classes, {len(config.engines.entries)} engines known")
+    print(
+        f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
+        f"{len(config.settings.classes)} classes, {len(config.engines.entries)} engines known"
+    )
     return 0
--- a/rackhub/cli/config.py
+++ b/rackhub/cli/config.py
@@ -91,19 +91,24 @@
     routes = _good(options["FILE"], settings)
     tenants = [tenant.name for tenant in settings.tenants] or [""]
     tenant = options["--tenant"] or tenants[0]
-    for name, value, there in (("--class", options["--class"], [cls.name for cls in settings.classes]),
-                               ("--tenant", tenant, tenants),
-                               ("--kind", options["--kind"], ["", *settings.kind_cores])):
+    for name, value, there in (
+        ("--class", options["--class"], [cls.name for cls in settings.classes]),
+        ("--tenant", tenant, tenants),
+        ("--kind", options["--kind"], ["", *settings.kind_cores]),
+    ):
         if value not in there:
             raise refuse(f"{name}: the site has no {value!r}; it has {', '.join(filter(None, there))}")
-    told = explaining.explain(routes, settings, options["--class"], tenant, options["--kind"],
-                              number(options, "--estimate", 0, 1e9, float))
+    told = explaining.explain(
+        routes, settings, options["--class"], tenant, options["--kind"], number(options, "--estimate", 0, 1e9, float)
+    )
     if options["--json"]:
         as_json(told)
         return 0
     for asked in told.asked:
-        print(f"timings.route[{asked.route}]: {'fits' if asked.fits else 'does not fit'}"
-              + (f": {asked.why}" if asked.why else ""))
+        print(
+            f"timings.route[{asked.route}]: {'fits' if asked.fits else 'does not fit'}"
+            + (f": {asked.why}" if asked.why else "")
+        )
     print()
     for term in told.terms:
         value = "-" if term.value is None else msgspec.json.encode(term.value).decode().strip('"')
@@ -123,8 +128,10 @@
         for row in found:
             low, high = row.estimate_ms
             upto = f"to before {high:g}" if high is not None else "and up"
-            print(f"class {row.cls}, tenant {row.tenant or '-'}, kind {row.engine_kind or 'any other'}, estimates "
-                  f"{low:g} {upto} ms:")
+            print(
+                f"class {row.cls}, tenant {row.tenant or '-'}, kind {row.engine_kind or 'any other'}, estimates "
+                f"{low:g} {upto} ms:"
+            )
             for name, (was, now) in row.changes.items():
                 print(f"  {name}: {msgspec.json.encode(was).decode()} -> {msgspec.json.encode(now).decode()}")
         print(f"{len(found)} kinds of requests are treated differently")
@@ -139,11 +146,18 @@
     from rackhub.state.settings import StoreSettings
     from rackhub.timings.routes import TimingsFile
 
-    parts: dict[str, Any] = {"store": StoreSettings | None, "timings": TimingsFile | None,
-                             "fleet": FleetSettings | None, "gather": GatherFile | None}
-    whole = msgspec.defstruct("OperatorFile", [(field.name, parts.get(field.name, field.type), None)
-                                               for field in msgspec.structs.fields(Operator)],
-                              forbid_unknown_fields=True, kw_only=True)
+    parts: dict[str, Any] = {
+        "store": StoreSettings | None,
+        "timings": TimingsFile | None,
+        "fleet": FleetSettings | None,
+        "gather": GatherFile | None,
+    }
+    whole = msgspec.defstruct(
+        "OperatorFile",
+        [(field.name, parts.get(field.name, field.type), None) for field in msgspec.structs.fields(Operator)],
+        forbid_unknown_fields=True,
+        kw_only=True,
+    )
     return msgspec.json.schema(whole)
 
 
@@ -152,5 +166,9 @@
     return 0
 
 
-HANDLERS: dict[str, Callable[[dict[str, Any]], int]] = {"check": check, "explain": explain, "diff": diff,
-                                                        "schema": schema}
+HANDLERS: dict[str, Callable[[dict[str, Any]], int]] = {
+    "check": check,
+    "explain": explain,
+    "diff": diff,
+    "schema": schema,
+}
--- a/rackhub/cli/rig/__init__.py
+++ b/rackhub/cli/rig/__init__.py
@@ -63,8 +63,15 @@
 
 from rackhub.cli.words import parse
 
-COMMANDS = {"up": "fleet", "query": "fleet", "torture": "torture", "cases": "torture", "overload": "overload",
-            "undos": "measures", "probes": "measures"}  # each with the module that has it
+COMMANDS = {
+    "up": "fleet",
+    "query": "fleet",
+    "torture": "torture",
+    "cases": "torture",
+    "overload": "overload",
+    "undos": "measures",
+    "probes": "measures",
+}  # each with the module that has it
 
 
 def run(words: Sequence[str]) -> int:
--- a/rackhub/cli/rig/fleet.py
+++ b/rackhub/cli/rig/fleet.py
@@ -13,9 +13,16 @@
     gateways = number(options, "--gateways", 1, 16)
     if keepers not in (0, 1, 3, 5) or keepers > gateways or keepers and not options["--fleet"]:
         raise refuse(f"--keepers: {keepers}: none, 1, 3 or 5, at most as many as gateways, and with --fleet")
-    return Plan(gateways=gateways, sites=number(options, "--sites", 1, 8), keepers=keepers,
-                engines=number(options, "--engines", 1, 40), cores=number(options, "--cores", 0.5, 64, float),
-                seed=number(options, "--seed", 0, 2**31), peers=options["--fleet"], fleet=options["--fleet"])
+    return Plan(
+        gateways=gateways,
+        sites=number(options, "--sites", 1, 8),
+        keepers=keepers,
+        engines=number(options, "--engines", 1, 40),
+        cores=number(options, "--cores", 0.5, 64, float),
+        seed=number(options, "--seed", 0, 2**31),
+        peers=options["--fleet"],
+        fleet=options["--fleet"],
+    )
 
 
 def up(options: dict[str, Any]) -> int:
@@ -74,19 +81,30 @@
     if here is None and not options["--at"]:
         raise refuse("no rig runs here: start one with 'rackhub rig up', or name one with --at")
     gateways = here.gateways if here else []
-    addresses = [options["--at"]] if options["--at"] else \
-        [each.clients for each in gateways if options["--gateway"] in (None, each.name)]
+    addresses = (
+        [options["--at"]]
+        if options["--at"]
+        else [each.clients for each in gateways if options["--gateway"] in (None, each.name)]
+    )
     if not addresses:
-        raise refuse(f"--gateway: the rig has no {options['--gateway']!r}; it has "
-                     f"{', '.join(each.name for each in gateways)}")
+        raise refuse(
+            f"--gateway: the rig has no {options['--gateway']!r}; it has {', '.join(each.name for each in gateways)}"
+        )
     told = {each.name: each for each in here.classes} if here else {}
     cls = told.get(options["--class"])
     if told and cls is None:
         raise refuse(f"--class: the rig has no {options['--class']!r}; it has {', '.join(told)}")
     tenant = options["--tenant"] or (here.tenants[0] if here and here.tenants else "")
     try:
-        answer = ask(addresses, options["--class"], options["--statement"].encode(), tenant,
-                     budget or (cls.deadline_ms if cls else 10_000), options["--key"], bool(cls and cls.keyed))
+        answer = ask(
+            addresses,
+            options["--class"],
+            options["--statement"].encode(),
+            tenant,
+            budget or (cls.deadline_ms if cls else 10_000),
+            options["--key"],
+            bool(cls and cls.keyed),
+        )
     except ValueError as bad:
         raise refuse(f"--at: {bad}") from None
     if options["--json"]:
--- a/rackhub/cli/rig/torture.py
+++ b/rackhub/cli/rig/torture.py
@@ -21,15 +21,18 @@
         if not options["--json"]:
             print(line(verdict), flush=True)
 
-    report = torture.run(processes, cycles, seed, [name] if name else [], reactor, options["--brief"],
-                         options["--fleet"], told)
+    report = torture.run(
+        processes, cycles, seed, [name] if name else [], reactor, options["--brief"], options["--fleet"], told
+    )
     if options["--json"]:
         as_json(report)
     else:
         for case, why in report.skipped.items():
             print(f"{case:<20} not run: {why}")
-        print(f"{report.ran} runs: faults {report.faults or 'none'}, {report.unsettled} not settled, "
-              f"{len(report.skipped)} cases not run")
+        print(
+            f"{report.ran} runs: faults {report.faults or 'none'}, {report.unsettled} not settled, "
+            f"{len(report.skipped)} cases not run"
+        )
     return 0 if report.good() else 1
 
 
@@ -37,9 +40,15 @@
     """One verdict in words."""
     figures = verdict.figures
     told = [f"{verdict.case:<20} seed {verdict.seed}"]
-    for key, word in (("worth_before", "before"), ("worth_during", "during"), ("worth_after", "after"),
-                      ("recovered_s", "back after s"), ("tries_a_request", "tries"),
-                      ("attempts_a_request", "attempts"), ("cold_worst", "cold")):
+    for key, word in (
+        ("worth_before", "before"),
+        ("worth_during", "during"),
+        ("worth_after", "after"),
+        ("recovered_s", "back after s"),
+        ("tries_a_request", "tries"),
+        ("attempts_a_request", "attempts"),
+        ("cold_worst", "cold"),
+    ):
         if key in figures:
             told.append(f"{word} {figures[key]}")
     if verdict.totals is not None:
--- a/rackhub/cli/rules.py
+++ b/rackhub/cli/rules.py
@@ -121,8 +121,13 @@
     for name in ("--author", "--reason"):
         if not options[name].strip():
             raise refuse(f"{name}: {options[name]!r} is empty")
-    return {"author": options["--author"], "reason": options["--reason"], "on": _version(options, "--on"),
-            "id": options["--id"] or os.urandom(8).hex(), "wait_ms": _span(options, "--wait")}
+    return {
+        "author": options["--author"],
+        "reason": options["--reason"],
+        "on": _version(options, "--on"),
+        "id": options["--id"] or os.urandom(8).hex(),
+        "wait_ms": _span(options, "--wait"),
+    }
 
 
 def _edit(options: dict[str, Any]) -> dict[str, Any]:
@@ -164,10 +169,15 @@
 def _line(one: dict[str, Any]) -> str:
     when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(one["told"])) + "Z" if one["told"] else "-"
     of = f" to {one.get('of', 0)}" if one["kind"] == "undo" else ""
-    trial = f", on trial {one['trial']['span_ms'] / 1_000:g} s at {', '.join(one['trial']['first'])}" \
-        if one.get("trial") else ""
-    return f"version {one['number']}  {one['kind']}{of}{trial}  {one['author']} at {one['gateway']}, {when}: " \
-           f"{one['reason']}  (id {one['id']})"
+    trial = (
+        f", on trial {one['trial']['span_ms'] / 1_000:g} s at {', '.join(one['trial']['first'])}"
+        if one.get("trial")
+        else ""
+    )
+    return (
+        f"version {one['number']}  {one['kind']}{of}{trial}  {one['author']} at {one['gateway']}, {when}: "
+        f"{one['reason']}  (id {one['id']})"
+    )
 
 
 def _shown(told: dict[str, Any]) -> None:
@@ -190,13 +200,19 @@
     for name, both in told["parts"].items():
         for mark, key in (("-", "old"), ("+", "new")):
             text = "the files hold" if both[key] is None else json.dumps(both[key], indent=2)
-            print("\n".join(f"{mark} {name}: {line}" if i == 0 else f"{mark}   {line}"
-                            for i, line in enumerate(text.splitlines())))
+            print(
+                "\n".join(
+                    f"{mark} {name}: {line}" if i == 0 else f"{mark}   {line}"
+                    for i, line in enumerate(text.splitlines())
+                )
+            )
 
 
 def _changed(told: dict[str, Any]) -> None:
-    print(f"version {told['version']} is made (id {told['id']}); held by {len(told['held'])} of "
-          f"{len(told['held']) + len(told['missing'])} that live, after {told['took_ms']} ms")
+    print(
+        f"version {told['version']} is made (id {told['id']}); held by {len(told['held'])} of "
+        f"{len(told['held']) + len(told['missing'])} that live, after {told['took_ms']} ms"
+    )
     if told.get("unasked"):
         print(f"not asked, as they are cut off: {', '.join(told['unasked'])}")
     for one in told["missing"]:
@@ -204,26 +220,38 @@
 
 
 def _statuses(told: dict[str, Any]) -> None:
-    print(f"{told['gateway']} holds version {told['version']}, knows {told['newest']}; keepers "
-          f"{', '.join(told['keepers']) or 'none'}")
+    print(
+        f"{told['gateway']} holds version {told['version']}, knows {told['newest']}; keepers "
+        f"{', '.join(told['keepers']) or 'none'}"
+    )
     if told["damage"]:
         print(f"damage: {told['damage']}")
     trial = told["trial"]
     if trial:
-        print(f"version {trial['version']} by {trial['author']} is on trial at {', '.join(trial['first'])}, "
-              f"{trial['left_ms'] / 1_000:g} s left; requests, refused, late: on it {trial['on']}, "
-              f"off it {trial['off']}")
+        print(
+            f"version {trial['version']} by {trial['author']} is on trial at {', '.join(trial['first'])}, "
+            f"{trial['left_ms'] / 1_000:g} s left; requests, refused, late: on it {trial['on']}, "
+            f"off it {trial['off']}"
+        )
     for one in told["gateways"]:
         if one["version"] is None:
             held = "has said nothing"
         else:
-            held = f"holds {one['version']}{' on trial' if one['on_trial'] else ''}" \
-                + (f", keeper: {one['keeper']}" if one["keeper"] else "") \
+            held = (
+                f"holds {one['version']}{' on trial' if one['on_trial'] else ''}"
+                + (f", keeper: {one['keeper']}" if one["keeper"] else "")
                 + (f", can't take {one['newest']}: {one['why']}" if one["why"] else "")
+            )
         print(f"  {one['name']}  {one['state']}  {held}")
 
 
 Handler = tuple[Callable[[dict[str, Any]], dict[str, Any]], Callable[[dict[str, Any]], None]]
 HANDLERS: dict[str, Handler] = {
-    "show": (_show, _shown), "history": (_history, _histories), "diff": (_diff, _diffs), "edit": (_edit, _changed),
-    "undo": (_undo, _changed), "confirm": (_change, _changed), "status": (_status, _statuses)}
+    "show": (_show, _shown),
+    "history": (_history, _histories),
+    "diff": (_diff, _diffs),
+    "edit": (_edit, _changed),
+    "undo": (_undo, _changed),
+    "confirm": (_change, _changed),
+    "status": (_status, _statuses),
+}
--- a/rackhub/cli/serve.py
+++ b/rackhub/cli/serve.py
@@ -60,8 +60,13 @@
     from rackhub.daemon import Daemon  # here: it takes hold of the reactor, which no other needs
 
     try:
-        Daemon(config, operator, told, partial(configuration.load, path),
-               partial(configuration.load_operator, operator_path) if operator_path else None).run()
+        Daemon(
+            config,
+            operator,
+            told,
+            partial(configuration.load, path),
+            partial(configuration.load_operator, operator_path) if operator_path else None,
+        ).run()
     except CannotListenError as fault:
         raise refuse(f"bad configuration: listen: {fault}") from None
     except PartUnusable as fault:
--- a/rackhub/cli/store.py
+++ b/rackhub/cli/store.py
@@ -105,8 +105,9 @@
 
 
 def shown(item: Any) -> Shown:
-    return Shown(to_text(item.key), to_text(item.value), item.create_revision, item.mod_revision, item.version,
-                 item.lease)
+    return Shown(
+        to_text(item.key), to_text(item.value), item.create_revision, item.mod_revision, item.version, item.lease
+    )
 
 
 # ---- the commands
@@ -135,16 +136,22 @@
     if options["--json"]:
         as_json(told)
         return 0
-    print(f"revision {told.revision}, history from revision {told.compacted + 1}, {told.records} records\n"
-          f"{len(told.tables)} tables and {told.retired} in reserve, {told.table_bytes:,} bytes\n"
-          f"{told.segments} log segments, {told.log_bytes:,} bytes\n{told.leases} leases")
+    print(
+        f"revision {told.revision}, history from revision {told.compacted + 1}, {told.records} records\n"
+        f"{len(told.tables)} tables and {told.retired} in reserve, {told.table_bytes:,} bytes\n"
+        f"{told.segments} log segments, {told.log_bytes:,} bytes\n{told.leases} leases"
+    )
     for table in told.tables:
-        print(f"  table {table.number}: records {table.low} to {table.high}, {table.entries} entries, "
-              f"{table.size:,} bytes")
+        print(
+            f"  table {table.number}: records {table.low} to {table.high}, {table.entries} entries, "
+            f"{table.size:,} bytes"
+        )
     had = told.recovered
-    print(f"opening replayed {had.records} records, cut off {had.torn_bytes} torn bytes"
-          + "".join(f"\n  removed {name}" for name in had.removed)
-          + "".join(f"\n  left alone: {name}, which is none of a store's files" for name in had.strange))
+    print(
+        f"opening replayed {had.records} records, cut off {had.torn_bytes} torn bytes"
+        + "".join(f"\n  removed {name}" for name in had.removed)
+        + "".join(f"\n  left alone: {name}, which is none of a store's files" for name in had.strange)
+    )
     return 0
 
 
@@ -185,8 +192,9 @@
 def range_(options: dict[str, Any]) -> int:
     start, end = to_bytes(options["START"] or ""), options["END"]
     with _open(options) as store:
-        items = store.range(start, None if end is None else to_bytes(end), _at(options),
-                            number(options, "--limit", 0, MOST))
+        items = store.range(
+            start, None if end is None else to_bytes(end), _at(options), number(options, "--limit", 0, MOST)
+        )
     if options["--json"]:
         as_json([shown(item) for item in items])
     else:
@@ -255,9 +263,13 @@
     finally:
         progress.close()
         source.unlock()
-    told = {"revision": taken.revision, "records": taken.end, "history_after": taken.floor,
-            "findings": found.findings,
-            "left": [{"log": one.log, "first": one.first, "last": one.last} for one in taken.left]}
+    told = {
+        "revision": taken.revision,
+        "records": taken.end,
+        "history_after": taken.floor,
+        "findings": found.findings,
+        "left": [{"log": one.log, "first": one.first, "last": one.last} for one in taken.left],
+    }
     if options["--json"]:
         as_json(told)
     else:
@@ -265,8 +277,10 @@
             print(f"{one.file}: at byte {one.offset}: {one.what}")
         for left in taken.left:
             print(f"left: log {left.log} holds records {left.first} to {left.last}, after a gap")
-        print(f"saved to {to}: all records up to {taken.end} (revision {taken.revision}), history after "
-              f"revision {taken.floor}")
+        print(
+            f"saved to {to}: all records up to {taken.end} (revision {taken.revision}), history after "
+            f"revision {taken.floor}"
+        )
     return 1 if found.findings or taken.left else 0
 
 
@@ -288,22 +302,32 @@
         return 0
     print(f"{report.machine}, Python {report.python}; fdatasync of 4 KiB {report.fdatasync_us:.0f} us")
     for group in report.groups:
-        print(f"64 writers, {group.value_bytes} bytes: bare {group.bare_mb_s:.0f} MB/s, commits "
-              f"{group.commits_ratio:.2f} of it, with tables written behind {group.steady_ratio:.2f}, synced in a "
-              f"thread {group.threaded_ratio:.2f}; p99 {group.p99_us} us")
+        print(
+            f"64 writers, {group.value_bytes} bytes: bare {group.bare_mb_s:.0f} MB/s, commits "
+            f"{group.commits_ratio:.2f} of it, with tables written behind {group.steady_ratio:.2f}, synced in a "
+            f"thread {group.threaded_ratio:.2f}; p99 {group.p99_us} us"
+        )
     for read in report.reads:
-        print(f"{read.keys} keys: gets/s in memory {read.memory_gets_s:,.0f}, warm {read.warm_gets_s:,.0f}, cold "
-              f"{read.cold_gets_s:,.0f}, missing {read.missing_gets_s:,.0f}; ranges of 100/s {read.range_100_s:,.0f}; "
-              f"entries scanned/s {read.scan_entries_s:,.0f}")
+        print(
+            f"{read.keys} keys: gets/s in memory {read.memory_gets_s:,.0f}, warm {read.warm_gets_s:,.0f}, cold "
+            f"{read.cold_gets_s:,.0f}, missing {read.missing_gets_s:,.0f}; ranges of 100/s {read.range_100_s:,.0f}; "
+            f"entries scanned/s {read.scan_entries_s:,.0f}"
+        )
     for one in report.recoveries:
-        print(f"open after {one.records} records, {one.live_keys} live ({one.what}): {one.open_ms:.0f} ms, "
-              f"{one.replayed} replayed, {one.disk_mb:.1f} MB")
+        print(
+            f"open after {one.records} records, {one.live_keys} live ({one.what}): {one.open_ms:.0f} ms, "
+            f"{one.replayed} replayed, {one.disk_mb:.1f} MB"
+        )
     print(f"resident memory a key after opening: {report.memory_bytes_a_key:.0f} bytes")
     for over in report.overwrites:
-        print(f"{over.commits} overwrites of {over.keys} keys, reserve {over.reserve}: wrote {over.amplification:.2f} "
-              f"times, {over.disk_mb:.1f} MB left")
-    print(f"slices of work: p50 {report.turns.p50_us} us, p99 {report.turns.p99_us}, longest "
-          f"{report.turns.longest_us} of {report.turns.turns}")
+        print(
+            f"{over.commits} overwrites of {over.keys} keys, reserve {over.reserve}: wrote {over.amplification:.2f} "
+            f"times, {over.disk_mb:.1f} MB left"
+        )
+    print(
+        f"slices of work: p50 {report.turns.p50_us} us, p99 {report.turns.p99_us}, longest "
+        f"{report.turns.longest_us} of {report.turns.turns}"
+    )
     return 0
 
 
@@ -322,19 +346,24 @@
 
     start = time.monotonic()
     try:
-        report = tortures.run(size, number(options, "--seed", 0, MOST), modes, number(options, "--workers", 0, 1_024),
-                              told)
+        report = tortures.run(
+            size, number(options, "--seed", 0, MOST), modes, number(options, "--workers", 0, 1_024), told
+        )
     finally:
         for bar in bars.values():
             bar.close()
     if options["--json"]:
         as_json(report)
     else:
-        print(f"{report.log_bytes:,} bytes of log, {report.revisions} revisions, {report.file_bytes:,} bytes of files, "
-              f"{time.monotonic() - start:.0f} s")
+        print(
+            f"{report.log_bytes:,} bytes of log, {report.revisions} revisions, {report.file_bytes:,} bytes of files, "
+            f"{time.monotonic() - start:.0f} s"
+        )
         for mode, tally in report.modes.items():
-            print(f"{mode}: tried {tally.tried:,}, recovered {tally.recovered:,}, refused and salvaged "
-                  f"{tally.salvaged:,}, violations {len(tally.violations)}")
+            print(
+                f"{mode}: tried {tally.tried:,}, recovered {tally.recovered:,}, refused and salvaged "
+                f"{tally.salvaged:,}, violations {len(tally.violations)}"
+            )
             for what in tally.violations:
                 print(f"  {what}")
     return 1 if report.violations else 0
@@ -357,8 +386,10 @@
     if options["--json"]:
         as_json(tally)
     else:
-        print(f"{tally.kills} kills, {tally.acknowledged:,} of {tally.sent:,} writes acknowledged, lost {tally.lost}, "
-              f"changed {tally.changed}, found unsent {tally.found_unsent}")
+        print(
+            f"{tally.kills} kills, {tally.acknowledged:,} of {tally.sent:,} writes acknowledged, lost {tally.lost}, "
+            f"changed {tally.changed}, found unsent {tally.found_unsent}"
+        )
         for what in tally.violations:
             print(f"  {what}")
     return 1 if tally.violations else 0
@@ -386,7 +417,17 @@
 
 
 HANDLERS: dict[str, Callable[[dict[str, Any]], int]] = {
-    "info": info, "verify": verify, "get": get, "range": range_, "changes": changes, "compact": compact,
-    "keyed": keyed, "salvage": salvage_, "bench": bench, "torture": torture, "kill": kill}
+    "info": info,
+    "verify": verify,
+    "get": get,
+    "range": range_,
+    "changes": changes,
+    "compact": compact,
+    "keyed": keyed,
+    "salvage": salvage_,
+    "bench": bench,
+    "torture": torture,
+    "kill": kill,
+}
 
 __all__ = ["Ended", "run"]
--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -133,15 +133,26 @@
     if not settings.classes:
         raise BadConfig("settings.Services: no class of requests is told")
     operator = None
-    for key, told in (("operator", file.operator), ("settings.operator", file.settings.get("operator", "")),
-                      ("BALANCER_OPERATOR", os.environ.get("BALANCER_OPERATOR", ""))):
+    for key, told in (
+        ("operator", file.operator),
+        ("settings.operator", file.settings.get("operator", "")),
+        ("BALANCER_OPERATOR", os.environ.get("BALANCER_OPERATOR", "")),
+    ):
         if told:
             if not isinstance(told, str):
                 raise BadConfig(f"{key}: {told!r} is not an address and port")
             operator = address(told, key)
             break
-    return Config(file.name, address(file.listen, "listen"), address(file.nameserver, "nameserver"), seed,
-                  engines(file.known), settings, limits(file), operator)
+    return Config(
+        file.name,
+        address(file.listen, "listen"),
+        address(file.nameserver, "nameserver"),
+        seed,
+        engines(file.known),
+        settings,
+        limits(file),
+        operator,
+    )
 
 
 def load_operator(path: Path | None) -> Operator:
@@ -248,8 +259,17 @@
             key = f"known.notices[{i}].pool.endpoints[{j}]"
             if endpoint.status not in STATES:
                 raise BadConfig(f"{key}.status: {endpoint.status!r} is not known")
-            entries.append(t.EngineEntry(endpoint.name, endpoint.zone, endpoint.type, endpoint.group,
-                                         STATES[endpoint.status], endpoint.weight, endpoint.since_ms * 1_000))
+            entries.append(
+                t.EngineEntry(
+                    endpoint.name,
+                    endpoint.zone,
+                    endpoint.type,
+                    endpoint.group,
+                    STATES[endpoint.status],
+                    endpoint.weight,
+                    endpoint.since_ms * 1_000,
+                )
+            )
             addresses[endpoint.name] = address(endpoint.address, f"{key}.address")
         if notice.pool.snapshot:
             events.clear()
@@ -261,8 +281,11 @@
     """The limits: what the site allows where it says so, the descriptors shared out, the rest by default."""
     permissions = file.settings.get("Permissions", {})
     told: dict[str, int] = {}
-    for key, name, least in (("DialTimeout", "dial_timeout", 1), ("ConnIdle", "engine_idle", 1),
-                             ("Multiplex", "engine_open", 1)):
+    for key, name, least in (
+        ("DialTimeout", "dial_timeout", 1),
+        ("ConnIdle", "engine_idle", 1),
+        ("Multiplex", "engine_open", 1),
+    ):
         if key in permissions:
             value = permissions[key]
             if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
@@ -276,7 +299,13 @@
     if file.limits.memory_mb < LEAST_MB:
         raise BadConfig(f"limits.memory_mb: {file.limits.memory_mb} is under {LEAST_MB}, which the program needs")
     spare, clients = (file.limits.memory_mb - BASE_MB) * 1_048_576, (file.limits.sockets - OWN) // 2
-    return Limits(sockets=file.limits.sockets, memory_mb=file.limits.memory_mb, client_connections=clients,
-                  engine_links=file.limits.sockets - OWN - clients,
-                  held_requests=max(spare // 65_536, 64), held_bytes=spare // 4,
-                  request_line=min(max(spare // 4 // clients, 16_384), 65_536), **told)
+    return Limits(
+        sockets=file.limits.sockets,
+        memory_mb=file.limits.memory_mb,
+        client_connections=clients,
+        engine_links=file.limits.sockets - OWN - clients,
+        held_requests=max(spare // 65_536, 64),
+        held_bytes=spare // 4,
+        request_line=min(max(spare // 4 // clients, 16_384), 65_536),
+        **told,
+    )
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -33,8 +33,9 @@
 class Coordinator:
     """The requests of one process, the module that decides on them, and the ports it acts through."""
 
-    def __init__(self, settings: t.Settings, seed: int, clock: Clock, timers: Timers, limits: Limits,
-                 counters: Counters):
+    def __init__(
+        self, settings: t.Settings, seed: int, clock: Clock, timers: Timers, limits: Limits, counters: Counters
+    ):
         self.settings, self.clock, self.timers = settings, clock, timers
         self.limits, self.counters = limits, counters
         self.classes = {told.name: told for told in settings.classes}
@@ -51,9 +52,18 @@
         self.on_idle: Callable[[], None] | None = None  # called when the last request has its answer
         self._control = Control(settings, seed)
         self._events: deque[object] = deque()
-        self._does = {t.Timer: self._timer, t.Send: self._send, t.Terms: self._terms, t.Cancel: self._cancel,
-                      t.Refuse: self._refuse, t.Fail: self._fail, t.CloseIdle: self._close_idle, t.Log: self._log,
-                      t.Probe: self._probe, t.Tell: self._tell_peer}
+        self._does = {
+            t.Timer: self._timer,
+            t.Send: self._send,
+            t.Terms: self._terms,
+            t.Cancel: self._cancel,
+            t.Refuse: self._refuse,
+            t.Fail: self._fail,
+            t.CloseIdle: self._close_idle,
+            t.Log: self._log,
+            t.Probe: self._probe,
+            t.Tell: self._tell_peer,
+        }
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
         self._held = 0  # bytes of the statements of all open requests
         self._lag = 0  # how late the loop lately was at worst; it fades
@@ -88,13 +98,15 @@
     def submit(self, query: Query) -> None:
         """Take a request on: from here it is owed exactly one answer."""
         self.counters.add("requests_in")
-        full = len(self.queries) >= self.limits.held_requests or \
-            self._held + len(query.statement) > self.limits.held_bytes
+        full = (
+            len(self.queries) >= self.limits.held_requests or self._held + len(query.statement) > self.limits.held_bytes
+        )
         if not self.taking and not query.part:  # a part is of a request that was taken before
             return self._turn_back(query, "refused_ending", self._away)
         if full or self._behind:  # memory and the one core are bounded: nothing ran, so say so at once
-            return self._turn_back(query, "over_held" if full else "over_behind",
-                                   min(SECOND, self.settings.max_retry_after or SECOND))
+            return self._turn_back(
+                query, "over_held" if full else "over_behind", min(SECOND, self.settings.max_retry_after or SECOND)
+            )
         self.queries[query.id] = query
         self._held += len(query.statement)
         if self.ledger is not None and query.token:
@@ -113,9 +125,21 @@
             query.life = self.desk.begin(query.cls, query.tenant, query.estimate, self.clock.now())
             attempts, within = query.life.attempts, query.life.repeat_within
         standing = self.guide.arrived(query, self.clock.now()) if self.guide is not None else 0
-        self._tell(t.QueryArrived(query.id, query.cls, query.deadline, tenant=query.tenant, estimate=query.estimate,
-                                  memory_mb=query.memory_mb, tables=query.tables, attempts=attempts,
-                                  repeat_within=within, standing=standing, zones=query.zones))
+        self._tell(
+            t.QueryArrived(
+                query.id,
+                query.cls,
+                query.deadline,
+                tenant=query.tenant,
+                estimate=query.estimate,
+                memory_mb=query.memory_mb,
+                tables=query.tables,
+                attempts=attempts,
+                repeat_within=within,
+                standing=standing,
+                zones=query.zones,
+            )
+        )
 
     def _turn_back(self, query: Query, why: str, backoff: int) -> None:
         """Refuse a request that was never taken on, at once, counted under `why`."""
@@ -146,17 +170,26 @@
     def gathered(self, query: Query, how: str, rows: Sequence[bytes] = (), backoff: int = 0) -> bool:
         """The answer of a request that `gathers` took: served with `rows` (and `query.mark`), refused with `backoff` in
         microseconds, or failed. False: it has had its answer, or its client is gone."""
-        return self._end(query, how, {"served": rows, "refused": min(backoff, self.settings.max_retry_after or backoff),
-                                      "failed": "failed: too few of its sites have answered"}[how])
-
-    def ended(self, attempt: Attempt, reason: str, report: dict[str, float] | None = None,
-              rows: Sequence[bytes] = ()) -> None:
+        return self._end(
+            query,
+            how,
+            {
+                "served": rows,
+                "refused": min(backoff, self.settings.max_retry_after or backoff),
+                "failed": "failed: too few of its sites have answered",
+            }[how],
+        )
+
+    def ended(
+        self, attempt: Attempt, reason: str, report: dict[str, float] | None = None, rows: Sequence[bytes] = ()
+    ) -> None:
         """What the port tells of an attempt's end. With GOOD `rows` are all pages."""
         if not attempt.over:  # an end that crossed with a time-out or a cancel: the first one counts
             self._over(attempt, reason, report, rows)
 
-    def _over(self, attempt: Attempt, reason: str, report: dict[str, float] | None = None,
-              rows: Sequence[bytes] = ()) -> None:
+    def _over(
+        self, attempt: Attempt, reason: str, report: dict[str, float] | None = None, rows: Sequence[bytes] = ()
+    ) -> None:
         """The one end of an attempt. Its client has the answer before the module knows."""
         attempt.state, query, now = State.OVER, attempt.query, self.clock.now()
         query.out.pop(attempt.number, None)
@@ -172,13 +205,32 @@
             self.guide.ended(attempt, reason, now)
         if query.life is not None and self.desk is not None and reason != "NOP":
             cut = reason == "LATE" and attempt.timed
-            self.desk.ended(query.life, attempt.number, self._kinds.get(attempt.engine, ""), attempt.engine, reason,
-                            now - attempt.sent, cut, now)
+            self.desk.ended(
+                query.life,
+                attempt.number,
+                self._kinds.get(attempt.engine, ""),
+                attempt.engine,
+                reason,
+                now - attempt.sent,
+                cut,
+                now,
+            )
             if not query.closed and not query.out:
                 again, wait, backoff = self.desk.after(query.life, reason, query.tries, now)
-        self._tell(t.AttemptEnded(query.id, attempt.number, reason, settled=query.closed, engine=attempt.engine,
-                                  elapsed=now - attempt.sent, report=report or {}, again=again, wait=wait,
-                                  backoff=backoff))
+        self._tell(
+            t.AttemptEnded(
+                query.id,
+                attempt.number,
+                reason,
+                settled=query.closed,
+                engine=attempt.engine,
+                elapsed=now - attempt.sent,
+                report=report or {},
+                again=again,
+                wait=wait,
+                backoff=backoff,
+            )
+        )
 
     def noted(self, attempt: Attempt, topic: int, value: float) -> None:
         if not attempt.over:
--- a/rackhub/core/part.py
+++ b/rackhub/core/part.py
@@ -22,12 +22,33 @@
     of the list has changed, the module is to be told. `reread`: the configuration as its file has it now.
     `parts`: those that are on, by name; all are there from `begin` on."""
 
-    __slots__ = ("reactor", "clock", "config", "operator", "core", "source", "counters", "serving", "relist", "reread",
-                 "parts")
-
-    def __init__(self, reactor: Any, clock: "UnixClock", config: "Config", operator: "Operator", core: "Coordinator",
-                 source: "Source", counters: "Counters", serving: Callable[[], bool], relist: Callable[[], None],
-                 reread: Callable[[], "Config"]):
+    __slots__ = (
+        "reactor",
+        "clock",
+        "config",
+        "operator",
+        "core",
+        "source",
+        "counters",
+        "serving",
+        "relist",
+        "reread",
+        "parts",
+    )
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: "UnixClock",
+        config: "Config",
+        operator: "Operator",
+        core: "Coordinator",
+        source: "Source",
+        counters: "Counters",
+        serving: Callable[[], bool],
+        relist: Callable[[], None],
+        reread: Callable[[], "Config"],
+    ):
         self.reactor, self.clock, self.config, self.operator, self.core = reactor, clock, config, operator, core
         self.source, self.counters, self.serving, self.relist, self.reread = source, counters, serving, relist, reread
         self.parts: dict[str, Part] = {}
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -25,13 +25,47 @@
 class Query:
     """One request from its arrival to its answer."""
 
-    __slots__ = ("id", "cls", "statement", "deadline", "tenant", "token", "estimate", "memory_mb", "tables",
-                 "reply", "tag", "closed", "tries", "out", "level", "fixed", "life", "copying", "zones", "mark",
-                 "part", "gathering", "maybe")
-
-    def __init__(self, id: str, cls: str, statement: bytes, deadline: int, reply: Reply, *, tag: object = None,
-                 tenant: str = "", token: str = "", estimate: int = 0, memory_mb: float = 0.0,
-                 tables: int | None = None):
+    __slots__ = (
+        "id",
+        "cls",
+        "statement",
+        "deadline",
+        "tenant",
+        "token",
+        "estimate",
+        "memory_mb",
+        "tables",
+        "reply",
+        "tag",
+        "closed",
+        "tries",
+        "out",
+        "level",
+        "fixed",
+        "life",
+        "copying",
+        "zones",
+        "mark",
+        "part",
+        "gathering",
+        "maybe",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        cls: str,
+        statement: bytes,
+        deadline: int,
+        reply: Reply,
+        *,
+        tag: object = None,
+        tenant: str = "",
+        token: str = "",
+        estimate: int = 0,
+        memory_mb: float = 0.0,
+        tables: int | None = None,
+    ):
         self.id, self.cls, self.statement, self.deadline = id, cls, statement, deadline
         self.reply, self.tag, self.tenant, self.token = reply, tag, tenant, token
         self.estimate, self.memory_mb, self.tables = estimate, memory_mb, tables
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -35,29 +35,52 @@
 class Daemon:
     """One coordinator as a process: serving, then draining from SIGTERM on, then done."""
 
-    def __init__(self, config: Config, operator: Operator, told: Config, reread: Callable[[], Config],
-                 reread_operator: Callable[[], Operator] | None = None):
+    def __init__(
+        self,
+        config: Config,
+        operator: Operator,
+        told: Config,
+        reread: Callable[[], Config],
+        reread_operator: Callable[[], Operator] | None = None,
+    ):
         """`config` as it is used, `told` as the file has it: what a reload compares with. `reread_operator` where
         there is an operator's file."""
         self.config, self.counters, self._reread, self._told = config, Counters(), reread, told
         self._reread_operator = reread_operator
         clock = UnixClock()
-        self.source: Source = Platform(reactor, config.settings, config.engines, config.nameserver, config.limits,
-                                       self.counters, self._nameserver)
-        self.core = Coordinator(self.source.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)),
-                                config.limits, self.counters)
+        self.source: Source = Platform(
+            reactor, config.settings, config.engines, config.nameserver, config.limits, self.counters, self._nameserver
+        )
+        self.core = Coordinator(
+            self.source.settings, config.seed, clock, Timers(clock, ReactorWaker(reactor)), config.limits, self.counters
+        )
         shared = clock, config.limits, self.counters, self.core
-        self.engines = tds_pools(reactor, operator.tds_engines, *shared) if operator.tds_engines else \
-            resp_pools(reactor, *shared)
+        self.engines = (
+            tds_pools(reactor, operator.tds_engines, *shared) if operator.tds_engines else resp_pools(reactor, *shared)
+        )
         self.fronts = [(config.listen, jsonrpc_front(self.core, config.limits, self.counters))]
         if operator.tds_front:
-            self.fronts.append((address(operator.tds_front.listen, "tds_front.listen"),
-                                tds_front(operator.tds_front, self.core, config.limits, self.counters)))
+            self.fronts.append(
+                (
+                    address(operator.tds_front.listen, "tds_front.listen"),
+                    tds_front(operator.tds_front, self.core, config.limits, self.counters),
+                )
+            )
         self._ports: list[SharedPort] = []
         self._leaving = self._serving = False
         self._listing: Listing | None = None
-        self._host = Host(reactor, clock, config, operator, self.core, self.source, self.counters,
-                          lambda: self._serving and self.core.taking, self._relist, reread)
+        self._host = Host(
+            reactor,
+            clock,
+            config,
+            operator,
+            self.core,
+            self.source,
+            self.counters,
+            lambda: self._serving and self.core.taking,
+            self._relist,
+            reread,
+        )
         self.parts = self._host.parts
         for name in parts.wanted(config, operator):
             self.parts[name] = parts.load(name, self._host)
@@ -88,8 +111,11 @@
             return
         try:
             self._host.operator = operator = self._reread_operator()
-            late = {name: parts.load(name, self._host) for name in parts.wanted(self.config, operator)
-                    if name not in self.parts and name in parts.LATE}  # requests that are open go on without
+            late = {
+                name: parts.load(name, self._host)
+                for name in parts.wanted(self.config, operator)
+                if name not in self.parts and name in parts.LATE
+            }  # requests that are open go on without
         except ValueError as bad:
             self.counters.add("operator_reloads_bad")
             return log.error("reload: bad operator's file, what was read before holds: %s", bad)
@@ -116,8 +142,12 @@
             part.open()
         self._serving = True
         LoopingCall(self.engines.sweep).start(0.1, now=False)
-        log.info("%s serves on %s, %d engines known", self.config.name,
-                 ", ".join(f"{host}:{port}" for (host, port), _ in self.fronts), len(engines.entries))
+        log.info(
+            "%s serves on %s, %d engines known",
+            self.config.name,
+            ", ".join(f"{host}:{port}" for (host, port), _ in self.fronts),
+            len(engines.entries),
+        )
         # What is here now stays, and what a request makes dies without the collector's help. Connections don't, which
         # are in cycles with their transports: on a long day their remains grew until 50,000 objects were there. So
         # the collector looks by the clock, at what is not frozen: 0.7 ms after 200 connections.
@@ -142,8 +172,9 @@
         """Of the configuration as it stands now. The rest of it holds from the start: what else has changed is
         named, so that nobody waits for it to take effect."""
         new = self._reread()
-        changed = [name for name in ("name", "listen", "settings", "limits")
-                   if getattr(new, name) != getattr(self._told, name)]
+        changed = [
+            name for name in ("name", "listen", "settings", "limits") if getattr(new, name) != getattr(self._told, name)
+        ]
         if changed:
             log.warning("reload: %s changed too, which takes a restart", ", ".join(changed))
         return new.nameserver
--- a/rackhub/fleet/control/fleet.py
+++ b/rackhub/fleet/control/fleet.py
@@ -10,8 +10,14 @@
 
 
 def offer(control: Control, membership: Membership) -> None:
-    control.on(CALL, lambda words, answer: answer(told(membership)) if set(words) <= {"call"} else answer(
-        {"error": f"{CALL}: takes no {', '.join(sorted(set(words) - {'call'}))}"}))
+    control.on(
+        CALL,
+        lambda words, answer: (
+            answer(told(membership))
+            if set(words) <= {"call"}
+            else answer({"error": f"{CALL}: takes no {', '.join(sorted(set(words) - {'call'}))}"})
+        ),
+    )
 
 
 def told(membership: Membership) -> dict[str, Any]:
@@ -24,9 +30,13 @@
         "members": {name: _member(member, now) for name, member in sorted(members.all().items())},
         "heard": sorted(members.heard()),
         "hears": {one: {other: members.hears(one, other) for other in living if other != one} for one in living},
-        "board": {kind: {record.owner: {"number": record.number, "age_ms": record.age // 1_000,
-                                        "bytes": len(record.body)} for record in owners}
-                  for kind, owners in _kinds(membership).items()},
+        "board": {
+            kind: {
+                record.owner: {"number": record.number, "age_ms": record.age // 1_000, "bytes": len(record.body)}
+                for record in owners
+            }
+            for kind, owners in _kinds(membership).items()
+        },
         "health": membership.core.probing.health.factor,
         "clashes": {name: sorted(places) for name, places in sorted(table.own.clashes.items())},
         "nonsense": dict(sorted(table.nonsense.items())),
@@ -35,9 +45,15 @@
 
 
 def _member(member: Member, now: int) -> Mapping[str, Any]:
-    return {"state": member.state.value, "for_ms": (now - member.since) // 1_000, "boot": member.boot,
-            "incarnation": member.incarnation, "address": "{}:{}".format(*member.address), "site": member.site,
-            "serves": "{}:{}".format(*member.serves) if member.serves else None}
+    return {
+        "state": member.state.value,
+        "for_ms": (now - member.since) // 1_000,
+        "boot": member.boot,
+        "incarnation": member.incarnation,
+        "address": "{}:{}".format(*member.address),
+        "site": member.site,
+        "serves": "{}:{}".format(*member.serves) if member.serves else None,
+    }
 
 
 def _kinds(membership: Membership) -> dict[str, list[Any]]:
--- a/rackhub/fleet/link/inbox.py
+++ b/rackhub/fleet/link/inbox.py
@@ -36,8 +36,12 @@
             return f.Got(page.id, b"", True), None
         most = -(-MAIL // self._limits.chunk)
         part = self._parts.get(page.id)
-        if not 0 < page.count <= most or page.index >= page.count or len(page.body) > self._limits.chunk or (
-                part is not None and (part.count, part.kind) != (page.count, page.kind)):
+        if (
+            not 0 < page.count <= most
+            or page.index >= page.count
+            or len(page.body) > self._limits.chunk
+            or (part is not None and (part.count, part.kind) != (page.count, page.kind))
+        ):
             self._count("bad_pages")
             return None, None
         if part is None:
--- a/rackhub/fleet/link/outbox.py
+++ b/rackhub/fleet/link/outbox.py
@@ -36,7 +36,7 @@
             self._count("mail_over")
             return
         size = self._limits.chunk
-        pages = [body[at:at + size] for at in range(0, len(body), size)] or [b""]
+        pages = [body[at : at + size] for at in range(0, len(body), size)] or [b""]
         self._last += 1
         piece = Piece(self._last, to, boot, kind, pages, now + self._limits.mail_life)
         self._soonest = min(self._soonest, now + self._limits.resend) if self._pieces else now + self._limits.resend
@@ -84,8 +84,10 @@
                 piece.out[index] = (now + wait, tries + 1)
                 self._count("pages_again")
                 yield piece.to, piece.page(index)
-        self._soonest = min((min((again for again, _ in piece.out.values()), default=piece.until)
-                             for piece in self._pieces.values()), default=0)
+        self._soonest = min(
+            (min((again for again, _ in piece.out.values()), default=piece.until) for piece in self._pieces.values()),
+            default=0,
+        )
 
     def due(self) -> int | None:
         """When `tick` is next of use; sooner where what was waited for has been acked."""
--- a/rackhub/fleet/members/own.py
+++ b/rackhub/fleet/members/own.py
@@ -15,8 +15,15 @@
 
 
 class Own:
-    def __init__(self, here: Here, address: Address, boot: int, serves: Address | None, site: str,
-                 changed: Callable[[bool], None]):
+    def __init__(
+        self,
+        here: Here,
+        address: Address,
+        boot: int,
+        serves: Address | None,
+        site: str,
+        changed: Callable[[bool], None],
+    ):
         """`changed` is called when others must be told; True: it is under another boot number."""
         self._here, self._changed = here, changed
         self.address, self.boot, self.serves, self.site = address, boot, serves, site
@@ -26,12 +33,29 @@
 
     def claim(self) -> f.Claim:
         host, port = self.serves or ("", 0)
-        return f.Claim(self._here.me, *self.address, self.boot, self.incarnation, f.LEFT if self.leaving else f.ALIVE,
-                       "", host, port, self.site)
+        return f.Claim(
+            self._here.me,
+            *self.address,
+            self.boot,
+            self.incarnation,
+            f.LEFT if self.leaving else f.ALIVE,
+            "",
+            host,
+            port,
+            self.site,
+        )
 
     def member(self) -> Member:
-        return Member(self._here.me, self.address, self.boot, self.incarnation,
-                      State.LEFT if self.leaving else State.ALIVE, self.since, self.serves, self.site)
+        return Member(
+            self._here.me,
+            self.address,
+            self.boot,
+            self.incarnation,
+            State.LEFT if self.leaving else State.ALIVE,
+            self.since,
+            self.serves,
+            self.site,
+        )
 
     @property
     def fresh(self) -> bool:
--- a/rackhub/fleet/members/part.py
+++ b/rackhub/fleet/members/part.py
@@ -39,13 +39,28 @@
     its result comes when the others have been told a few times; `stop` closes. Both are safe to call twice.
     """
 
-    def __init__(self, reactor: Any, settings: FleetSettings, serves: Address | None, clock: Clock | None = None,
-                 seed: int = 0, tally: Callable[[str, int], None] = lambda name, by: None,
-                 limits: Limits | None = None):
+    def __init__(
+        self,
+        reactor: Any,
+        settings: FleetSettings,
+        serves: Address | None,
+        clock: Clock | None = None,
+        seed: int = 0,
+        tally: Callable[[str, int], None] = lambda name, by: None,
+        limits: Limits | None = None,
+    ):
         self._reactor, self._clock, self._seed, self._tally = reactor, clock or Monotonic(), seed, tally
         self._settings, self._limits = settings, limits or Limits()
-        start = Start(settings.cluster, settings.name, settings.told, boots.first(settings.state), serves,
-                      settings.site, [address(text, "join") for text in settings.join], seed)
+        start = Start(
+            settings.cluster,
+            settings.name,
+            settings.told,
+            boots.first(settings.state),
+            serves,
+            settings.site,
+            [address(text, "join") for text in settings.join],
+            seed,
+        )
         self.core = Core(start, timing(settings), self._limits, self._clock.now())
         self.members = MembersView(self.core)
         self.board = BoardView(self.core, self)
@@ -101,6 +116,7 @@
         def cancel() -> None:
             if due.active():
                 due.cancel()
+
         return cancel
 
     # ---- the core
--- a/rackhub/fleet/members/peer.py
+++ b/rackhub/fleet/members/peer.py
@@ -10,8 +10,28 @@
 
 
 class Peer:
-    __slots__ = ("name", "address", "boot", "incarnation", "rank", "by", "since", "serves", "site", "suspicion",
-                 "came", "misses", "missing", "stamp", "stamp_at", "rate", "answers", "inbox", "shown", "greeted")
+    __slots__ = (
+        "name",
+        "address",
+        "boot",
+        "incarnation",
+        "rank",
+        "by",
+        "since",
+        "serves",
+        "site",
+        "suspicion",
+        "came",
+        "misses",
+        "missing",
+        "stamp",
+        "stamp_at",
+        "rate",
+        "answers",
+        "inbox",
+        "shown",
+        "greeted",
+    )
 
     def __init__(self, claim: f.Claim, now: int):
         self.name = claim.name
@@ -56,8 +76,9 @@
         return SHOWN[self.rank]
 
     def member(self, after: int) -> Member:
-        return Member(self.name, self.address, self.boot, self.incarnation, self.state(after), self.since, self.serves,
-                      self.site)
+        return Member(
+            self.name, self.address, self.boot, self.incarnation, self.state(after), self.since, self.serves, self.site
+        )
 
     def claim(self) -> f.Claim:
         host, port = self.serves or ("", 0)
--- a/rackhub/fleet/members/probing.py
+++ b/rackhub/fleet/members/probing.py
@@ -31,8 +31,11 @@
         self._seldom = here.now + here.timing.seldom
 
     def due(self) -> int:
-        rounds = self._next if self._round is None else (
-            self._round.straight_until if self._round.helpers is None else self._round.ends)
+        rounds = (
+            self._next
+            if self._round is None
+            else (self._round.straight_until if self._round.helpers is None else self._round.ends)
+        )
         return min(rounds, self._seldom, *(help.nack_at or help.until for help in self._helping.values()))
 
     def stood_still(self, gap: int) -> None:
@@ -108,8 +111,11 @@
 
     def _ask(self, round: Round, target: Peer) -> None:
         after = self._here.timing.cut_after
-        able = sorted(peer.name for peer in self._table.living()
-                      if peer is not target and peer.rank == f.ALIVE and not peer.cut(after))
+        able = sorted(
+            peer.name
+            for peer in self._table.living()
+            if peer is not target and peer.rank == f.ALIVE and not peer.cut(after)
+        )
         chosen = self._here.random.sample(able, min(self._here.timing.helpers, len(able)))
         round.helpers = set(chosen)
         for name in chosen:
@@ -141,8 +147,11 @@
         for seq, (_, until) in list(self._beside.items()):
             if until <= here.now:
                 del self._beside[seq]
-        lost = sorted(peer.name for peer in self._table.peers.values()
-                      if peer.rank == f.GONE or peer.living and peer.cut(here.timing.cut_after))
+        lost = sorted(
+            peer.name
+            for peer in self._table.peers.values()
+            if peer.rank == f.GONE or peer.living and peer.cut(here.timing.cut_after)
+        )
         if lost:
             self.beside(self._table.peers[here.random.choice(lost)])
 
@@ -172,8 +181,9 @@
             return
         seq, timing = self._number(), self._here.timing
         left = timing.period - timing.timeout
-        self._helping[seq] = Help(sender.name, ask.seq, target.name, self._here.now + left * 4 // 5,
-                                  self._here.now + timing.period)
+        self._helping[seq] = Help(
+            sender.name, ask.seq, target.name, self._here.now + left * 4 // 5, self._here.now + timing.period
+        )
         self._talk.to(target, f.Ping(seq, sender.name))
 
     def acked(self, sender: Peer, ack: f.Ack) -> None:
--- a/rackhub/fleet/members/reach.py
+++ b/rackhub/fleet/members/reach.py
@@ -60,6 +60,6 @@
             except (msgspec.DecodeError, msgspec.ValidationError):
                 told = None
             marks = told.marks if told is not None else b""
-            self._read[one] = (version, told, frozenset(marks[i:i + 4] for i in range(0, len(marks), 4)))
+            self._read[one] = (version, told, frozenset(marks[i : i + 4] for i in range(0, len(marks), 4)))
         _, told, listed = self._read[one]
         return None if told is None else (mark(other) in listed) is told.heard
--- a/rackhub/fleet/members/receive.py
+++ b/rackhub/fleet/members/receive.py
@@ -18,8 +18,9 @@
 
 
 class Receive:
-    def __init__(self, here: Here, table: Table, records: Records, talk: Talk, probing: Probing, sync: Sync,
-                 outbox: Outbox):
+    def __init__(
+        self, here: Here, table: Table, records: Records, talk: Talk, probing: Probing, sync: Sync, outbox: Outbox
+    ):
         self._here, self._table, self._records, self._talk = here, table, records, talk
         self._probing, self._sync, self._outbox = probing, sync, outbox
         self._newcomers = Bucket(here.limits.newcomers, here.limits.newcomers, here.now)
--- a/rackhub/fleet/members/sync.py
+++ b/rackhub/fleet/members/sync.py
@@ -60,11 +60,17 @@
     def digested(self, sender: Peer, digest: f.Digest) -> None:
         """Send what the other lacks, and ask for what it has that is newer."""
         theirs = {line.name: line for line in digest.lines}
-        inside = [name for name in sorted([self._here.me, *self._table.peers])
-                  if name > digest.after and (not digest.upto or name <= digest.upto)]
+        inside = [
+            name
+            for name in sorted([self._here.me, *self._table.peers])
+            if name > digest.after and (not digest.upto or name <= digest.upto)
+        ]
         self._here.random.shuffle(inside)
-        want: dict[str, list[str]] = {name: list(line.numbers) for name, line in theirs.items()
-                                      if name not in self._table.peers and name != self._here.me}
+        want: dict[str, list[str]] = {
+            name: list(line.numbers)
+            for name, line in theirs.items()
+            if name not in self._table.peers and name != self._here.me
+        }
         lacks: list[tuple[str, list[str]]] = []
         for name in inside:
             mine, line = self._line(name), theirs.get(name)
@@ -72,10 +78,16 @@
                 lacks.append((name, list(mine.numbers)))
                 continue
             one, other = (mine.boot, mine.incarnation, mine.rank), (line.boot, line.incarnation, line.rank)
-            newer = [kind for kind, number in mine.numbers.items()
-                     if mine.boot > line.boot or mine.boot == line.boot and line.numbers.get(kind, 0) < number]
-            older = [kind for kind, number in line.numbers.items()
-                     if line.boot > mine.boot or mine.boot == line.boot and mine.numbers.get(kind, 0) < number]
+            newer = [
+                kind
+                for kind, number in mine.numbers.items()
+                if mine.boot > line.boot or mine.boot == line.boot and line.numbers.get(kind, 0) < number
+            ]
+            older = [
+                kind
+                for kind, number in line.numbers.items()
+                if line.boot > mine.boot or mine.boot == line.boot and mine.numbers.get(kind, 0) < number
+            ]
             if one > other or newer:
                 lacks.append((name, newer))
             if (other > one or older) and (name != self._here.me or other > one):
@@ -95,9 +107,16 @@
                 yield f.Want(some)
             for name, kinds in lacks:
                 yield from self._talk.known(name, kinds)
+
         if lacks or want:
             self._talk.stream(sender, frames())
 
     def wanted(self, sender: Peer, want: f.Want) -> None:
-        self._talk.stream(sender, (frame for name, kinds in want.names.items()
-                                   for frame in self._talk.known(name, kinds[:self._here.limits.kinds])))
+        self._talk.stream(
+            sender,
+            (
+                frame
+                for name, kinds in want.names.items()
+                for frame in self._talk.known(name, kinds[: self._here.limits.kinds])
+            ),
+        )
--- a/rackhub/fleet/members/table.py
+++ b/rackhub/fleet/members/table.py
@@ -101,8 +101,9 @@
             return
         new = claim.boot > peer.boot
         if sender != claim.name and (
-                claim.boot > peer.boot + here.limits.boot_jump
-                or claim.incarnation > here.limits.incarnation_jump + (0 if new else peer.incarnation)):
+            claim.boot > peer.boot + here.limits.boot_jump
+            or claim.incarnation > here.limits.incarnation_jump + (0 if new else peer.incarnation)
+        ):
             self.blame(sender)
             self.doubted(claim)
             return
@@ -111,8 +112,12 @@
             self._records.drop(peer.name)
             here.count("restarts_seen")
         elif order(claim) <= peer.order():
-            if claim.rank == f.SUSPECT and peer.suspicion and order(claim) == peer.order() and (
-                    peer.suspicion.confirm(claim.by)):
+            if (
+                claim.rank == f.SUSPECT
+                and peer.suspicion
+                and order(claim) == peer.order()
+                and (peer.suspicion.confirm(claim.by))
+            ):
                 peer.by = claim.by
                 self._spread(peer)
             return
@@ -120,8 +125,9 @@
 
     def _add(self, claim: f.Claim, sender: Name) -> None:
         limits = self._here.limits
-        if sender != claim.name and (claim.boot > self.own.boot + limits.boot_jump_unknown
-                                     or claim.incarnation > limits.incarnation_jump):
+        if sender != claim.name and (
+            claim.boot > self.own.boot + limits.boot_jump_unknown or claim.incarnation > limits.incarnation_jump
+        ):
             self.blame(sender)
             self.doubted(claim)
             return
@@ -137,8 +143,11 @@
 
     def _forget(self) -> bool:
         """Make room: of those that are no more, the one of which that has been known longest."""
-        oldest = min((peer for peer in self.peers.values() if not peer.living), default=None,
-                     key=lambda peer: (peer.rank != f.LEFT, peer.since, peer.name))
+        oldest = min(
+            (peer for peer in self.peers.values() if not peer.living),
+            default=None,
+            key=lambda peer: (peer.rank != f.LEFT, peer.since, peer.name),
+        )
         if oldest is None:
             return False
         del self.peers[oldest.name]
--- a/rackhub/fleet/members/views.py
+++ b/rackhub/fleet/members/views.py
@@ -32,10 +32,8 @@
             self._version = self._core.table.version
             peers, after = self._core.table.peers, self._core.here.timing.cut_after
             self._all = self._core.table.members()
-            self._living = frozenset(
-                name for name, member in self._all.items() if member.state in LIVING) | {self.me}
-            self._heard = frozenset(
-                name for name in self._living if name == self.me or not peers[name].cut(after))
+            self._living = frozenset(name for name, member in self._all.items() if member.state in LIVING) | {self.me}
+            self._heard = frozenset(name for name in self._living if name == self.me or not peers[name].cut(after))
         return self._all
 
     def all(self) -> Mapping[Name, Member]:
--- a/rackhub/fleet/overload/level.py
+++ b/rackhub/fleet/overload/level.py
@@ -45,12 +45,16 @@
     places: dict[int, list[Key]] = {}
     for key, cell in demand.items():
         over = max(asked[key[1]] / part[key[1]], 1.0) if part.get(key[1]) else 1.0
-        places.setdefault(round(APART * math.log2(max(cell.density, 1e-9) / over ** OVER)), []).append(key)
+        places.setdefault(round(APART * math.log2(max(cell.density, 1e-9) / over**OVER)), []).append(key)
     return [sorted(places[place]) for place in sorted(places, reverse=True)]
 
 
-def reckon(demand: Mapping[Key, Demand], fractions: Mapping[str, float], capacity: float, guard: float,
-           ) -> dict[Key, float]:
+def reckon(
+    demand: Mapping[Key, Demand],
+    fractions: Mapping[str, float],
+    capacity: float,
+    guard: float,
+) -> dict[Key, float]:
     """The part of each cell that is taken, so that all together are `capacity` threads."""
     part = parts(demand, fractions, capacity)
     line = order(demand, part)
@@ -69,8 +73,12 @@
     return fill(demand, line, taken, kept - used)
 
 
-def fill(demand: Mapping[Key, Demand], line: list[list[Key]], taken: Mapping[Key, float], room: float,
-         ) -> dict[Key, float]:
+def fill(
+    demand: Mapping[Key, Demand],
+    line: list[list[Key]],
+    taken: Mapping[Key, float],
+    room: float,
+) -> dict[Key, float]:
     """Take of the cells in turn what is not taken yet, until the room is used; of those together the same part."""
     new = dict(taken)
     for keys in line:
@@ -92,8 +100,14 @@
         self.place = 1.0  # the part of what is asked that lies above it: where it stands in the order
         self.moves = 0
 
-    def see(self, demand: Mapping[Key, Demand], fractions: Mapping[str, float], capacity: float, guard: float,
-            full: float = 1.0) -> None:
+    def see(
+        self,
+        demand: Mapping[Key, Demand],
+        fractions: Mapping[str, float],
+        capacity: float,
+        guard: float,
+        full: float = 1.0,
+    ) -> None:
         """`full`: threads held by all, against what they may: what is asked is an estimate, and turns nothing away
         while engines stand idle."""
         total = sum(cell.threads for cell in demand.values())
--- a/rackhub/fleet/overload/measure.py
+++ b/rackhub/fleet/overload/measure.py
@@ -155,10 +155,14 @@
         """The most asked ones, and the sum of the rest."""
         rows = sorted((row for row in self.rows.values() if row.rate >= 0.001), key=lambda row: (-row.rate, row.code))
         rest = sum(row.rate for row in rows[CELLS:]) + self._other.rate
-        return tuple(Cell(row.code, bounded(row.rate * 1000), bounded(row.taken * 1000))
-                     for row in rows[:CELLS]), bounded(rest * 1000)
+        return tuple(
+            Cell(row.code, bounded(row.rate * 1000), bounded(row.taken * 1000)) for row in rows[:CELLS]
+        ), bounded(rest * 1000)
 
     def work(self) -> tuple[Work, ...]:
         kinds = sorted(self.kinds.values(), key=lambda kind: (-kind.ended, kind.code))
-        return tuple(Work(kind.code, bounded(kind.ended * 1000), bounded(kind.ended * kind.work() * 1000))
-                     for kind in kinds if kind.ended >= 0.001)
+        return tuple(
+            Work(kind.code, bounded(kind.ended * 1000), bounded(kind.ended * kind.work() * 1000))
+            for kind in kinds
+            if kind.ended >= 0.001
+        )
--- a/rackhub/fleet/overload/part.py
+++ b/rackhub/fleet/overload/part.py
@@ -49,8 +49,15 @@
 
     name = "overload"
 
-    def __init__(self, fleet: ports.Fleet, settings: t.Settings, limits: Limits, core: Core,
-                 probe: Callable[[str, Done], None], told: FleetSettings):
+    def __init__(
+        self,
+        fleet: ports.Fleet,
+        settings: t.Settings,
+        limits: Limits,
+        core: Core,
+        probe: Callable[[str, Done], None],
+        told: FleetSettings,
+    ):
         self.fleet, self.settings, self.core, self._probe = fleet, settings, core, probe
         keep = max([cls.deadline for cls in settings.classes] or [0]) or limits.kill_capped
         self.reckoning = Reckoning(fleet.members.me, settings, told, keep, fleet.seed)
@@ -189,8 +196,9 @@
         self._tally("overload_nonsense")
         if (record.owner, record.boot) not in self._named and len(self._named) < 1_000:
             self._named.add((record.owner, record.boot))
-            log.warning("member %s tells what is no record of load, kind %s: it counts as silent", record.owner,
-                        record.kind)
+            log.warning(
+                "member %s tells what is no record of load, kind %s: it counts as silent", record.owner, record.kind
+            )
 
     # ---- the tick
 
@@ -206,8 +214,11 @@
             return
         own.hand = sum(own.measure.threads.get(attempt.query.cls, 1) for attempt in self.core.out.values())
         members, held = self.fleet.members, self.fleet.board.read(records.LOAD)
-        loads = {name: load for name, record in held.items()
-                 if name != members.me and (load := self._read(record)) is not None}
+        loads = {
+            name: load
+            for name, record in held.items()
+            if name != members.me and (load := self._read(record)) is not None
+        }
         self._loads = {name: self._loads[name] for name in held if name in self._loads}
         threads = told_threads(self._entries, self.settings, now)
         own.tick(now, took, threads, members.living(), members.heard(), held, loads)
@@ -238,9 +249,16 @@
         held = self.trials.see(now, heard)
         if own.view is None:
             return
-        self.core.fleet_said(t.FleetSaid(
-            share=own.part, cold=own.part, tokens=max(own.tokens.left, 0.0),
-            probes=self.probing.mine if self.settings.probes else None, held=held, back=own.back.told))
+        self.core.fleet_said(
+            t.FleetSaid(
+                share=own.part,
+                cold=own.part,
+                tokens=max(own.tokens.left, 0.0),
+                probes=self.probing.mine if self.settings.probes else None,
+                held=held,
+                back=own.back.told,
+            )
+        )
 
     def _tally(self, name: str) -> None:
         self.fleet.tally(name, 1)
--- a/rackhub/fleet/overload/prober.py
+++ b/rackhub/fleet/overload/prober.py
@@ -122,8 +122,9 @@
                 self._probes.pop(next(iter(self._probes))).drop()
             probe = self._probes[engine] = Probe(self, engine, address)
             probe.ask(done)
-            self.reactor.connectTCP(*address, OneDial(probe, probe.connectionLost),
-                                    timeout=self._limits.dial_timeout / 1e6)
+            self.reactor.connectTCP(
+                *address, OneDial(probe, probe.connectionLost), timeout=self._limits.dial_timeout / 1e6
+            )
         else:
             probe.ask(done)
 
--- a/rackhub/fleet/overload/probing.py
+++ b/rackhub/fleet/overload/probing.py
@@ -50,7 +50,7 @@
         if heard != self._heard:
             self._heard = heard
             for engine in self.engines:
-                line = ranked(engine, heard)[:MOST + 1]
+                line = ranked(engine, heard)[: MOST + 1]
                 if self._line.get(engine) != line:
                     self._line[engine], self._since[engine] = line, now
         self.mine = tuple(engine for engine in self.engines if self._turn(now, engine))
@@ -60,9 +60,13 @@
         line = self._line.get(engine, [])
         if self.me not in line[:MOST]:
             return False
-        before = line[:line.index(self.me)]
-        speaking = sum(now - self._told[name, engine].at <= self._counts if (name, engine) in self._told
-                       else now - self._since[engine] <= self._counts for name in before)
+        before = line[: line.index(self.me)]
+        speaking = sum(
+            now - self._told[name, engine].at <= self._counts
+            if (name, engine) in self._told
+            else now - self._since[engine] <= self._counts
+            for name in before
+        )
         return speaking < PROBERS
 
     def found(self, now: int, engine: str, reason: str, elapsed: int) -> None:
@@ -83,10 +87,18 @@
 
     def pages(self, now: int) -> list[list[Seen]]:
         """The own results that still count, to be posted each under its number."""
-        seen = [Seen(self.engines[engine], bounded((now - told.at) // MS), REASONS.index(told.reason),
-                     min(bounded(told.elapsed), 2**31), told.word + 1)
-                for (of, engine), told in sorted(self._told.items()) if of == self.me and now - told.at <= self._counts]
-        return [seen[at:at + PAGE] for at in range(0, min(len(seen), PAGE * PAGES), PAGE)]
+        seen = [
+            Seen(
+                self.engines[engine],
+                bounded((now - told.at) // MS),
+                REASONS.index(told.reason),
+                min(bounded(told.elapsed), 2**31),
+                told.word + 1,
+            )
+            for (of, engine), told in sorted(self._told.items())
+            if of == self.me and now - told.at <= self._counts
+        ]
+        return [seen[at : at + PAGE] for at in range(0, min(len(seen), PAGE * PAGES), PAGE)]
 
     def heard_of(self, now: int, owner: Name, age: int, seen: Iterable[Seen]) -> list[tuple[str, Result]]:
         """Another member's results, in a record so old: those that are new here, and still count."""
@@ -105,12 +117,16 @@
 
     def latest(self, now: int, engine: str) -> Result | None:
         """The newest that anyone found and that still counts; None: nobody knows."""
-        told = [self._told[name, engine] for name in (*self._line.get(engine, ()), self.me)
-                if (name, engine) in self._told]
+        told = [
+            self._told[name, engine] for name in (*self._line.get(engine, ()), self.me) if (name, engine) in self._told
+        ]
         best = max(told, key=lambda one: one.at, default=None)
         return best if best is not None and now - best.at <= self._counts else None
 
     def forget(self, now: int, members: Mapping[Name, object]) -> None:
         """What is of members gone for good, or long past, goes."""
-        self._told = {(of, engine): told for (of, engine), told in self._told.items()
-                      if of in members and now - told.at <= 8 * self._counts}
+        self._told = {
+            (of, engine): told
+            for (of, engine), told in self._told.items()
+            if of in members and now - told.at <= 8 * self._counts
+        }
--- a/rackhub/fleet/overload/reckoning.py
+++ b/rackhub/fleet/overload/reckoning.py
@@ -83,8 +83,16 @@
 
     # ---- the tick
 
-    def tick(self, now: int, took: int, threads: float, living: frozenset[Name], heard: frozenset[Name],
-             held: Mapping[Name, Record], loads: Mapping[Name, records.Load]) -> None:
+    def tick(
+        self,
+        now: int,
+        took: int,
+        threads: float,
+        living: frozenset[Name],
+        heard: frozenset[Name],
+        held: Mapping[Name, Record],
+        loads: Mapping[Name, records.Load],
+    ) -> None:
         """`took` microseconds since the last; `threads`: what all told engines may run; `held`, `loads`: the others'
         records, and what they say."""
         who, full = self.who, self.view.hand / self.view.threads if self.view and self.view.threads else 0.0
@@ -92,8 +100,9 @@
         who.see(now, living, heard, {name: held[name] for name in loads})
         fresh = {name: loads[name] for name in who.counted - who.silent - {who.me}}
         ours = threads * who.even * (len(fresh) + 1)  # the rest is of those that are not heard
-        self.view = seen = view([self.record(()), *fresh.values()], self._codes, self.measure.kinds, self.shed.worth,
-                                ours)
+        self.view = seen = view(
+            [self.record(()), *fresh.values()], self._codes, self.measure.kinds, self.shed.worth, ours
+        )
         self._full += (seen.hand / max(seen.threads, 1e-9) - self._full) * min(took / FULL, 1)
         self.level.see(seen.demand, self._fractions, seen.capacity, self._guard, self._full)
         self.on = bool(self.level.marks)
@@ -107,8 +116,10 @@
         for key, row in self.measure.rows.items():
             row.mark = self.level.marks.get(key, ALL) if self.on else ALL
             wanted += row.rate * row.mark / ALL * seen.work.get(key[0], 0.0)
-        same = [fresh[name] if name in fresh and fresh[name].counted == who.digest else None
-                for name in sorted(who.counted - {who.me})]
+        same = [
+            fresh[name] if name in fresh and fresh[name].counted == who.digest else None
+            for name in sorted(who.counted - {who.me})
+        ]
         need = (self.hand if self.draining else max(wanted, self.hand)) / max(threads, 1e-9)
         self._need += (need - self._need) * min(took / NEED, 1)
         lacking = any(Lending.lacks(load.share, who.even) for load in fresh.values())
@@ -116,32 +127,57 @@
         self.part = self.lending.part(who.even, [load.share if load is not None else None for load in same])
         allowed = self.part * threads * min(seen.room, 1.0)
         # room for chance, as the module's own, and less the more all hold together; least for the cell at the level
-        spare, chance = 1 - seen.hand / max(seen.threads, 1e-9), allowed ** 0.5
+        spare, chance = 1 - seen.hand / max(seen.threads, 1e-9), allowed**0.5
         self.limit = allowed + chance * min(max(1 + CHANCE * spare, 0), 2)
         self.tight = allowed + chance * min(max(2 * spare, 0), 1)
         wished = self.measure.rates["wanted"]
         lacking = any(Lending.lacks(load.tokens, who.even) for load in fresh.values())
         self.tokens.tick(now, took, seen.served, wished, who.even, who.digest, lacking)
-        self.tokens.part(self.tokens.lending.part(who.even, [load.tokens if load is not None else None
-                                                             for load in same]), wished > 0.01)
+        self.tokens.part(
+            self.tokens.lending.part(who.even, [load.tokens if load is not None else None for load in same]),
+            wished > 0.01,
+        )
 
     def record(self, trials: tuple[records.Trial, ...]) -> records.Load:
         """What this gateway tells the others."""
         cells, rest = self.measure.cells()
         rates = {name: records.bounded(rate * 1000) for name, rate in self.measure.rates.items()}
         return records.Load(
-            cells, rest, self.measure.work(), self.hand * 1000, rates["served"], rates["refused"],
-            records.bounded(self.back.away * 1000), rates["further"], rates["wanted"],
-            records.bounded(self.measure.room * records.PART), self.lending.told(), self.tokens.lending.told(),
-            trials, self.who.digest, self.shed.version)
+            cells,
+            rest,
+            self.measure.work(),
+            self.hand * 1000,
+            rates["served"],
+            rates["refused"],
+            records.bounded(self.back.away * 1000),
+            rates["further"],
+            rates["wanted"],
+            records.bounded(self.measure.room * records.PART),
+            self.lending.told(),
+            self.tokens.lending.told(),
+            trials,
+            self.who.digest,
+            self.shed.version,
+        )
 
     def figures(self) -> dict[str, float]:
         seen = self.view
-        return {"on": float(self.level.on), "place": self.level.place, "moves": float(self.level.moves),
-                "share": self.part, "even": self.who.even, "counted": float(len(self.who.counted)),
-                "silent": float(len(self.who.silent)), "majority": float(self.who.majority),
-                "capacity": seen.capacity if seen else 0.0, "hand": seen.hand if seen else 0.0,
-                "demand": sum(cell.threads for cell in seen.demand.values()) if seen else 0.0,
-                "room": self.measure.room, "tokens": self.tokens.left, "tokens_rate": self.tokens.rate,
-                "back_ms": self.back.told / MS, "refused": self.measure.rates["refused"],
-                "shed_version": float(self.shed.version)}
+        return {
+            "on": float(self.level.on),
+            "place": self.level.place,
+            "moves": float(self.level.moves),
+            "share": self.part,
+            "even": self.who.even,
+            "counted": float(len(self.who.counted)),
+            "silent": float(len(self.who.silent)),
+            "majority": float(self.who.majority),
+            "capacity": seen.capacity if seen else 0.0,
+            "hand": seen.hand if seen else 0.0,
+            "demand": sum(cell.threads for cell in seen.demand.values()) if seen else 0.0,
+            "room": self.measure.room,
+            "tokens": self.tokens.left,
+            "tokens_rate": self.tokens.rate,
+            "back_ms": self.back.told / MS,
+            "refused": self.measure.rates["refused"],
+            "shed_version": float(self.shed.version),
+        }
--- a/rackhub/fleet/overload/records.py
+++ b/rackhub/fleet/overload/records.py
@@ -105,9 +105,15 @@
     room = CELLS
     while True:
         left = sum(cell.asked for cell in cells[room:])
-        body = msgspec.msgpack.encode(msgspec.structs.replace(
-            load, cells=tuple(cells[:room]), rest=bounded(load.rest + left), work=load.work[:CLASSES],
-            trials=load.trials[:TRIALS]))
+        body = msgspec.msgpack.encode(
+            msgspec.structs.replace(
+                load,
+                cells=tuple(cells[:room]),
+                rest=bounded(load.rest + left),
+                work=load.work[:CLASSES],
+                trials=load.trials[:TRIALS],
+            )
+        )
         if len(body) <= RECORD:
             return body
         room = min(room, len(cells)) - 2
@@ -120,8 +126,9 @@
         load = _load.decode(body)
     except msgspec.MsgspecError:
         return None
-    ordered = all(lent.least_left <= lent.most_left and lent.least_want <= lent.most_want
-                  for lent in (load.share, load.tokens))
+    ordered = all(
+        lent.least_left <= lent.most_left and lent.least_want <= lent.most_want for lent in (load.share, load.tokens)
+    )
     return load if ordered else None
 
 
--- a/rackhub/fleet/overload/share.py
+++ b/rackhub/fleet/overload/share.py
@@ -70,8 +70,12 @@
     def told(self) -> Lent:
         """Rounded to the worse end."""
         (least_left, most_left), (least_want, most_want) = self.left.ends(), self.want.ends()
-        return Lent(int(least_left * PART), min(math.ceil(most_left * PART), PART), int(least_want * PART),
-                    min(math.ceil(most_want * PART), PART))
+        return Lent(
+            int(least_left * PART),
+            min(math.ceil(most_left * PART), PART),
+            int(least_want * PART),
+            min(math.ceil(most_want * PART), PART),
+        )
 
     def part(self, even: float, others: Iterable[Lent | None]) -> float:
         """`others`: of each counted member but this one what it told, None if it is silent or counts others."""
--- a/rackhub/fleet/overload/tokens.py
+++ b/rackhub/fleet/overload/tokens.py
@@ -32,8 +32,9 @@
         self._gathered = 0.0  # less than a whole one
         self.left = 0.0  # whole ones that may be spent now
 
-    def tick(self, now: int, took: int, served: float, wanted: float, even: float, digest: int,
-             lacking: bool = True) -> None:
+    def tick(
+        self, now: int, took: int, served: float, wanted: float, even: float, digest: int, lacking: bool = True
+    ) -> None:
         """`served`: by the fleet in a second, of those that are heard; `wanted`: by this gateway; the rest as in
         `share`."""
         self.budget = self._ratio * served + self._floor * SECOND / self._over
--- a/rackhub/fleet/overload/trials.py
+++ b/rackhub/fleet/overload/trials.py
@@ -90,7 +90,7 @@
             if case.turn != self.me or case.sent or case.state == BAD:
                 held.add(engine)
         if len(held) > self._room():  # the list has shrunk
-            held = set(sorted(held, key=lambda engine: self.cases[engine].began)[:self._room()])
+            held = set(sorted(held, key=lambda engine: self.cases[engine].began)[: self._room()])
         self.held = frozenset(held)
         return self.held
 
@@ -126,8 +126,11 @@
 
     def told(self, now: int) -> tuple[Trial, ...]:
         """The own word on engines that it tries, or has tried."""
-        return tuple(Trial(code(engine), case.state, bounded((now - case.at) // MS))
-                     for engine, case in sorted(self.cases.items()) if case.state)[:TRIALS]
+        return tuple(
+            Trial(code(engine), case.state, bounded((now - case.at) // MS))
+            for engine, case in sorted(self.cases.items())
+            if case.state
+        )[:TRIALS]
 
     def heard_of(self, now: int, owner: Name, age: int, told: Iterable[Trial]) -> None:
         """Another's word, in a record so old: one that answered is free from here, with no other way to hold it."""
--- a/rackhub/fleet/overload/view.py
+++ b/rackhub/fleet/overload/view.py
@@ -42,8 +42,13 @@
         self.classes = {code(cls.name): cls.name for cls in settings.classes}
 
 
-def view(loads: Iterable[Load], codes: Codes, kinds: Mapping[str, Kind], worth: Mapping[Key, float], threads: float,
-         ) -> View:
+def view(
+    loads: Iterable[Load],
+    codes: Codes,
+    kinds: Mapping[str, Kind],
+    worth: Mapping[Key, float],
+    threads: float,
+) -> View:
     """`threads`: what the told engines may run; `worth`: the operator's multipliers, where there are any."""
     loads = list(loads)
     # what the told threads hold at once they get done more slowly than one by one: cores are what works
@@ -53,8 +58,12 @@
             if (cls := codes.classes.get(told.code)) is not None:
                 ended[cls] += told.ended / 1000
                 held[cls] += told.held / 1000
-    work = {cls: THREADS_PER_CORE * (held[cls] + SURE * kind.work() * (ended[cls] < SURE)) /
-            (ended[cls] + SURE * (ended[cls] < SURE)) for cls, kind in kinds.items()}
+    work = {
+        cls: THREADS_PER_CORE
+        * (held[cls] + SURE * kind.work() * (ended[cls] < SURE))
+        / (ended[cls] + SURE * (ended[cls] < SURE))
+        for cls, kind in kinds.items()
+    }
     asked: dict[Key, float] = {}
     rest = listed = 0.0
     most = MOST * max(threads, 1.0)
@@ -71,17 +80,23 @@
             else:  # settings differ, for a while
                 rest += min(rate, REST * of_listed) * part
     grown = 1 + rest / listed if listed else 1.0  # what is not told cell by cell is taken to be like the rest
-    demand = {key: Demand(rate * grown * work[key[0]],
-                          kinds[key[0]].told.worth * worth.get(key, 1.0) / max(work[key[0]], 1e-9))
-              for key, rate in asked.items() if rate > 0}
+    demand = {
+        key: Demand(
+            rate * grown * work[key[0]], kinds[key[0]].told.worth * worth.get(key, 1.0) / max(work[key[0]], 1e-9)
+        )
+        for key, rate in asked.items()
+        if rate > 0
+    }
     hands = [min(load.hand / 1000, most) for load in loads]
     hand, weights = sum(hands), sum(hands) + len(hands)
     felt = sum((held + 1) * min(load.room, 4 * PART) for held, load in zip(hands, loads, strict=True))
     room = felt / PART / weights if weights else 1.0
     capacity = threads * room
     capacity = max(capacity - BACKLOG * max(hand - capacity, 0.0), LEAST * threads)
-    sums = {name: sum(getattr(load, name) for load in loads) / 1000
-            for name in ("served", "refused", "further", "wanted", "away")}
+    sums = {
+        name: sum(getattr(load, name) for load in loads) / 1000
+        for name in ("served", "refused", "further", "wanted", "away")
+    }
     return View(demand, capacity, threads, hand, **sums, room=room, work=work)
 
 
--- a/rackhub/fleet/part.py
+++ b/rackhub/fleet/part.py
@@ -33,16 +33,21 @@
         try:
             if self.told.state:
                 Path(self.told.state).mkdir(parents=True, exist_ok=True)
-            self.membership = Membership(host.reactor, self.told, host.config.listen, host.clock, host.config.seed,
-                                         self._tally)
+            self.membership = Membership(
+                host.reactor, self.told, host.config.listen, host.clock, host.config.seed, self._tally
+            )
         except OSError as fault:
             raise PartUnusable(f"[fleet] state: {fault}") from None
         self.fleet = self.membership.fleet()
-        self.control = ControlPort(host.reactor, address(self.told.control, "control"), self._tally) \
-            if self.told.control else None
+        self.control = (
+            ControlPort(host.reactor, address(self.told.control, "control"), self._tally) if self.told.control else None
+        )
         self.prober = Prober(host.reactor, host.clock, host.config.limits)
-        self.overload = Overload(self.fleet, host.source.settings, host.config.limits, host.core, self.prober,
-                                 self.told) if self.told.overload else None
+        self.overload = (
+            Overload(self.fleet, host.source.settings, host.config.limits, host.core, self.prober, self.told)
+            if self.told.overload
+            else None
+        )
         self.disk: Any = None
         self.rules = self._book() if self.told.keepers else None
 
@@ -56,16 +61,18 @@
 
                 self.disk = StoreDisk(self.host.reactor, Path(self.told.state) / "register")
             except ImportError as missing:
-                raise PartUnusable(f"[fleet] state: {missing}: install the extra 'store' (requirements-store.txt)") \
-                    from None
+                raise PartUnusable(
+                    f"[fleet] state: {missing}: install the extra 'store' (requirements-store.txt)"
+                ) from None
             except (StoreError, OSError) as fault:
                 raise PartUnusable(f"[fleet] state: {fault}") from None
         try:
             book = RuleBook(self.fleet, self.told, self.control, self.disk, self._counts)
         except ValueError as bad:
             raise PartUnusable(f"[fleet] state: {bad}") from None
-        timings = self.timings = TimingsPart(lambda: self.host.source.settings,
-                                             lambda: self.host.operator.timings, self._time)
+        timings = self.timings = TimingsPart(
+            lambda: self.host.source.settings, lambda: self.host.operator.timings, self._time
+        )
         book.part("timings", timings)
         if self.overload is not None:
             book.part("shed", self.overload.shed)
@@ -98,8 +105,18 @@
             self.membership.start()
             if self.control is not None:
                 fleet_call.offer(self.control, self.membership)
-                self.control.on("figures", lambda words, answer: answer({"figures": {
-                    name: value for part in self.host.parts.values() for name, value in part.figures().items()}}))
+                self.control.on(
+                    "figures",
+                    lambda words, answer: answer(
+                        {
+                            "figures": {
+                                name: value
+                                for part in self.host.parts.values()
+                                for name, value in part.figures().items()
+                            }
+                        }
+                    ),
+                )
                 self.control.start()
         except OSError as fault:
             raise PartUnusable(f"[fleet] {fault}") from None
--- a/rackhub/fleet/register/disk.py
+++ b/rackhub/fleet/register/disk.py
@@ -35,13 +35,18 @@
                 store.close()
                 raise
             return store
+
         try:
             self._store = opened()
         except Corrupt as bad:
             self.damage = str(bad)
             aside = self._path.with_name(f"{self._path.name}.damaged-{time.time_ns()}")
-            log.error("fleet: %s: %s; it is put aside as %s, and what it held is fetched from the others", path, bad,
-                      aside.name)
+            log.error(
+                "fleet: %s: %s; it is put aside as %s, and what it held is fetched from the others",
+                path,
+                bad,
+                aside.name,
+            )
             if files is not None:
                 raise
             self._path.rename(aside)
@@ -68,6 +73,7 @@
                 done()
             else:  # in doubt: what waits for it stays untold, as if this keeper were not there
                 log.error("fleet: %s: %s", self._path, error)
+
         try:
             self._store.commit(Batch().put(key, body), acknowledged=told)
         except ReadOnly as bad:
@@ -103,6 +109,7 @@
             if boot == self._boot:
                 self._synced[key] = body
                 done()
+
         self._later(self._delay, synced)
 
     def crash(self) -> None:
--- a/rackhub/fleet/register/keeper.py
+++ b/rackhub/fleet/register/keeper.py
@@ -45,8 +45,10 @@
             self._fleet.tally("register_damaged", 1)
             return None
         if state.me != self.me or set(state.keepers) != set(keepers):
-            raise ValueError(f"keepers: {list(keepers)!r}: the state directory is of {state.me!r} of "
-                             f"{list(state.keepers)!r}; a set of keepers can't be changed in place")
+            raise ValueError(
+                f"keepers: {list(keepers)!r}: the state directory is of {state.me!r} of "
+                f"{list(state.keepers)!r}; a set of keepers can't be changed in place"
+            )
         return state
 
     def start(self) -> None:
@@ -115,6 +117,7 @@
             self._synced = max(self._synced, number)
             while self._waiting and self._waiting[0][0] <= self._synced:
                 self._tell(self._waiting.popleft()[1])
+
         self._disk.put(KEY, msgspec.msgpack.encode(self.state), synced)
 
     def _after(self, replies: list[tuple[Name, Reply | None]]) -> None:
@@ -136,4 +139,3 @@
 
     def own(self, reply: Reply | Enter) -> None:
         """Where the own proposer gets its replies; it sets this."""
-
--- a/rackhub/fleet/register/round.py
+++ b/rackhub/fleet/register/round.py
@@ -57,8 +57,9 @@
 Effect = Accept | Chosen | Beaten
 
 
-def begin(keepers: tuple[str, ...], ballot: Ballot, known: Ballot = NONE, value: bytes | None = None
-          ) -> tuple[Round, Prepare]:
+def begin(
+    keepers: tuple[str, ...], ballot: Ballot, known: Ballot = NONE, value: bytes | None = None
+) -> tuple[Round, Prepare]:
     return Round(keepers, ballot, known, value), Prepare(ballot, keepers, known)
 
 
@@ -103,8 +104,9 @@
 
 def _refused(state: Round, reply: Refused) -> tuple[Round, list[Effect]]:
     before = state.refusals
-    refusals = tuple(sorted([*(one for one in before if one.keeper != reply.keeper), reply],
-                            key=lambda one: one.keeper))
+    refusals = tuple(
+        sorted([*(one for one in before if one.keeper != reply.keeper), reply], key=lambda one: one.keeper)
+    )
     state = msgspec.structs.replace(state, refusals=refusals)
     enough = len(state.keepers) - majority(state.keepers)
     if len(before) <= enough < len(refusals):
--- a/rackhub/fleet/register/voter.py
+++ b/rackhub/fleet/register/voter.py
@@ -89,8 +89,19 @@
         return state, [Barred(state.me, message.life, OLDER)]
     views = noting(state.views, View(message.keeper, message.life))
     state = msgspec.structs.replace(state, views=views)
-    return state, [Noted(state.me, message.life, state.voting, view(views, message.keeper).again, state.life, views,
-                         state.promised, state.accepted, state.value)]
+    return state, [
+        Noted(
+            state.me,
+            message.life,
+            state.voting,
+            view(views, message.keeper).again,
+            state.life,
+            views,
+            state.promised,
+            state.accepted,
+            state.value,
+        )
+    ]
 
 
 def _answer(state: Voter, message: Noted) -> Voter:
@@ -109,8 +120,9 @@
         promised = max(promised, one.promised)
         for seen in (View(one.keeper, one.life), *one.views):
             views = noting(views, seen) if seen.name != state.me else views
-    return msgspec.structs.replace(state, voting=True, views=views, promised=promised, accepted=newest.accepted,
-                                   value=newest.value, answers=())
+    return msgspec.structs.replace(
+        state, voting=True, views=views, promised=promised, accepted=newest.accepted, value=newest.value, answers=()
+    )
 
 
 def _let_in(state: Voter) -> bool:
--- a/rackhub/fleet/register/words.py
+++ b/rackhub/fleet/register/words.py
@@ -144,10 +144,13 @@
         if len(chosen) == many:
             return chosen
         for i, one in enumerate(rest):
-            if all(view(one.views, other.keeper).life <= other.life and view(other.views, one.keeper).life <= one.life
-                   for other in chosen):
-                found = grow((*chosen, one), rest[i + 1:])
+            if all(
+                view(one.views, other.keeper).life <= other.life and view(other.views, one.keeper).life <= one.life
+                for other in chosen
+            ):
+                found = grow((*chosen, one), rest[i + 1 :])
                 if found:
                     return found
         return ()
+
     return grow((), replies)
--- a/rackhub/fleet/rules/book.py
+++ b/rackhub/fleet/rules/book.py
@@ -30,14 +30,16 @@
     if ask.on < book.newest:
         since = [one for one in book.versions if one.number > ask.on]
         theirs = "; ".join(f"version {one.number} by {one.author} ({one.reason})" for one in since[-3:])
-        raise Refused(f"{ask.author}'s {ask.kind} ({ask.reason}) builds on version {ask.on}; since then there is "
-                      f"{theirs}")
+        raise Refused(
+            f"{ask.author}'s {ask.kind} ({ask.reason}) builds on version {ask.on}; since then there is {theirs}"
+        )
     trial = newest if newest is not None and newest.trial is not None else None
     if ask.kind in ("confirm", "lapse") and trial is None:
         raise Refused(f"version {book.newest} is not on trial")
     if ask.kind == "edit" and trial is not None:
-        raise Refused(f"version {trial.number} by {trial.author} ({trial.reason}) is on trial: confirm or undo it "
-                      "first")
+        raise Refused(
+            f"version {trial.number} by {trial.author} ({trial.reason}) is on trial: confirm or undo it first"
+        )
     of = _of(book, ask)
     changed = {**content(book, of), **ask.parts}
     changed = {name: part for name, part in changed.items() if part is not None}
@@ -45,8 +47,18 @@
         raise Refused(f"it changes nothing: version {book.newest} says the same")
     if len(encode(changed)) > CONTENT:
         raise Refused(f"its content has {len(encode(changed))} bytes, more than {CONTENT}")
-    made = Version(book.newest + 1, changed, ask.author, ask.reason, ask.told, ask.gateway, ask.id, ask.kind,
-                   of if ask.kind != "edit" else 0, ask.trial if ask.kind == "edit" else None)
+    made = Version(
+        book.newest + 1,
+        changed,
+        ask.author,
+        ask.reason,
+        ask.told,
+        ask.gateway,
+        ask.id,
+        ask.kind,
+        of if ask.kind != "edit" else 0,
+        ask.trial if ask.kind == "edit" else None,
+    )
     return trimmed(Book((*book.versions, made))), made
 
 
@@ -71,8 +83,9 @@
     else:
         back = ask.to
     if not 0 <= back < book.newest or not kept(book, back):
-        raise Refused(f"version {back} is not kept: there are {0 if kept(book, 0) else book.versions[0].number} to "
-                      f"{book.newest}")
+        raise Refused(
+            f"version {back} is not kept: there are {0 if kept(book, 0) else book.versions[0].number} to {book.newest}"
+        )
     return back
 
 
--- a/rackhub/fleet/rules/changes.py
+++ b/rackhub/fleet/rules/changes.py
@@ -23,8 +23,14 @@
 class Changes:
     """`learn` gets what was chosen, and the age of the newest one's trial."""
 
-    def __init__(self, fleet: Fleet, holder: Holder, proposer: Proposer, spread: Spread,
-                 learn: Callable[[tuple[Version, ...], int], None]):
+    def __init__(
+        self,
+        fleet: Fleet,
+        holder: Holder,
+        proposer: Proposer,
+        spread: Spread,
+        learn: Callable[[tuple[Version, ...], int], None],
+    ):
         self._fleet, self._holder, self._proposer, self._spread, self._learn = fleet, holder, proposer, spread, learn
         self._lapsing = False
         self._odd = 0  # since when the own keeper holds what is not known as chosen
@@ -41,11 +47,15 @@
             if value is None:  # never written, or lost with the keepers' disks: what this gateway holds goes on
                 book = held
             elif book.newest < held.newest:
-                return value, Refused(f"the keepers hold version {book.newest}, and this gateway {held.newest}: they "
-                                      "were put back; docs/operators/rules.md says what to do")
+                return value, Refused(
+                    f"the keepers hold version {book.newest}, and this gateway {held.newest}: they "
+                    "were put back; docs/operators/rules.md says what to do"
+                )
             if book.format > FORMAT:
-                return value, Refused(f"the book was written by a later program (format {book.format}, here {FORMAT}): "
-                                      "edit it at a gateway that runs that one")
+                return value, Refused(
+                    f"the book was written by a later program (format {book.format}, here {FORMAT}): "
+                    "edit it at a gateway that runs that one"
+                )
             try:
                 after, made = books.apply(book, ask)
             except Refused as bad:
@@ -63,6 +73,7 @@
             if outcome.kind == "done" and isinstance(outcome.answer, Refused):
                 outcome = Outcome("refused", why=str(outcome.answer))
             done(outcome)
+
         ahead = max((post.newest for post in posts(self._fleet).values()), default=0)
         if ahead > self._holder.book.newest:
             self._spread.look()
@@ -74,6 +85,7 @@
             if outcome.kind == "done":
                 log.warning("fleet: rule version %d is undone: %s", ask.on, ask.reason)
                 self._fleet.tally("rules_lapsed", 1)
+
         if not self._lapsing:
             self._lapsing = True
             self.change(msgspec.structs.replace(ask, told=int(time.time())), over)
--- a/rackhub/fleet/rules/desk.py
+++ b/rackhub/fleet/rules/desk.py
@@ -46,9 +46,15 @@
     def start(self) -> None:
         if self._control is None:
             return
-        for word, call in (("show", self._show), ("history", self._history), ("diff", self._diff),
-                           ("status", self._status), ("edit", self._edit), ("undo", self._undo),
-                           ("confirm", self._confirm)):
+        for word, call in (
+            ("show", self._show),
+            ("history", self._history),
+            ("diff", self._diff),
+            ("status", self._status),
+            ("edit", self._edit),
+            ("undo", self._undo),
+            ("confirm", self._confirm),
+        ):
             self._control.on(f"rules.{word}", self._read(call))
 
     def _read(self, call: Callable[[Call, Answer], None]) -> Callable[[Mapping[str, Any], Answer], None]:
@@ -60,6 +66,7 @@
                 call(told, answer)
             except (Refused, ValueError, msgspec.ValidationError) as bad:
                 answer({"error": str(bad), "exit": 1 if isinstance(bad, Refused) else 2})
+
         return read
 
     # ---- what is held
@@ -71,45 +78,95 @@
         if found is None:
             if number == 0:
                 return Version(0, {}, "-", "the files hold", 0, self._rules.me, "-")
-            raise Refused(f"version {number} is not kept here: there are "
-                          f"{book.versions[0].number if book.versions else 0} to {book.newest}")
+            raise Refused(
+                f"version {number} is not kept here: there are "
+                f"{book.versions[0].number if book.versions else 0} to {book.newest}"
+            )
         return found
 
     def _show(self, call: Call, answer: Answer) -> None:
-        answer({"version": worded(self._version(call.version)), "held": self._rules.held.version,
-                "on_trial": self._rules.held.on})
+        answer(
+            {
+                "version": worded(self._version(call.version)),
+                "held": self._rules.held.version,
+                "on_trial": self._rules.held.on,
+            }
+        )
 
     def _history(self, call: Call, answer: Answer) -> None:
         if call.limit < 1:
             raise ValueError(f"limit: {call.limit} is below 1")
-        versions = self._rules.holder.book.versions[-call.limit:]
-        answer({"versions": [{key: value for key, value in worded(one).items() if key != "content"}
-                             for one in versions[::-1]]})
+        versions = self._rules.holder.book.versions[-call.limit :]
+        answer(
+            {
+                "versions": [
+                    {key: value for key, value in worded(one).items() if key != "content"} for one in versions[::-1]
+                ]
+            }
+        )
 
     def _diff(self, call: Call, answer: Answer) -> None:
         new = self._version(call.version)
         old = self._version(call.old if call.old >= 0 else max(new.number - 1, 0))
         names = sorted(set(old.content) | set(new.content))
-        answer({"old": old.number, "new": new.number,
-                "parts": {name: {"old": old.content.get(name), "new": new.content.get(name)} for name in names
-                          if old.content.get(name) != new.content.get(name)}})
+        answer(
+            {
+                "old": old.number,
+                "new": new.number,
+                "parts": {
+                    name: {"old": old.content.get(name), "new": new.content.get(name)}
+                    for name in names
+                    if old.content.get(name) != new.content.get(name)
+                },
+            }
+        )
 
     def _status(self, call: Call, answer: Answer) -> None:
         rules, now = self._rules, self._rules.fleet.clock.now()
         seen, members, trial = posts(rules.fleet), rules.fleet.members.all(), rules.holder.trial()
         living, heard = rules.fleet.members.living(), rules.fleet.members.heard()
-        rows = [{"name": name, "lives": name in living, "heard": name in heard,
-                 "state": members[name].state.value if name in members else "unknown",
-                 **({"version": post.version, "on_trial": post.on, "newest": post.newest, "why": post.why,
-                     "keeper": post.keeper, "digest": post.digest}
-                    if (post := seen.get(name)) is not None else {"version": None})}
-                for name in sorted(set(members) | set(seen))]
+        rows = [
+            {
+                "name": name,
+                "lives": name in living,
+                "heard": name in heard,
+                "state": members[name].state.value if name in members else "unknown",
+                **(
+                    {
+                        "version": post.version,
+                        "on_trial": post.on,
+                        "newest": post.newest,
+                        "why": post.why,
+                        "keeper": post.keeper,
+                        "digest": post.digest,
+                    }
+                    if (post := seen.get(name)) is not None
+                    else {"version": None}
+                ),
+            }
+            for name in sorted(set(members) | set(seen))
+        ]
         on, off = rules.trials.sides
-        answer({"gateway": rules.me, "version": rules.held.version, "newest": rules.holder.book.newest,
-                "keepers": list(rules.keepers), "damage": rules.damages(), "gateways": rows,
-                "trial": None if trial is None or trial.trial is None else {
-                    "version": trial.number, "author": trial.author, "first": list(trial.trial.first),
-                    "left_ms": rules.holder.left(now) // 1_000, "on": list(on), "off": list(off)}})
+        answer(
+            {
+                "gateway": rules.me,
+                "version": rules.held.version,
+                "newest": rules.holder.book.newest,
+                "keepers": list(rules.keepers),
+                "damage": rules.damages(),
+                "gateways": rows,
+                "trial": None
+                if trial is None or trial.trial is None
+                else {
+                    "version": trial.number,
+                    "author": trial.author,
+                    "first": list(trial.trial.first),
+                    "left_ms": rules.holder.left(now) // 1_000,
+                    "on": list(on),
+                    "off": list(off),
+                },
+            }
+        )
 
     # ---- changes
 
@@ -131,12 +188,19 @@
 
         def asked(told: Asked) -> None:
             if told.faults:
-                return answer({"error": "; ".join(f"{name} can't take it: {why}" for name, why in told.faults.items()),
-                               "exit": 2})
+                return answer(
+                    {"error": "; ".join(f"{name} can't take it: {why}" for name, why in told.faults.items()), "exit": 2}
+                )
             if told.silent:
-                return answer({"error": f"no answer from {', '.join(told.silent)}, which live and must be able to take "
-                                        "it: nothing was changed", "exit": 1})
+                return answer(
+                    {
+                        "error": f"no answer from {', '.join(told.silent)}, which live and must be able to take "
+                        "it: nothing was changed",
+                        "exit": 1,
+                    }
+                )
             self._change(ask, call, answer, {"unasked": told.unasked})
+
         rules.checks.ask(made.content, asked)
 
     def _trial(self, call: Call) -> Trial | None:
@@ -152,7 +216,7 @@
         if not 0 < first < max(many, 2):
             raise ValueError(f"first: {first} of {many} gateways: at least one must stay off it, to compare with")
         others = sorted(members.heard() - {members.me})
-        return Trial(call.trial_ms, tuple(sorted([members.me, *others[:first - 1]])))
+        return Trial(call.trial_ms, tuple(sorted([members.me, *others[: first - 1]])))
 
     def _undo(self, call: Call, answer: Answer) -> None:
         self._change(self._ask("undo", call, to=call.to), call, answer, {})
@@ -169,8 +233,16 @@
                 return self._wait(outcome.answer, call, answer, also)
             if outcome.kind == "refused":
                 return answer({"error": f"nothing was changed: {outcome.why}", "exit": 1})
-            answer({"error": f"it may have been taken or not: {outcome.why}; say it again with id {ask.id}, which does "
-                             "nothing twice", "exit": 1, "id": ask.id, "unknown": True})
+            answer(
+                {
+                    "error": f"it may have been taken or not: {outcome.why}; say it again with id {ask.id}, which does "
+                    "nothing twice",
+                    "exit": 1,
+                    "id": ask.id,
+                    "unknown": True,
+                }
+            )
+
         self._rules.changes.change(ask, done)
 
     def _wait(self, made: Version, call: Call, answer: Answer, also: dict[str, Any]) -> None:
@@ -181,20 +253,35 @@
         def look() -> None:
             seen, living = posts(rules.fleet), rules.fleet.members.living()
             says = {name: post.version for name, post in seen.items()} | {rules.me: rules.held.version}
-            held = sorted(name for name in living
-                          if max(says.get(name, -1), rules.told.get(name, -1)) >= made.number)
-            missing = [{"name": name, "version": seen[name].version if name in seen else None,
-                        "why": (seen[name].why if name in seen else "") or "has not said that it holds it"}
-                       for name in sorted(living - set(held))]
+            held = sorted(name for name in living if max(says.get(name, -1), rules.told.get(name, -1)) >= made.number)
+            missing = [
+                {
+                    "name": name,
+                    "version": seen[name].version if name in seen else None,
+                    "why": (seen[name].why if name in seen else "") or "has not said that it holds it",
+                }
+                for name in sorted(living - set(held))
+            ]
             if missing and clock.now() - began < call.wait_ms * 1_000:
                 rules.fleet.later(POLL, look)
                 return
-            told = {"version": made.number, "id": made.id, "kind": made.kind, "held": held, "missing": missing,
-                    "took_ms": (clock.now() - began) // 1_000, **also}
+            told = {
+                "version": made.number,
+                "id": made.id,
+                "kind": made.kind,
+                "held": held,
+                "missing": missing,
+                "took_ms": (clock.now() - began) // 1_000,
+                **also,
+            }
             if missing and call.wait_ms:
-                told |= {"exit": 1, "error": f"version {made.number} is made, and not held by " + ", ".join(
-                    f"{one['name']} ({one['why']})" for one in missing)}
+                told |= {
+                    "exit": 1,
+                    "error": f"version {made.number} is made, and not held by "
+                    + ", ".join(f"{one['name']} ({one['why']})" for one in missing),
+                }
             answer(told)
+
         look()
 
 
--- a/rackhub/fleet/rules/guard.py
+++ b/rackhub/fleet/rules/guard.py
@@ -39,6 +39,8 @@
         share, base = bad / on.requests, other / off.requests
         far = deviations(bad, on.requests, other, off.requests)
         if share - base >= MATTERS and far >= BAR:
-            return (f"{name}: {share:.3f} of {on.requests} requests on it, {base:.3f} of {off.requests} off it, "
-                    f"{far:.1f} deviations apart")
+            return (
+                f"{name}: {share:.3f} of {on.requests} requests on it, {base:.3f} of {off.requests} off it, "
+                f"{far:.1f} deviations apart"
+            )
     return ""
--- a/rackhub/fleet/rules/part.py
+++ b/rackhub/fleet/rules/part.py
@@ -31,8 +31,14 @@
     gateway is no keeper. Raises `ValueError` where the disk is another keeper's.
     """
 
-    def __init__(self, fleet: Fleet, settings: FleetSettings, control: Control | None, disk: Disk | None,
-                 counts: Callable[[], tuple[int, int, int]]):
+    def __init__(
+        self,
+        fleet: Fleet,
+        settings: FleetSettings,
+        control: Control | None,
+        disk: Disk | None,
+        counts: Callable[[], tuple[int, int, int]],
+    ):
         self.fleet, self._disk, self._counts = fleet, disk, counts
         self.me, self.keepers = fleet.members.me, settings.keepers
         boot = fleet.members.all()[self.me].boot
@@ -106,10 +112,14 @@
 
     def figures(self) -> dict[str, float]:
         trial = self.holder.trial()
-        return {"rules_version": self._held.version, "rules_newest": self.holder.book.newest,
-                "rules_on_trial": float(self._held.on), "rules_trial_open": float(trial is not None),
-                "rules_cannot_take": float(bool(self.why)),
-                "rules_keeper_votes": float(self.keeper is not None and self.keeper.state.voting)}
+        return {
+            "rules_version": self._held.version,
+            "rules_newest": self.holder.book.newest,
+            "rules_on_trial": float(self._held.on),
+            "rules_trial_open": float(trial is not None),
+            "rules_cannot_take": float(bool(self.why)),
+            "rules_keeper_votes": float(self.keeper is not None and self.keeper.state.voting),
+        }
 
     # ---- what a majority chose
 
@@ -138,8 +148,12 @@
         if self.why and self.why == before:
             return
         if self.why:
-            log.error("fleet: rule version %d can't be taken, version %d goes on: %s", wants.version,
-                      self._held.version, self.why)
+            log.error(
+                "fleet: rule version %d can't be taken, version %d goes on: %s",
+                wants.version,
+                self._held.version,
+                self.why,
+            )
             self.fleet.tally("rules_not_taken", 1)
             return self._post()
         if wants.on:
@@ -169,8 +183,10 @@
 
     def fault(self, content: Mapping[str, Any]) -> str:
         """Why this gateway can't take a content, each key by name; nothing where it can."""
-        faults = [f"{name}: is not known at {self.me}; there are {', '.join(sorted(self.parts)) or 'none'}"
-                  for name in sorted(set(content) - set(self.parts))]
+        faults = [
+            f"{name}: is not known at {self.me}; there are {', '.join(sorted(self.parts)) or 'none'}"
+            for name in sorted(set(content) - set(self.parts))
+        ]
         for name, part in self.parts.items():
             told = content.get(name)
             try:
@@ -192,10 +208,24 @@
         version = self.holder.book.find(self._held.version)
         if version is not None and self._digest[0] != version.number:
             self._digest = (version.number, version.digest())
-        keeper = "" if self.keeper is None else "votes" if self.keeper.state.voting else \
-            (self.keeper.damage or "its disk is new")[:120]
-        body = encode(Post(self._held.version, self._held.on, self.holder.book.newest,
-                           self._digest[1], self.why[:300], counts, keeper))
+        keeper = (
+            ""
+            if self.keeper is None
+            else "votes"
+            if self.keeper.state.voting
+            else (self.keeper.damage or "its disk is new")[:120]
+        )
+        body = encode(
+            Post(
+                self._held.version,
+                self._held.on,
+                self.holder.book.newest,
+                self._digest[1],
+                self.why[:300],
+                counts,
+                keeper,
+            )
+        )
         if body != self._posted:
             self._posted = body
             self.fleet.board.post(KIND, body)
--- a/rackhub/fleet/rules/timings.py
+++ b/rackhub/fleet/rules/timings.py
@@ -12,8 +12,12 @@
     has none; `reload` has the desk take a table for requests from now on: a new generation, open requests end under
     theirs."""
 
-    def __init__(self, settings: Callable[[], t.Settings], file: Callable[[], Mapping[str, Any] | None],
-                 reload: Callable[[Table], None]):
+    def __init__(
+        self,
+        settings: Callable[[], t.Settings],
+        file: Callable[[], Mapping[str, Any] | None],
+        reload: Callable[[Table], None],
+    ):
         self._settings, self._file, self._reload = settings, file, reload
         self.version = 0
         self._part: Mapping[str, Any] | None = None
--- a/rackhub/fleet/rules/trials.py
+++ b/rackhub/fleet/rules/trials.py
@@ -52,5 +52,14 @@
     def _propose(self, trial: Version, why: str) -> None:
         """Once in a while, until it is no trial any more; the same id from all."""
         self._due = self._fleet.clock.now() + self._random.randint(SPREAD, 2 * SPREAD)
-        self._lapse(Ask("lapse", trial.number, "rackhub", why[:WORDS], f"lapse-{trial.number}-{trial.id}"[:WORDS], 0,
-                        self._fleet.members.me))
+        self._lapse(
+            Ask(
+                "lapse",
+                trial.number,
+                "rackhub",
+                why[:WORDS],
+                f"lapse-{trial.number}-{trial.id}"[:WORDS],
+                0,
+                self._fleet.members.me,
+            )
+        )
--- a/rackhub/fleet/settings.py
+++ b/rackhub/fleet/settings.py
@@ -48,8 +48,11 @@
     """The part as it is used. Raises `ValueError` or `msgspec.ValidationError`, worded with the key."""
     told = msgspec.convert(part, FleetSettings, strict=True)
     told = msgspec.structs.replace(told, name=told.name or name)
-    for key, text in (("cluster", told.cluster), ("name", told.name), *(
-            (f"keepers[{i}]", keeper) for i, keeper in enumerate(told.keepers))):
+    for key, text in (
+        ("cluster", told.cluster),
+        ("name", told.name),
+        *((f"keepers[{i}]", keeper) for i, keeper in enumerate(told.keepers)),
+    ):
         if not NAME.match(text):
             raise ValueError(f"{key}: {text!r} is not 1 to 63 letters, digits, dots, dashes or underscores")
     address(told.listen, "listen")
@@ -67,8 +70,11 @@
         raise ValueError(f"state: not set, and {told.name!r} is one of keepers, which must outlive a restart")
     if told.state and not Path(told.state).is_absolute():
         raise ValueError(f"state: {told.state!r} is not an absolute path")
-    ranges = (("probe_ms", told.probe_ms, 50, 60_000), ("records_ms", told.records_ms, 200, 60_000),
-              ("timeout_ms", told.timeout_ms, 10, told.probe_ms))
+    ranges = (
+        ("probe_ms", told.probe_ms, 50, 60_000),
+        ("records_ms", told.records_ms, 200, 60_000),
+        ("timeout_ms", told.timeout_ms, 10, told.probe_ms),
+    )
     for key, value, least, most in ranges:
         if not least <= value <= most:
             raise ValueError(f"{key}: {value} is not from {least} to {most}")
--- a/rackhub/gather/desk.py
+++ b/rackhub/gather/desk.py
@@ -87,8 +87,15 @@
 class GatherDesk:
     """`cut(site)`: whether members say that it can't be reached. `level`: of the fleet, where there is one."""
 
-    def __init__(self, core: Coordinator, rules: GatherRules, remotes: Remotes, seed: int,
-                 level: Level | None = None, cut: Callable[[Site], bool] = lambda site: False):
+    def __init__(
+        self,
+        core: Coordinator,
+        rules: GatherRules,
+        remotes: Remotes,
+        seed: int,
+        level: Level | None = None,
+        cut: Callable[[Site], bool] = lambda site: False,
+    ):
         self.core, self.remotes, self.level, self._cut_off = core, remotes, level, cut
         self.held = Held(rules, 0)
         self.random = random.Random(f"gather {seed}")
@@ -137,9 +144,17 @@
         deadline = query.deadline - min(JOINING, max(query.deadline - now, 0) // 4)
         request = query.cls, query.tenant, query.statement
         open.gather = Gather(
-            rule, rules.weights, now, deadline, self.core.limits.result,
-            lambda site: self.times.quantile(site, query.cls, rule.worth), lambda site: self.shelf.get(site, request),
-            self._token, BACKOFF, getattr(query.reply, "marks", False))
+            rule,
+            rules.weights,
+            now,
+            deadline,
+            self.core.limits.result,
+            lambda site: self.times.quantile(site, query.cls, rule.worth),
+            lambda site: self.shelf.get(site, request),
+            self._token,
+            BACKOFF,
+            getattr(query.reply, "marks", False),
+        )
         over = self.level is not None and self.level.over()
         self._do(open, open.gather.start(now, lambda site: self._cut(rules.sites[site]), over))
         return True
@@ -202,8 +217,17 @@
         id = hops.part_id(self.random, open.hops)
         if site.zones:
             local = Local(self, open, part.site, part.number)
-            own = local.query = Query(id, query.cls, query.statement, part.until, local, tenant=query.tenant,
-                                      estimate=query.estimate, memory_mb=query.memory_mb, tables=query.tables)
+            own = local.query = Query(
+                id,
+                query.cls,
+                query.statement,
+                part.until,
+                local,
+                tenant=query.tenant,
+                estimate=query.estimate,
+                memory_mb=query.memory_mb,
+                tables=query.tables,
+            )
             own.part, own.zones = True, site.zones
             open.parts[part.site, part.number] = local
             return self.core.submit(own)
@@ -249,5 +273,9 @@
         self.core.gathered(query, "served", answer.pages)
 
     def figures(self) -> dict[str, Any]:
-        return {**self.counts, "gather_open": len(self.open), "gather_kept_bytes": self.shelf.held,
-                "gather_rules_version": self.held.version}
+        return {
+            **self.counts,
+            "gather_open": len(self.open),
+            "gather_kept_bytes": self.shelf.held,
+            "gather_rules_version": self.held.version,
+        }
--- a/rackhub/gather/remote.py
+++ b/rackhub/gather/remote.py
@@ -165,8 +165,7 @@
             self._reactor.connectTCP(*address, OneDial(connection, connection.end), timeout=self._dial)
         if len(connection.open) >= OPEN:
             return None
-        words: dict[str, Any] = {"rid": id, "budget": max(budget // MS, 1),
-                                 "body": query.statement}
+        words: dict[str, Any] = {"rid": id, "budget": max(budget // MS, 1), "body": query.statement}
         if query.tenant:
             words["acct"] = query.tenant
         if query.estimate:
--- a/rackhub/gather/rules.py
+++ b/rackhub/gather/rules.py
@@ -92,8 +92,11 @@
 
 def meets(rule: Rule, cls: str, tenant: str, tables: int | None) -> bool:
     classes, tenants = names(rule.cls), names(rule.tenant)
-    return (classes is None or cls in classes) and (tenants is None or tenant in tenants) \
+    return (
+        (classes is None or cls in classes)
+        and (tenants is None or tenant in tenants)
         and (rule.tables is None or tables in rule.tables)
+    )
 
 
 def gather_rules(part: dict[str, Any], settings: t.Settings) -> GatherRules:
@@ -102,8 +105,10 @@
         told = msgspec.convert(part, GatherFile, strict=False)
     except msgspec.ValidationError as bad:
         raise ValueError(str(bad)) from None
-    faults = [*_site_faults(told), *(fault for i, rule in enumerate(told.rule)
-                                     for fault in _rule_faults(f"rule[{i}]", rule, told, settings))]
+    faults = [
+        *_site_faults(told),
+        *(fault for i, rule in enumerate(told.rule) for fault in _rule_faults(f"rule[{i}]", rule, told, settings)),
+    ]
     if len(told.rule) > RULES:
         faults.append(Fault("rule", len(told.rule), f"more than {RULES} rules"))
     if faults:
@@ -142,8 +147,13 @@
         if name not in classes:
             faults.append(Fault(f"{key}.class", name, "the site has no such class"))
         elif classes[name].effect != "retryable":  # a part may have run where its site did not answer
-            faults.append(Fault(f"{key}.class", name, f"may not simply be repeated (effect {classes[name].effect}), "
-                                                      "so it is never gathered"))
+            faults.append(
+                Fault(
+                    f"{key}.class",
+                    name,
+                    f"may not simply be repeated (effect {classes[name].effect}), so it is never gathered",
+                )
+            )
     tenants = {tenant.name for tenant in settings.tenants}
     for name in names(rule.tenant) or ():
         if tenants and name not in tenants:
@@ -165,9 +175,19 @@
     if rule.needs != "all" and rule.weight is not None:
         faults.append(Fault(f"{key}.weight", rule.weight, "needs names the sites already"))
     if not rule.partial:  # what only a partial answer could use would never hold
-        for name, on in (("needs", rule.needs != "all"), ("weight", rule.weight is not None),
-                         ("fill_ms", rule.fill_ms > 0), ("spare", bool(rule.spare)), ("wait", rule.wait != "budget")):
+        for name, on in (
+            ("needs", rule.needs != "all"),
+            ("weight", rule.weight is not None),
+            ("fill_ms", rule.fill_ms > 0),
+            ("spare", bool(rule.spare)),
+            ("wait", rule.wait != "budget"),
+        ):
             if on:
-                faults.append(Fault(f"{key}.{name}", getattr(rule, name), "without partial = true no answer that is "
-                                                                          "not whole is given"))
+                faults.append(
+                    Fault(
+                        f"{key}.{name}",
+                        getattr(rule, name),
+                        "without partial = true no answer that is not whole is given",
+                    )
+                )
     return faults
--- a/rackhub/gather/state.py
+++ b/rackhub/gather/state.py
@@ -69,9 +69,19 @@
     `kept(site)`: its last whole answer to this request. `token()`: takes one further attempt from the fleet's budget.
     `weights`: of the sites."""
 
-    def __init__(self, rule: Rule, weights: Mapping[str, float], began: int, deadline: int, most_bytes: int,
-                 learned: Callable[[str], int], kept: Callable[[str], Kept | None], token: Callable[[], bool],
-                 backoff: int, marks: bool = True):
+    def __init__(
+        self,
+        rule: Rule,
+        weights: Mapping[str, float],
+        began: int,
+        deadline: int,
+        most_bytes: int,
+        learned: Callable[[str], int],
+        kept: Callable[[str], Kept | None],
+        token: Callable[[], bool],
+        backoff: int,
+        marks: bool = True,
+    ):
         self.rule, self.weights, self.began, self.deadline = rule, weights, began, deadline
         self._most, self._learned, self._kept, self._token = most_bytes, learned, kept, token
         self._partial = rule.partial and marks
@@ -108,8 +118,9 @@
         self.fresh[site] = rows
         return self._look(now)
 
-    def failed(self, now: int, site: str, number: int, why: Missing, backoff: int = 0,
-               again: bool = False) -> list[Effect]:
+    def failed(
+        self, now: int, site: str, number: int, why: Missing, backoff: int = 0, again: bool = False
+    ) -> list[Effect]:
         """A part ended without an answer. `again`: another gateway of the site could be asked."""
         if self.over or self.out.get(site) != number:
             return []
@@ -163,8 +174,10 @@
         self._met_at = self._met_at or now
         if self.rule.wait == "need":
             return self._met_at
-        waits = [self.began + learned if (learned := self._learned(site))
-                 else self._met_at + int(self.rule.patience_ms * MS) for site in self.out]
+        waits = [
+            self.began + learned if (learned := self._learned(site)) else self._met_at + int(self.rule.patience_ms * MS)
+            for site in self.out
+        ]
         return min(max(waits, default=now), self.deadline)
 
     def _fills(self, site: str, now: int) -> Rows | None:
@@ -200,17 +213,28 @@
             told = ", ".join(f"{site} {why}" for site, why in late.items())
             return [*self._call_off(), Answer("refused", backoff=self._backoff, why=told)]
         for site in reversed(self.rule.sites):  # what is over the most that a result may hold is left out from the end
-            if site in rows and sum(part.size for part in rows.values()) > self._most and self._partial \
-                    and self._met(frozenset(rows) - {site}) and set(rows) & set(self.fresh) - {site}:
+            if (
+                site in rows
+                and sum(part.size for part in rows.values()) > self._most
+                and self._partial
+                and self._met(frozenset(rows) - {site})
+                and set(rows) & set(self.fresh) - {site}
+            ):
                 del rows[site]
                 late[site] = "failed"
         self.over = True
         if sum(part.size for part in rows.values()) > self._most:
-            return [*self._call_off(), Answer("refused", backoff=self._backoff,
-                                              why=f"the sites' rows are more than {self._most} bytes")]
+            return [
+                *self._call_off(),
+                Answer("refused", backoff=self._backoff, why=f"the sites' rows are more than {self._most} bytes"),
+            ]
         whole = set(rows) == set(self.rule.sites) and not any(part.age for part in rows.values())
-        sites = [SiteTold(site=site, age_ms=-(-rows[site].age // MS)) if site in rows
-                 else SiteTold(site=site, missing=late[site]) for site in self.rule.sites]
+        sites = [
+            SiteTold(site=site, age_ms=-(-rows[site].age // MS))
+            if site in rows
+            else SiteTold(site=site, missing=late[site])
+            for site in self.rule.sites
+        ]
         pages = [page for site in self.rule.sites if site in rows for page in rows[site].pages]
         return [*self._call_off(), Answer("served", pages, Told(whole=whole, sites=sites))]
 
--- a/rackhub/interface.py
+++ b/rackhub/interface.py
@@ -69,9 +69,20 @@
 
     def __post_init__(self):
         """Refuse settings that no site can mean, naming the one at fault."""
-        for name, least in (("gateways", 1), ("max_attempts", 1), ("period", 1), ("fall", 0), ("me", 0),
-                            ("ramp_time", 0), ("turn_gap", 0), ("counted_over", 0), ("cold_from", 0),
-                            ("fall_multiple", 0), ("max_retry_after", 0), ("note_period", 0)):
+        for name, least in (
+            ("gateways", 1),
+            ("max_attempts", 1),
+            ("period", 1),
+            ("fall", 0),
+            ("me", 0),
+            ("ramp_time", 0),
+            ("turn_gap", 0),
+            ("counted_over", 0),
+            ("cold_from", 0),
+            ("fall_multiple", 0),
+            ("max_retry_after", 0),
+            ("note_period", 0),
+        ):
             if not getattr(self, name) >= least:
                 raise ValueError(f"setting {name} is {getattr(self, name)!r}: at least {least} is needed")
         for kind, cores in self.kind_cores.items():
@@ -235,15 +246,37 @@
 
 
 # which method of the module takes each event
-HANDLERS = {Started: "on_started", QueryArrived: "on_query", AttemptEnded: "on_ended", Note: "on_note",
-            StreamBegan: "on_stream", ClientLeft: "on_left", TimerFired: "on_timer", EngineList: "on_list",
-            ProbeEnded: "on_probe", PeerSaid: "on_peer", CopyDue: "on_copy", FleetSaid: "on_fleet"}
+HANDLERS = {
+    Started: "on_started",
+    QueryArrived: "on_query",
+    AttemptEnded: "on_ended",
+    Note: "on_note",
+    StreamBegan: "on_stream",
+    ClientLeft: "on_left",
+    TimerFired: "on_timer",
+    EngineList: "on_list",
+    ProbeEnded: "on_probe",
+    PeerSaid: "on_peer",
+    CopyDue: "on_copy",
+    FleetSaid: "on_fleet",
+}
 
 
 # which method of the module takes each event
-HANDLERS = {Started: "on_started", QueryArrived: "on_query", AttemptEnded: "on_ended", Note: "on_note",
-            StreamBegan: "on_stream", ClientLeft: "on_left", TimerFired: "on_timer", EngineList: "on_list",
-            ProbeEnded: "on_probe", PeerSaid: "on_peer", CopyDue: "on_copy", FleetSaid: "on_fleet"}
+HANDLERS = {
+    Started: "on_started",
+    QueryArrived: "on_query",
+    AttemptEnded: "on_ended",
+    Note: "on_note",
+    StreamBegan: "on_stream",
+    ClientLeft: "on_left",
+    TimerFired: "on_timer",
+    EngineList: "on_list",
+    ProbeEnded: "on_probe",
+    PeerSaid: "on_peer",
+    CopyDue: "on_copy",
+    FleetSaid: "on_fleet",
+}
 
 
 # ---- actions ----------------------------------------------------------------------------------------
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -27,8 +27,20 @@
     """A request whose figures or names can't be used; the text names the one at fault."""
 
 
-def request(core: Coordinator, reply: Reply, *, id: str, cls: str, statement: bytes, budget_ms: float, tenant: str,
-            token: str, est_ms: float, ram_mb: float, tag: object = None) -> Query:
+def request(
+    core: Coordinator,
+    reply: Reply,
+    *,
+    id: str,
+    cls: str,
+    statement: bytes,
+    budget_ms: float,
+    tenant: str,
+    token: str,
+    est_ms: float,
+    ram_mb: float,
+    tag: object = None,
+) -> Query:
     """The request of a client, checked. Ids and keys stand in heads of the engines' wire, so letters matter."""
     told = core.classes[cls]
     if len(id) != 16 or not HEX.issuperset(id):
@@ -49,8 +61,19 @@
         raise Unusable("the tenant is not known")
     if not is_text(statement):  # engines answer 'error' to what they can't use, or close on it
         raise Unusable("the statement is not text")
-    return Query(id, cls, statement, core.clock.now() + int(budget_ms * 1_000), reply, tag=tag, tenant=tenant,
-                 token=token, estimate=int(est_ms * 1_000), memory_mb=ram_mb, tables=table_group(statement))
+    return Query(
+        id,
+        cls,
+        statement,
+        core.clock.now() + int(budget_ms * 1_000),
+        reply,
+        tag=tag,
+        tenant=tenant,
+        token=token,
+        estimate=int(est_ms * 1_000),
+        memory_mb=ram_mb,
+        tables=table_group(statement),
+    )
 
 
 def is_text(statement: bytes) -> bool:
@@ -182,8 +205,15 @@
 
     noisy = False
 
-    def __init__(self, make: Callable[["Front"], protocol.Protocol], core: Coordinator, limits: Limits,
-                 counters: Counters, most: int, patience: Patience):
+    def __init__(
+        self,
+        make: Callable[["Front"], protocol.Protocol],
+        core: Coordinator,
+        limits: Limits,
+        counters: Counters,
+        most: int,
+        patience: Patience,
+    ):
         self._make, self._most, self._patience = make, most, patience
         self.core, self.limits, self.counters = core, limits, counters
         self.connections: set[Client] = set()
@@ -203,8 +233,9 @@
         word, then the longest idle."""
         able = [client for client in self.connections if not client.busy()]
         if able:
-            self._cut(min(able, key=lambda client: (not client.closed_at, client.spoke, client.used)),
-                      "clients_evicted")
+            self._cut(
+                min(able, key=lambda client: (not client.closed_at, client.spoke, client.used)), "clients_evicted"
+            )
         return bool(able)
 
     def _cut(self, client: Client, counter: str) -> None:
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -174,8 +174,19 @@
             return self._error(id, INVALID, "too many open requests")
         try:
             ask = ASK.decode(message.params)
-            query = request(self.core, self, id=ask.rid, cls=cls.name, statement=ask.body, budget_ms=ask.budget,
-                            tenant=ask.acct, token=ask.token, est_ms=ask.est, ram_mb=ask.ram, tag=id)
+            query = request(
+                self.core,
+                self,
+                id=ask.rid,
+                cls=cls.name,
+                statement=ask.body,
+                budget_ms=ask.budget,
+                tenant=ask.acct,
+                token=ask.token,
+                est_ms=ask.est,
+                ram_mb=ask.ram,
+                tag=id,
+            )
         except (*UNREADABLE, Unusable) as bad:
             self.counters.add("bad_params")
             return self._error(id, BAD_PARAMS, str(bad))
@@ -216,8 +227,11 @@
         self._answer(query, b'"result":{"body":"', b2a_base64(b"".join(rows), newline=False), b'"', told, b"}")
 
     def refused(self, query: Query, backoff: int) -> None:
-        self._answer(query, b'"error":{"code":%d,"message":"refused: try again later","data":{"backoff":%d}}'
-                     % (REFUSED, -(-backoff // 1_000)))
+        self._answer(
+            query,
+            b'"error":{"code":%d,"message":"refused: try again later","data":{"backoff":%d}}'
+            % (REFUSED, -(-backoff // 1_000)),
+        )
 
     def failed(self, query: Query, why: str) -> None:
         self._answer(query, b'"error":{"code":%d,"message":%s}' % (FAILED, msgspec.json.encode(why)))
@@ -231,8 +245,9 @@
             self._end_if_done()
 
     def _error(self, id: Any, code: int, text: str) -> None:
-        self._write(None if id is NO_ID else id,
-                    b'"error":{"code":%d,"message":%s}' % (code, msgspec.json.encode(text)))
+        self._write(
+            None if id is NO_ID else id, b'"error":{"code":%d,"message":%s}' % (code, msgspec.json.encode(text))
+        )
         self.fault()
 
     def _write(self, id: Any, *pieces: bytes) -> None:
@@ -263,5 +278,11 @@
 
 
 def jsonrpc_front(core: Coordinator, limits: Limits, counters: Counters) -> Front:
-    return Front(JsonRpcConnection, core, limits, counters, limits.client_connections,
-                 Patience(limits.first_message, limits.half_message, limits.client_idle, limits.unread))
+    return Front(
+        JsonRpcConnection,
+        core,
+        limits,
+        counters,
+        limits.client_connections,
+        Patience(limits.first_message, limits.half_message, limits.client_idle, limits.unread),
+    )
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -99,8 +99,15 @@
 class Pools:
     """The engine port: one pool for each engine that the list names."""
 
-    def __init__(self, dial: Callable[[Pool], Link], clock: Clock, limits: Limits, counters: Counters,
-                 core: Coordinator, most: int):
+    def __init__(
+        self,
+        dial: Callable[[Pool], Link],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        core: Coordinator,
+        most: int,
+    ):
         self._dial, self._clock, self._limits, self._counters, self._core = dial, clock, limits, counters, core
         self._most = most  # connections to one engine
         self.pools: dict[str, Pool] = {}
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -45,8 +45,13 @@
     except Exception as bad:  # the decoder raises whatever the bytes led it to
         raise BadAnswer(f"not a DNS message: {bad}") from None
     asked = [query for query in message.queries if query.type == dns.SRV]
-    if not message.answer or message.trunc or message.rCode != dns.OK or len(asked) != 1 \
-            or asked[0].name.name.lower() != SERVICE:
+    if (
+        not message.answer
+        or message.trunc
+        or message.rCode != dns.OK
+        or len(asked) != 1
+        or asked[0].name.name.lower() != SERVICE
+    ):
         raise BadAnswer("not an answer to the question")
     serials = [record.payload.serial for record in message.authority if record.type == dns.SOA]
     if len(serials) != 1:
@@ -70,9 +75,17 @@
             raise BadAnswer(f"{name!r} is named twice")
         told = dict(part.decode("utf-8", "replace").partition("=")[::2] for part in text)
         try:
-            entries.append(t.EngineEntry(
-                name, zone, told["kind"], int(told["cell"]), "Ready" if srv.priority == READY else "Terminating",
-                srv.weight / 10, int(told["started"]) * 1_000))
+            entries.append(
+                t.EngineEntry(
+                    name,
+                    zone,
+                    told["kind"],
+                    int(told["cell"]),
+                    "Ready" if srv.priority == READY else "Terminating",
+                    srv.weight / 10,
+                    int(told["started"]) * 1_000,
+                )
+            )
         except (KeyError, ValueError):
             raise BadAnswer(f"no whole text of {target!r}") from None
         addresses[name] = (host, srv.port)
@@ -83,8 +96,16 @@
     """Asks the resolver over and over and hands on each list that is new. It outlives its sockets: `renew` gives it
     another one in place of the one it has."""
 
-    def __init__(self, reactor: IReactorTime, server: Address, start: Listing, told: Callable[[Listing], None],
-                 limits: Limits, counters: Counters, renew: Callable[[], None] = lambda: None):
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        server: Address,
+        start: Listing,
+        told: Callable[[Listing], None],
+        limits: Limits,
+        counters: Counters,
+        renew: Callable[[], None] = lambda: None,
+    ):
         self._reactor, self._server, self._last, self._told = reactor, server, start, told
         self._renew = renew
         self._limits, self._counters = limits, counters
@@ -124,7 +145,7 @@
         if silent:
             self._renew()
         number = self._random.randrange(1 << 16)
-        self._asked = [*self._asked[1 - self._limits.polls_open:], number]
+        self._asked = [*self._asked[1 - self._limits.polls_open :], number]
         self._counters.add("dns_sent")
         try:
             self.transport.write(question(number), self._server)
@@ -133,8 +154,12 @@
 
     def datagramReceived(self, packet: bytes, addr: object) -> None:
         self._counters.add("dns_in")
-        if addr != self._server or len(packet) < 12 or len(packet) > self._limits.packet or \
-                int.from_bytes(packet[:2], "big") not in self._asked:
+        if (
+            addr != self._server
+            or len(packet) < 12
+            or len(packet) > self._limits.packet
+            or int.from_bytes(packet[:2], "big") not in self._asked
+        ):
             return self._counters.add("dns_bad")
         if packet[2:] == self._same:
             self._ask_in(self._asking.answered())
@@ -171,15 +196,24 @@
     """The platform as the source of settings and lists: what its file told at the start, then its resolver.
     `reread` reads and checks the file again and gives the resolver's address; `ValueError` where it can't be used."""
 
-    def __init__(self, reactor: IReactorUDP, settings: t.Settings, start: Listing, server: Address, limits: Limits,
-                 counters: Counters, reread: Callable[[], Address]):
+    def __init__(
+        self,
+        reactor: IReactorUDP,
+        settings: t.Settings,
+        start: Listing,
+        server: Address,
+        limits: Limits,
+        counters: Counters,
+        reread: Callable[[], Address],
+    ):
         self.settings, self.start = settings, start
         self._reactor, self._server, self._limits, self._counters = reactor, server, limits, counters
         self._reread, self._resolver, self._port = reread, None, None
 
     def follow(self, told: Callable[[Listing], None]) -> None:
-        self._resolver = Resolver(self._reactor, self._server, self.start, told, self._limits, self._counters,
-                                  self._renew)
+        self._resolver = Resolver(
+            self._reactor, self._server, self.start, told, self._limits, self._counters, self._renew
+        )
         self._port = self._reactor.listenUDP(0, self._resolver, maxPacketSize=self._limits.packet)
 
     def _renew(self) -> None:
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -25,8 +25,14 @@
 log = logging.getLogger(__name__)
 TOPICS = {b"advance": 1, b"disk": 2, b"stall": 3}
 # the wire's words of a load report -> the module's
-REPORT_WORDS = {"inflight": "busy_reqs", "queue": "pending", "util": "cpu_share", "latency_ms": "svc_ms",
-                "qps": "served_ps", "eps": "failed_ps"}
+REPORT_WORDS = {
+    "inflight": "busy_reqs",
+    "queue": "pending",
+    "util": "cpu_share",
+    "latency_ms": "svc_ms",
+    "qps": "served_ps",
+    "eps": "failed_ps",
+}
 
 
 class BadFrame(ValueError):
@@ -134,8 +140,13 @@
         """Whether a new attempt may go on this connection."""
         self._forget()
         id = attempt.query.id.encode()
-        return not (self.closed or self.silent or len(self.open) >= self.limits.engine_open
-                    or id in self.open or id in self.stale)
+        return not (
+            self.closed
+            or self.silent
+            or len(self.open) >= self.limits.engine_open
+            or id in self.open
+            or id in self.stale
+        )
 
     def carry(self, attempt: Attempt) -> None:
         attempt.link = self
@@ -150,8 +161,10 @@
         whatever came of the connection since. What came and was not read yet tells in time: a transport is read from
         before it is written to."""
         wire = self.transport
-        return id not in self._ends or \
-            self._given - (len(wire.dataBuffer) - wire.offset + wire._tempDataLen) < self._ends[id]
+        return (
+            id not in self._ends
+            or self._given - (len(wire.dataBuffer) - wire.offset + wire._tempDataLen) < self._ends[id]
+        )
 
     def give_up(self, attempt: Attempt) -> None:
         id, now = attempt.query.id.encode(), self.clock.now()
@@ -312,13 +325,13 @@
             parts, here = [], at + 4
             for _ in range(4):
                 end = data.find(b"\r\n", here, here + self.limits.head)
-                length = data[here + 1:end] if end > 0 and data[here] == 36 else b""
+                length = data[here + 1 : end] if end > 0 and data[here] == 36 else b""
                 if not length.isdigit() or len(length) > 9:
                     return data[at:]  # cut off or no frame: the states below tell which
                 here = end + 2 + int(length)
-                if here + 2 > size or int(length) > self.limits.frame or data[here:here + 2] != b"\r\n":
+                if here + 2 > size or int(length) > self.limits.frame or data[here : here + 2] != b"\r\n":
                     return data[at:]
-                parts.append(data[end + 2:here])
+                parts.append(data[end + 2 : here])
                 here += 2
             at = here
             self._answer(parts)
@@ -357,7 +370,7 @@
     def rawDataReceived(self, data: bytes) -> None:
         if self.closed:
             return
-        took = data[:self._need - self._got_size]
+        took = data[: self._need - self._got_size]
         self._got.append(took)
         self._got_size += len(took)
         if self._got_size < self._need:
@@ -369,7 +382,7 @@
         self._due -= 1
         if not self._due:
             self._answer(self._parts)
-        self.setLineMode(data[len(took):])
+        self.setLineMode(data[len(took) :])
 
     # ---- answers
 
@@ -449,8 +462,9 @@
         self.give_up(attempt)
         self.core.ended(attempt, "BAD")
 
-    def _over(self, id: bytes, attempt: Attempt, reason: str, report: dict[str, float],
-              rows: Iterable[bytes] = ()) -> None:
+    def _over(
+        self, id: bytes, attempt: Attempt, reason: str, report: dict[str, float], rows: Iterable[bytes] = ()
+    ) -> None:
         del self.open[id], self._ends[id]
         self.paging.pop(id, None)
         if reason != "GOOD":  # tried again here, it could be credited with a second copy of this end
--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -47,7 +47,7 @@
         if size < 0 or self.at + size > self.end:
             raise Short
         self.at += size
-        return bytes(self.data[self.at - size:self.at])
+        return bytes(self.data[self.at - size : self.at])
 
     def number(self, size: int, signed: bool = False) -> int:
         return int.from_bytes(self.take(size), "little", signed=signed)
@@ -115,7 +115,7 @@
                 raise BadTds(f"a packet of type {kind}")
             if len(self._buffer) < size:
                 return
-            body = bytes(self._buffer[HEADER.size:size])
+            body = bytes(self._buffer[HEADER.size : size])
             del self._buffer[:size]
             yield kind, status, body
 
@@ -132,8 +132,8 @@
             self._rest += piece
         out: list[bytes] = []
         while len(self._rest) > self._room:
-            out += self._packet(bytes(self._rest[:self._room]), 0)
-            del self._rest[:self._room]
+            out += self._packet(bytes(self._rest[: self._room]), 0)
+            del self._rest[: self._room]
         return out
 
     def end(self, pieces: Iterable[bytes] = ()) -> list[bytes]:
@@ -172,7 +172,7 @@
         option, offset, size = struct.unpack_from(">BHH", body, at)
         if offset + size > len(body):
             raise BadTds("PRELOGIN points outside itself")
-        options[option] = body[offset:offset + size]
+        options[option] = body[offset : offset + size]
         at += 5
     if at >= len(body):
         raise BadTds("PRELOGIN has no end")
@@ -203,12 +203,17 @@
 
 
 def login7(user: str, password: str, database: str, packet_size: int) -> bytes:
-    texts = {"host": "rackhub", "user": user, "app": "rackhub", "server": "", "library": "rackhub",
-             "database": database}
+    texts = {
+        "host": "rackhub",
+        "user": user,
+        "app": "rackhub",
+        "server": "",
+        "library": "rackhub",
+        "database": database,
+    }
     at, heads, bodies = 94, b"", b""
     for name in LOGIN_TEXTS:
-        raw = scrambled(password.encode("utf-16-le")) if name == "password" \
-            else texts.get(name, "").encode("utf-16-le")
+        raw = scrambled(password.encode("utf-16-le")) if name == "password" else texts.get(name, "").encode("utf-16-le")
         heads += struct.pack("<HH", at + len(bodies), len(raw) // 2)
         bodies += raw
     heads += b"\0" * 6 + struct.pack("<HHHHHHI", *(at + len(bodies), 0) * 3, 0)
@@ -227,7 +232,7 @@
         at, letters = struct.unpack_from("<HH", body, LOGIN_FIXED.size + 4 * i)
         if at + 2 * letters > len(body):
             raise BadTds("LOGIN7 points outside itself")
-        raw = body[at:at + 2 * letters]
+        raw = body[at : at + 2 * letters]
         try:
             texts[name] = (unscrambled(raw) if name == "password" else raw).decode("utf-16-le")
         except UnicodeDecodeError:
@@ -302,8 +307,15 @@
     return b"".join(pieces)
 
 
-FIXED = {0x30: ("<B", 1), 0x32: ("<B", 1), 0x34: ("<h", 2), 0x38: ("<i", 4), 0x7F: ("<q", 8), 0x3B: ("<f", 4),
-         0x3E: ("<d", 8)}
+FIXED = {
+    0x30: ("<B", 1),
+    0x32: ("<B", 1),
+    0x34: ("<h", 2),
+    0x38: ("<i", 4),
+    0x7F: ("<q", 8),
+    0x3B: ("<f", 4),
+    0x3E: ("<d", 8),
+}
 INTEGERS, FLOATS = {1: "<B", 2: "<h", 4: "<i", 8: "<q"}, {4: "<f", 8: "<d"}
 
 
@@ -330,7 +342,7 @@
         if not size:
             return None
         sign = cut.number(1)
-        return (1 if sign else -1) * cut.number(size - 1) / 10 ** scale
+        return (1 if sign else -1) * cut.number(size - 1) / 10**scale
     if kind in (NVARCHAR, 0xEF, 0xA7, 0xAF):  # NVARCHAR, NCHAR, BIGVARCHAR, BIGCHAR
         most = cut.number(2)
         cut.take(5)
@@ -377,8 +389,10 @@
 
 def notice(kind: int, number: int, state: int, severity: int, text: str, server: str) -> bytes:
     """An ERROR or INFO token."""
-    return token_of(kind, struct.pack("<iBB", number, state, severity) + us_text(text) + b_text(server)
-                    + b"\0" + struct.pack("<i", 1))
+    return token_of(
+        kind,
+        struct.pack("<iBB", number, state, severity) + us_text(text) + b_text(server) + b"\0" + struct.pack("<i", 1),
+    )
 
 
 def done(status: int, rows: int = 0, kind: int = DONE) -> bytes:
@@ -399,7 +413,8 @@
 def columns(names: Sequence[str]) -> bytes:
     """COLMETADATA of nullable nvarchar(max) columns."""
     return struct.pack("<BH", COLMETADATA, len(names)) + b"".join(
-        struct.pack("<IHBH", 0, 0x0009, NVARCHAR, MAX) + COLLATION + b_text(name) for name in names)
+        struct.pack("<IHBH", 0, 0x0009, NVARCHAR, MAX) + COLLATION + b_text(name) for name in names
+    )
 
 
 def row(values: Sequence[str]) -> bytes:
@@ -435,7 +450,7 @@
                 if len(self._buffer) > self._most:
                     raise BadTds("a token over the limit") from None
                 return
-            del self._buffer[:cut.at]
+            del self._buffer[: cut.at]
             yield kind, value
 
     def whole(self) -> bool:
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -37,10 +37,24 @@
     unsent), READY, BUSY, CANCELLING (Attention sent, its end not yet seen), CLOSED."""
 
     DIALLING, PRELOGIN, LOGIN, READY, BUSY, CANCELLING, CLOSED = (
-        "dialling", "prelogin", "login", "ready", "busy", "cancelling", "closed")
-
-    def __init__(self, pool: Pool, settings: TdsEngineSettings, clock: Clock, limits: Limits, counters: Counters,
-                 core: Coordinator):
+        "dialling",
+        "prelogin",
+        "login",
+        "ready",
+        "busy",
+        "cancelling",
+        "closed",
+    )
+
+    def __init__(
+        self,
+        pool: Pool,
+        settings: TdsEngineSettings,
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        core: Coordinator,
+    ):
         self.pool, self.settings, self.clock, self.limits = pool, settings, clock, limits
         self.counters, self.core = counters, core
         self.state, self.used, self.retired = self.DIALLING, clock.now(), False
@@ -148,8 +162,13 @@
         query, now = self._attempt.query, self.clock.now()
         if why := self._attempt.barred(now):  # it waited for the login
             return self._end(why)
-        arguments = {"@id": query.id, "@class": query.cls, "@budget_ms": max((query.deadline - now) // 1_000, 1),
-                     "@level": query.level, "@statement": query.statement.decode("utf-8", "surrogateescape")}
+        arguments = {
+            "@id": query.id,
+            "@class": query.cls,
+            "@budget_ms": max((query.deadline - now) // 1_000, 1),
+            "@level": query.level,
+            "@statement": query.statement.decode("utf-8", "surrogateescape"),
+        }
         if query.token:
             arguments["@key"] = query.token
         self.state, self.used, self._attempt.state = self.BUSY, now, State.OUT
@@ -178,8 +197,12 @@
         if options.get(1, b"\x02") not in (b"\x00", b"\x02"):
             raise codec.BadTds("the engine insists on encryption")
         self.state = self.LOGIN
-        self.write(codec.message(codec.LOGIN7, codec.login7(
-            self.settings.user, self.settings.password, self.settings.database, codec.USUAL_PACKET)))
+        self.write(
+            codec.message(
+                codec.LOGIN7,
+                codec.login7(self.settings.user, self.settings.password, self.settings.database, codec.USUAL_PACKET),
+            )
+        )
 
     def _answer(self, body: bytes, last: bool) -> None:
         try:
@@ -249,8 +272,14 @@
             self.core.noted(self._attempt, TOPICS[info.number], value)
 
 
-def tds_pools(reactor: IReactorTCP, settings: TdsEngineSettings, clock: Clock, limits: Limits, counters: Counters,
-              core: Coordinator) -> Pools:
+def tds_pools(
+    reactor: IReactorTCP,
+    settings: TdsEngineSettings,
+    clock: Clock,
+    limits: Limits,
+    counters: Counters,
+    core: Coordinator,
+) -> Pools:
     """The engine port over TDS."""
 
     def make(pool: Pool) -> TdsEngineConnection:
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -148,13 +148,21 @@
         if codec.LEAST_PACKET <= asked.packet_size <= codec.MOST_PACKET:
             self._size = asked.packet_size
         name = self.settings.database
-        self.write(codec.message(codec.REPLY, b"".join((
-            codec.env_text(1, name, ""),
-            codec.token_of(codec.ENVCHANGE, b"\x07\x05" + codec.COLLATION + b"\0"),
-            codec.login_ack(min(asked.version, codec.VERSION_74), "rackhub"),
-            codec.env_text(4, str(self._size), str(codec.USUAL_PACKET)),
-            codec.notice(codec.INFO, 5701, 2, 0, f"rackhub {VERSION}", "rackhub"),
-            codec.done(0)))))
+        self.write(
+            codec.message(
+                codec.REPLY,
+                b"".join(
+                    (
+                        codec.env_text(1, name, ""),
+                        codec.token_of(codec.ENVCHANGE, b"\x07\x05" + codec.COLLATION + b"\0"),
+                        codec.login_ack(min(asked.version, codec.VERSION_74), "rackhub"),
+                        codec.env_text(4, str(self._size), str(codec.USUAL_PACKET)),
+                        codec.notice(codec.INFO, 5701, 2, 0, f"rackhub {VERSION}", "rackhub"),
+                        codec.done(0),
+                    )
+                ),
+            )
+        )
 
     def _request(self, kind: int, body: bytes, reset: bool) -> None:
         self.counters.add("tds_requests")
@@ -200,9 +208,18 @@
         if tenant and tenant not in login.tenants:
             raise Unusable("the tenant is not one of this login's")
         budget = given.get("@budget_ms", login.budget_ms or self.core.classes[cls].deadline / 1_000)
-        query = request(self.core, self, id=self._ids(), cls=cls, statement=given["@statement"].encode(
-            "utf-8", "surrogatepass"), budget_ms=budget, tenant=tenant, token=given.get("@key", ""),
-            est_ms=given.get("@est_ms", 0), ram_mb=given.get("@ram_mb", 0))
+        query = request(
+            self.core,
+            self,
+            id=self._ids(),
+            cls=cls,
+            statement=given["@statement"].encode("utf-8", "surrogatepass"),
+            budget_ms=budget,
+            tenant=tenant,
+            token=given.get("@key", ""),
+            est_ms=given.get("@est_ms", 0),
+            ram_mb=given.get("@ram_mb", 0),
+        )
         self.state, self._query = self.BUSY, query
         self.core.submit(query)
 
@@ -257,18 +274,32 @@
     def refused(self, query: Query, backoff: int) -> None:
         if query is self._query:
             late = self.core.out_of_time(query)
-            self._say_error(DEADLINE if late else REFUSED, HARMLESS, 16, ("deadline passed" if late else "refused")
-                            + f": trying again is harmless, retry after {-(-backoff // 1_000)} ms")
+            self._say_error(
+                DEADLINE if late else REFUSED,
+                HARMLESS,
+                16,
+                ("deadline passed" if late else "refused")
+                + f": trying again is harmless, retry after {-(-backoff // 1_000)} ms",
+            )
 
     def failed(self, query: Query, why: str) -> None:
         if query is self._query:
             late = self.core.out_of_time(query)
-            self._say_error(DEADLINE if late else FAILED, UNKNOWN if late else 1, 16,
-                            "deadline passed: its effect is not known" if late else why)
+            self._say_error(
+                DEADLINE if late else FAILED,
+                UNKNOWN if late else 1,
+                16,
+                "deadline passed: its effect is not known" if late else why,
+            )
 
     def _say_error(self, number: int, state: int, severity: int, text: str) -> None:
-        self._answer((codec.notice(codec.ERROR, number, state, severity, text, "rackhub"),
-                      self._status(), codec.done(codec.DONE_ERROR, 0, self._done)))
+        self._answer(
+            (
+                codec.notice(codec.ERROR, number, state, severity, text, "rackhub"),
+                self._status(),
+                codec.done(codec.DONE_ERROR, 0, self._done),
+            )
+        )
 
     def _status(self) -> bytes:
         return b"\x79\0\0\0\0" if self._done == codec.DONEPROC else b""
@@ -298,8 +329,19 @@
     return lambda: f"{source.getrandbits(64):016x}"
 
 
-def tds_front(settings: TdsFrontSettings, core: Coordinator, limits: Limits, counters: Counters,
-              ids: Callable[[], str] | None = None) -> Front:
+def tds_front(
+    settings: TdsFrontSettings,
+    core: Coordinator,
+    limits: Limits,
+    counters: Counters,
+    ids: Callable[[], str] | None = None,
+) -> Front:
     ids = ids or random_ids()
-    return Front(lambda front: TdsConnection(front, settings, ids), core, limits, counters, limits.tds_connections,
-                 Patience(limits.tds_login, limits.tds_half, limits.tds_idle, limits.tds_unread))
+    return Front(
+        lambda front: TdsConnection(front, settings, ids),
+        core,
+        limits,
+        counters,
+        limits.tds_connections,
+        Patience(limits.tds_login, limits.tds_half, limits.tds_idle, limits.tds_unread),
+    )
--- a/rackhub/ops/desk.py
+++ b/rackhub/ops/desk.py
@@ -12,9 +12,15 @@
     """`ready()`: whether the process serves; `changed()`: the bans have changed, show the list anew and keep them;
     `figures()`: the text of the figures; `now()`: microseconds; `fresh()`: take up what another process was told."""
 
-    def __init__(self, bans: Bans, ready: Callable[[], bool], changed: Callable[[], None],
-                 figures: Callable[[], bytes], now: Callable[[], int],
-                 fresh: Callable[[], None] = lambda: None):
+    def __init__(
+        self,
+        bans: Bans,
+        ready: Callable[[], bool],
+        changed: Callable[[], None],
+        figures: Callable[[], bytes],
+        now: Callable[[], int],
+        fresh: Callable[[], None] = lambda: None,
+    ):
         self.bans, self._ready, self._changed, self._figures, self._now = bans, ready, changed, figures, now
         self._fresh = fresh
 
--- a/rackhub/ops/part.py
+++ b/rackhub/ops/part.py
@@ -33,8 +33,12 @@
         self._listed: Sequence[t.EngineEntry] = ()
         self._mark = statefile.mark(self._path)  # of the file as it was last read or written here
         self.bans = statefile.kept_bans(self._path, host.counters.add)
-        figures = Figures(host.core.by_class, lambda: len(host.core.queries), lambda: len(self._listed),
-                          lambda: self.bans.avoided(self._listed))
+        figures = Figures(
+            host.core.by_class,
+            lambda: len(host.core.queries),
+            lambda: len(self._listed),
+            lambda: self.bans.avoided(self._listed),
+        )
         desk = OpsDesk(self.bans, host.serving, self._changed, figures.text, host.clock.now, self._fresh)
         self._front = OpsFront(desk, host.reactor, host.config.limits, host.counters)
         self._port: SharedPort | None = None
--- a/rackhub/parts.py
+++ b/rackhub/parts.py
@@ -7,16 +7,23 @@
 from rackhub.operatorfile import Operator
 
 # what turns each on -> where its `Part` is; a part begins after those above it and ends before them
-ORDER = {"store": "rackhub.state.part", "timings": "rackhub.timings.part", "ops": "rackhub.ops.part",
-         "fleet": "rackhub.fleet.part", "gather": "rackhub.gather.part"}
+ORDER = {
+    "store": "rackhub.state.part",
+    "timings": "rackhub.timings.part",
+    "ops": "rackhub.ops.part",
+    "fleet": "rackhub.fleet.part",
+    "gather": "rackhub.gather.part",
+}
 LATE = ("timings",)  # may be turned on by a reload; the others take a restart
 
 
 def wanted(config: Config, operator: Operator) -> list[str]:
     """The names of the parts that are on."""
-    on = {"ops": config.operator is not None,
-          # the rule book may bring gathers at any time; the check of the file has them refused where peers are
-          "gather": operator.gather is not None or bool((operator.fleet or {}).get("keepers"))}
+    on = {
+        "ops": config.operator is not None,
+        # the rule book may bring gathers at any time; the check of the file has them refused where peers are
+        "gather": operator.gather is not None or bool((operator.fleet or {}).get("keepers")),
+    }
     return [name for name in ORDER if on.get(name, getattr(operator, name, None) is not None)]
 
 
--- a/rackhub/policy/choice.py
+++ b/rackhub/policy/choice.py
@@ -1,4 +1,5 @@
 """Which engine gets a query, and on what terms: eligible, weighed, in turn."""
+
 import math
 import zlib
 
@@ -20,7 +21,7 @@
         able = [e for e in able if e.id in self.own] or able
         if told.holds_tables:  # by one hash at all gateways: what loads hold up has engines where none comes
             side = sorted(self.engines, key=lambda e: mixed(f"{tables} {e}"))
-            able = [e for e in able if e.id in side[:max(round(len(side) * LOAD_PART), 1)]] or able
+            able = [e for e in able if e.id in side[: max(round(len(side) * LOAD_PART), 1)]] or able
         if told.blocked_by_loads or told.holds_tables:
             free = [e for e in able if not e.loads.get(tables) and e.holds.get(tables, now) <= now]
             line = query.cls.mean * self.set.gateways if told.holds_tables and query.cls.answers else 0
--- a/rackhub/policy/control.py
+++ b/rackhub/policy/control.py
@@ -2,6 +2,7 @@
 
 Windows and a running cap per tenant refuse at once; what passes goes round robin by told cores. All else is a
 term on these: who is eligible, with what weight, under what cap. Times: microseconds of the events' clock."""
+
 import math
 import random
 import zlib
@@ -176,7 +177,7 @@
         self.engines = {name: e for name, e in self.engines.items() if e.ready or e.threads or name in named}
         self.codes = {zlib.crc32(name.encode()): name for name in self.engines}
         ready = sorted((n for n, e in self.engines.items() if e.ready), key=lambda n: mixed(f"{self.set.me} {n}"))
-        self.own = set(ready[:max(round(len(ready) * min(REACH / self.set.gateways, 1)), 1)])
+        self.own = set(ready[: max(round(len(ready) * min(REACH / self.set.gateways, 1)), 1)])
         self.part = len(self.own) / max(len(ready), 1)
         self.resize()
 
--- a/rackhub/policy/further.py
+++ b/rackhub/policy/further.py
@@ -1,4 +1,5 @@
 """What runs, and further attempts: notes, bad plans, loads, silence; whether class and budget allow one."""
+
 import math
 
 from rackhub import interface as t
--- a/rackhub/policy/learning.py
+++ b/rackhub/policy/learning.py
@@ -1,16 +1,18 @@
 """What a gateway has learned: of an engine, of a class; means that forget. Types: rackhub/interface.py."""
+
 import math
 from collections import defaultdict
 
 SECOND, TICK = 1_000_000, 500_000  # times are microseconds; how often slice and probes are seen to
 CORES_UNTOLD, MEMORY_ROOM = 8, 1.25  # a small engine; memory first asked for an estimate of 1
-SURE = 4 * SECOND          # age at which the surest kind of evidence rules no more
+SURE = 4 * SECOND  # age at which the surest kind of evidence rules no more
 SMOOTH, DRIFT = 30, 0.0005  # answers that recent latency is smoothed over; how fast the best is forgotten
 BILLED, BELIEF, GUESS = 3, 4.0, 4  # bills to believe, weight of doubt; answers that a guess weighs
 
 
 class Aged:  # a mean that forgets by age: few observations count at once, old ones fade
     value = weight = at = 0
+
     def add(self, now, value, span=8 * SECOND, most=6):
         self.weight = min(self.weight * math.exp((self.at - now) / span), most) + 1
         self.value, self.at = self.value + (value - self.value) / self.weight, now
@@ -43,14 +45,14 @@
 class Engine:  # what this gateway knows of one engine
     def __init__(self, entry, kinds, turn):
         self.id, self.cores = entry.engine, kinds.get(entry.kind, CORES_UNTOLD)
-        self.turn, self.pace, self.cold_since = turn * self.cores, 0, -10**15  # seeded: else all begin at one
+        self.turn, self.pace, self.cold_since = turn * self.cores, 0, -(10**15)  # seeded: else all begin at one
         self.threads = self.credit = self.answered = self.staked = self.refusals = self.reset_at = 0
         self.loads, self.holds = defaultdict(int), {}  # own ones by tables; until when others' may last
         self.renew()
 
     def renew(self):  # a new process: how the one before it fared says nothing of it
         self.ill, self.strain, self.rest, self.rest_until = Aged(), Aged(), 0, 0
-        self.weight, self.weighed, self.best = 0.0, -10**15, math.inf
+        self.weight, self.weighed, self.best = 0.0, -(10**15), math.inf
 
     def update(self, entry):
         self.zone, self.kind, self.group = entry.zone, entry.kind, (entry.zone, entry.cell)
--- a/rackhub/policy/pressure.py
+++ b/rackhub/policy/pressure.py
@@ -1,4 +1,5 @@
 """Whether the engines are pressed, by the surest evidence at hand, and which of them are ill."""
+
 import math
 import zlib
 
@@ -12,7 +13,7 @@
 SPREAD, ONE_AT_MOST = 0.2, 0.5  # strain of the usual engine that may be chance; what one counts for in it
 ILL, ILL_APART, NEED_FADE = 0.25, 2, 0.99  # failure rate that rests, if twice the middle; without spills
 REST, REST_MOST, ONE_RESET = SECOND, 8 * SECOND, SECOND // 50  # doubled between; resets that are one
-OVERDUE, DOUBT = 4, 0.4    # usual latencies: out for so many an attempt is overdue; a doubt of one unanswered
+OVERDUE, DOUBT = 4, 0.4  # usual latencies: out for so many an attempt is overdue; a doubt of one unanswered
 
 
 class Pressure:
--- a/rackhub/policy/windows.py
+++ b/rackhub/policy/windows.py
@@ -1,4 +1,5 @@
 """What is refused at once: windows and the running cap of a tenant, within this gateway's slice."""
+
 import math
 from collections import defaultdict, deque
 from types import SimpleNamespace
@@ -37,7 +38,7 @@
         need, ratio = cls.told.threads, cls.density / min(other.density for other in self.classes.values())
         limit += math.sqrt(self.even) * (1 - min(max(self.excess, 0), 1))  # room for chance: it sums up
         limit *= min(CLASS_ROOM, 1 + (ratio - 1) * CLASS_STEP + max(CLASS_FLOOR - cls.passing, 0))
-        limit *= min(query.size ** -0.5, 1.2)  # the heavy of a class yield first
+        limit *= min(query.size**-0.5, 1.2)  # the heavy of a class yield first
         if self.threads + need * self.random.random() <= limit:  # what fits in part passes by chance
             return True
         active = [other for other in self.tenants.values() if other.threads or other is tenant]
--- a/rackhub/settings.py
+++ b/rackhub/settings.py
@@ -46,28 +46,48 @@
 
 # settings: path on the wire -> (attribute, reader)
 PLAIN = {
-    "Instances": ("gateways", whole), "Me": ("me", whole), "Zone": ("zone", str),
-    "Discovery": ("discovery", str), "Period": ("period", whole),
+    "Instances": ("gateways", whole),
+    "Me": ("me", whole),
+    "Zone": ("zone", str),
+    "Discovery": ("discovery", str),
+    "Period": ("period", whole),
     "FamilyInfo.Grants": ("grants", truth),
     "FamilyInfo.RanksHeeded": ("priorities", truth),
     "FamilyInfo.NotePeriod": ("note_period", whole),
-    "Permissions.Cancel": ("cancel", truth), "Permissions.MaxAttempts": ("max_attempts", whole),
+    "Permissions.Cancel": ("cancel", truth),
+    "Permissions.MaxAttempts": ("max_attempts", whole),
     "Permissions.MaxRetryAfter": ("max_retry_after", whole),
-    "Permissions.SecondCopies": ("second_copies", truth), "Permissions.Peers": ("peers", truth),
-    "Permissions.Probes": ("probes", truth), "Report.Source": ("report_source", str),
-    "Obligations.FreeResends": ("free_resends", number), "Obligations.RepeatRatio": ("repeat_ratio", number),
-    "Obligations.CountedOver": ("counted_over", whole), "Obligations.ColdFrom": ("cold_from", number),
-    "Obligations.RampTime": ("ramp_time", whole), "Obligations.FallMultiple": ("fall_multiple", number),
-    "Obligations.Fall": ("fall", whole), "Obligations.TurnGap": ("turn_gap", whole),
+    "Permissions.SecondCopies": ("second_copies", truth),
+    "Permissions.Peers": ("peers", truth),
+    "Permissions.Probes": ("probes", truth),
+    "Report.Source": ("report_source", str),
+    "Obligations.FreeResends": ("free_resends", number),
+    "Obligations.RepeatRatio": ("repeat_ratio", number),
+    "Obligations.CountedOver": ("counted_over", whole),
+    "Obligations.ColdFrom": ("cold_from", number),
+    "Obligations.RampTime": ("ramp_time", whole),
+    "Obligations.FallMultiple": ("fall_multiple", number),
+    "Obligations.Fall": ("fall", whole),
+    "Obligations.TurnGap": ("turn_gap", whole),
 }
 CLASS = {
-    "Name": ("name", word), "Deadline": ("deadline", whole), "Objective": ("objective", whole),
-    "AimStretch": ("aim_stretch", number), "Worth": ("worth", number), "Effect": ("effect", str),
-    "DedupScope": ("dedup_scope", str), "Window": ("window", whole), "SerialByKey": ("serial_by_key", truth),
-    "StaysIn": ("stays_in", names), "ServedOn": ("served_on", names),
+    "Name": ("name", word),
+    "Deadline": ("deadline", whole),
+    "Objective": ("objective", whole),
+    "AimStretch": ("aim_stretch", number),
+    "Worth": ("worth", number),
+    "Effect": ("effect", str),
+    "DedupScope": ("dedup_scope", str),
+    "Window": ("window", whole),
+    "SerialByKey": ("serial_by_key", truth),
+    "StaysIn": ("stays_in", names),
+    "ServedOn": ("served_on", names),
+}
+BY_CLASS = {
+    "FamilyInfo.Dop": ("threads", whole),
+    "FamilyInfo.HoldsTables": ("holds_tables", truth),
+    "FamilyInfo.BlockedByLoads": ("blocked_by_loads", truth),
 }
-BY_CLASS = {"FamilyInfo.Dop": ("threads", whole), "FamilyInfo.HoldsTables": ("holds_tables", truth),
-            "FamilyInfo.BlockedByLoads": ("blocked_by_loads", truth)}
 TENANT = {"Name": ("name", word), "Fraction": ("fraction", number), "AllowancePerS": ("allowance_per_s", number)}
 
 
@@ -83,8 +103,7 @@
 
     def known(table: Mapping[str, tuple[str, Reader]], prefix: str = "") -> dict[str, Any]:
         found = ((attribute, prefix + path, reader) for path, (attribute, reader) in table.items())
-        return {attribute: read(source, pairs, path, reader)
-                for attribute, path, reader in found if path in pairs}
+        return {attribute: read(source, pairs, path, reader) for attribute, path, reader in found if path in pairs}
 
     def count(path: str) -> int:
         return read(source, pairs, path, whole) if path in pairs else 0
@@ -108,7 +127,8 @@
         tenants=tuple(t.TenantSettings(**values) for values in tenants),
         kind_cores=dict(zip(kinds, column("FamilyInfo.KindCores", number), strict=False)),
         kind_memory=dict(zip(kinds, column("FamilyInfo.RamOfKindMb", number), strict=False)),
-        **known(PLAIN))
+        **known(PLAIN),
+    )
 
 
 def flatten(tree: Mapping[str, Any]) -> dict[str, str]:
--- a/rackhub/state/keeper.py
+++ b/rackhub/state/keeper.py
@@ -24,8 +24,15 @@
 class Keeper:
     """The coordinator's store: a `core.ledger.Ledger`, and the list of engines and the counters besides."""
 
-    def __init__(self, reactor: Reactor, settings: StoreSettings, classes: tuple[t.ClassSettings, ...], clock: Clock,
-                 counters: Counters, files: Files | None = None):
+    def __init__(
+        self,
+        reactor: Reactor,
+        settings: StoreSettings,
+        classes: tuple[t.ClassSettings, ...],
+        clock: Clock,
+        counters: Counters,
+        files: Files | None = None,
+    ):
         """Opens the store. `StoreError` and `OSError` where that can't be done."""
         self._reactor, self._settings, self._clock, self._counters = reactor, settings, clock, counters
         self._driver = Driver(reactor)
@@ -48,19 +55,29 @@
                 log.error("store: key %r can't be read: %s", item.key, bad)
         left_open = self._keyed.restore(found, self._clock.now())
         for one in left_open:
-            log.warning("keyed request %s of class %s was open when the last run ended: %s, %d attempts, last on %s",
-                        one.token, one.cls, one.state, one.attempts, one.engine or "no engine")
+            log.warning(
+                "keyed request %s of class %s was open when the last run ended: %s, %d attempts, last on %s",
+                one.token,
+                one.cls,
+                one.state,
+                one.attempts,
+                one.engine or "no engine",
+            )
         return left_open
 
     def start(self, told: Listing) -> Listing:
         """Begin to keep; the list of engines to start with."""
         self._driver.drive(self.store)
         kept = self.store.get(ledger.ENGINES)
-        listing, age = ledger.start_list(told, kept.value if kept else None, self._clock.now(),
-                                         self._settings.engines_for_s * ledger.SECOND)
+        listing, age = ledger.start_list(
+            told, kept.value if kept else None, self._clock.now(), self._settings.engines_for_s * ledger.SECOND
+        )
         if age is not None:
-            log.warning("no engines are told: starting with the list of %d kept %.0f s ago", len(listing.entries),
-                        age / ledger.SECOND)
+            log.warning(
+                "no engines are told: starting with the list of %d kept %.0f s ago",
+                len(listing.entries),
+                age / ledger.SECOND,
+            )
         elif told.entries:
             self.listed(told)
         self._loop = LoopingCall(self._tick)
@@ -135,7 +152,7 @@
     def _hold(self) -> None:
         """Wait for the disk with what there is, within bounds."""
         dropped = len(self._waiting) - MOST_WAITING
-        for key in list(self._waiting)[:max(dropped, 0)]:
+        for key in list(self._waiting)[: max(dropped, 0)]:
             del self._waiting[key]
             self._counters.add("state_dropped")
 
--- a/rackhub/state/ledger.py
+++ b/rackhub/state/ledger.py
@@ -95,8 +95,9 @@
         key, until = keyed_key(cls, token), now + self._windows.get(cls, self._least)
         one = self._all.get(key)
         if one is None:
-            self._all[key] = Keyed(token=token, cls=cls, tenant=tenant, state="taken", taken=now, changed=now,
-                                   until=until)
+            self._all[key] = Keyed(
+                token=token, cls=cls, tenant=tenant, state="taken", taken=now, changed=now, until=until
+            )
             self._ends.append((until, key))
         else:  # what its earlier attempts may have done stays on record
             one.state, one.changed, one.tries = "taken", now, one.tries + 1
@@ -168,8 +169,9 @@
     age = max(now - have.at, 0)
     if age > most_age or not have.entries:
         return told, None
-    return Listing(told.rev, tuple(have.entries), {name: (host, port) for name, (host, port)
-                                                   in have.addresses.items()}), age
+    return Listing(
+        told.rev, tuple(have.entries), {name: (host, port) for name, (host, port) in have.addresses.items()}
+    ), age
 
 
 def begin_counters(kept: bytes | None, now: int) -> KeptCounters:
--- a/rackhub/state/part.py
+++ b/rackhub/state/part.py
@@ -16,8 +16,13 @@
         except ImportError as missing:
             raise PartUnusable(f"[store]: {missing}: install the extra 'store' (requirements-store.txt)") from None
         try:
-            self.keeper = Keeper(host.reactor, store_settings(host.operator.store or {}),
-                                 host.source.settings.classes, host.clock, host.counters)
+            self.keeper = Keeper(
+                host.reactor,
+                store_settings(host.operator.store or {}),
+                host.source.settings.classes,
+                host.clock,
+                host.counters,
+            )
         except (StoreError, OSError) as fault:
             raise PartUnusable(f"[store]: {fault}") from None
         host.core.ledger = self.keeper
--- a/rackhub/statement.py
+++ b/rackhub/statement.py
@@ -8,20 +8,26 @@
 import re
 
 NAME = rb"""(?:[A-Za-z_][\w$#]*|"(?:[^"]|"")*"|\[(?:[^\]]|\]\])*\]|`[^`]*`)"""
-SCAN = re.compile(rb"""
+SCAN = re.compile(
+    rb"""
     (?P<skip>--[^\n]* | '(?:[^']|'')*(?:'|\Z))
   | (?P<open>/\*)
   | (?P<comma>,)
   | (?P<dotted>(?<![\w$\#.])NAME(?:\s*\.\s*NAME)+)
   | (?P<word>(?<![\w$\#.])NAME)
-""".replace(b"NAME", NAME.replace(b"#", rb"\#")), re.X | re.S)
+""".replace(b"NAME", NAME.replace(b"#", rb"\#")),
+    re.X | re.S,
+)
 PART = re.compile(NAME)
 COMMENT = re.compile(rb"/\*|\*/")
 GROUP = re.compile(rb".*_([0-9]+)\Z", re.S)
 UNSEEN = re.compile(rb"'(?:[^']|'')*'|--[^\n]*")
 HIDING = re.compile(rb"""['"\[`]|/\*""")
-TABLE = re.compile(rb"\b(?:FROM|JOIN|INTO|UPDATE|TABLE|USING)\s+"
-                   rb"(?:[A-Z_][\w$#]*\s*\.\s*)?([A-Z_][\w$#]*)\s*\.\s*[A-Z_]", re.I)
+TABLE = re.compile(
+    rb"\b(?:FROM|JOIN|INTO|UPDATE|TABLE|USING)\s+"
+    rb"(?:[A-Z_][\w$#]*\s*\.\s*)?([A-Z_][\w$#]*)\s*\.\s*[A-Z_]",
+    re.I,
+)
 BEFORE_TABLES = {b"FROM", b"JOIN", b"INTO", b"UPDATE", b"TABLE", b"USING", b"COPY", b"LOAD", b"MERGE"}
 AFTER_TABLES = {b"SELECT", b"WHERE", b"GROUP", b"ORDER", b"HAVING", b"SET", b"VALUES", b"ON", b"UNION"}
 ASIDE = b"staging"  # the schema that loads pass through: it says nothing of what is read
--- a/rackhub/store/__init__.py
+++ b/rackhub/store/__init__.py
@@ -26,14 +26,44 @@
     from rackhub.store.records import Change, KeyValue
 
 _HOMES = {
-    "Batch": "batch", "When": "batch", "Commit": "engine", "Snapshot": "engine", "Store": "engine",
-    "BadBatch": "errors", "Compacted": "errors", "Corrupt": "errors", "FutureRevision": "errors", "Locked": "errors",
-    "NewerFormat": "errors", "NoLease": "errors", "ReadOnly": "errors", "StoreError": "errors", "Options": "options",
-    "Change": "records", "KeyValue": "records",
+    "Batch": "batch",
+    "When": "batch",
+    "Commit": "engine",
+    "Snapshot": "engine",
+    "Store": "engine",
+    "BadBatch": "errors",
+    "Compacted": "errors",
+    "Corrupt": "errors",
+    "FutureRevision": "errors",
+    "Locked": "errors",
+    "NewerFormat": "errors",
+    "NoLease": "errors",
+    "ReadOnly": "errors",
+    "StoreError": "errors",
+    "Options": "options",
+    "Change": "records",
+    "KeyValue": "records",
 }
 
-__all__ = ["BadBatch", "Batch", "Change", "Commit", "Compacted", "Corrupt", "FutureRevision", "KeyValue", "Locked",
-           "NewerFormat", "NoLease", "Options", "ReadOnly", "Snapshot", "Store", "StoreError", "When"]
+__all__ = [
+    "BadBatch",
+    "Batch",
+    "Change",
+    "Commit",
+    "Compacted",
+    "Corrupt",
+    "FutureRevision",
+    "KeyValue",
+    "Locked",
+    "NewerFormat",
+    "NoLease",
+    "Options",
+    "ReadOnly",
+    "Snapshot",
+    "Store",
+    "StoreError",
+    "When",
+]
 
 
 def __getattr__(name: str) -> Any:
--- a/rackhub/store/bench.py
+++ b/rackhub/store/bench.py
@@ -107,8 +107,12 @@
         progress(f"reads of {count} keys")
         reads.append(_reads(path, chance, count))
     recoveries, memory = [], 0.0
-    for what, commits, keys in (("all live", some, some), ("all live", many, many),
-                                ("overwritten, compacted", many, some), ("one key, compacted", some, 1)):
+    for what, commits, keys in (
+        ("all live", some, some),
+        ("all live", many, many),
+        ("overwritten, compacted", many, some),
+        ("one key, compacted", some, 1),
+    ):
         progress(f"recovery: {what}, {commits} records")
         found, resident = _recovery(path, chance, what, commits, keys)
         recoveries.append(found)
@@ -148,12 +152,21 @@
     threaded = _threaded(path, keys, values, rounds)
     pace = sorted(bare)[1]
     total = len(parts[0]) * rounds * WRITERS
-    return Groups(size, rounds * WRITERS, pace / MIB, total / alone / pace, total / steady / pace,
-                  total / threaded / pace, spread.get_value_at_percentile(50), spread.get_value_at_percentile(99))
-
-
-def _rounds(path: Path, keys: list[bytes], values: list[bytes], rounds: int, **options: object
-            ) -> tuple[float, HdrHistogram]:
+    return Groups(
+        size,
+        rounds * WRITERS,
+        pace / MIB,
+        total / alone / pace,
+        total / steady / pace,
+        total / threaded / pace,
+        spread.get_value_at_percentile(50),
+        spread.get_value_at_percentile(99),
+    )
+
+
+def _rounds(
+    path: Path, keys: list[bytes], values: list[bytes], rounds: int, **options: object
+) -> tuple[float, HdrHistogram]:
     store = _open(path, wake=lambda store: None, retain_revisions=1_000, **options)
     spread = HdrHistogram(1, MOST_US, 3)
     start = time.perf_counter()
@@ -188,8 +201,7 @@
                 if i == len(going) // 2 and syncing is None and len(going) > 1:
                     file = store.begin_flush()
                     syncing = pool.submit(file.sync) if file is not None else None
-                store.commit(Batch().put(keys[(done + i) % len(keys)], values[writer]),
-                             acknowledged=committed(writer))
+                store.commit(Batch().put(keys[(done + i) % len(keys)], values[writer]), acknowledged=committed(writer))
             done += len(going)
             if syncing is None:
                 file = store.begin_flush()
@@ -216,11 +228,14 @@
         store.get(name)
     ordered = sorted(names)[:2_000]
     found = Reads(
-        count, _rate(lambda i: store.get(b"memory-%04d" % (i % 1_000)), 50_000),
-        _rate(lambda i: store.get(few[i % 300]), 20_000), _rate(lambda i: store.get(names[i]), len(names)),
+        count,
+        _rate(lambda i: store.get(b"memory-%04d" % (i % 1_000)), 50_000),
+        _rate(lambda i: store.get(few[i % 300]), 20_000),
+        _rate(lambda i: store.get(names[i]), len(names)),
         _rate(lambda i: store.get(b"none-%08d" % i), 50_000),
         _rate(lambda i: store.range(ordered[i], None, limit=100), len(ordered)),
-        _rate(lambda i: sum(1 for _ in store.scan()), 1) * (count + 1_000))
+        _rate(lambda i: sum(1 for _ in store.scan()), 1) * (count + 1_000),
+    )
     _discard(store, path)
     return found
 
@@ -261,8 +276,16 @@
             store.flush()
     store.settle()
     disk = sum(file.stat().st_size for file in (path / "store").iterdir())
-    found = Overwrites(keys, commits, reserve, user / MIB, store.written_log / MIB, store.written_tables / MIB,
-                       (store.written_log + store.written_tables) / user, disk / MIB)
+    found = Overwrites(
+        keys,
+        commits,
+        reserve,
+        user / MIB,
+        store.written_log / MIB,
+        store.written_tables / MIB,
+        (store.written_log + store.written_tables) / user,
+        disk / MIB,
+    )
     _discard(store, path)
     return found
 
@@ -286,8 +309,9 @@
                 longest = max(longest, took)
     gc.enable()
     _discard(store, path)
-    return Turns(spread.get_total_count(), spread.get_value_at_percentile(50), spread.get_value_at_percentile(99),
-                 longest)
+    return Turns(
+        spread.get_total_count(), spread.get_value_at_percentile(50), spread.get_value_at_percentile(99), longest
+    )
 
 
 def _filled(path: Path, chance: random.Random, commits: int, keys: int) -> Store:
