--- a/rackhub/store/engine.py
+++ b/rackhub/store/engine.py
@@ -109,8 +109,14 @@
 class Store:
     """An open store. Made by `Store.open`."""
 
-    def __init__(self, files: Files, options: Options, clock: Callable[[], int], ticks: Callable[[], int],
-                 wake: Callable[["Store"], None] | None):
+    def __init__(
+        self,
+        files: Files,
+        options: Options,
+        clock: Callable[[], int],
+        ticks: Callable[[], int],
+        wake: Callable[["Store"], None] | None,
+    ):
         self.options = options
         self._files, self._clock, self._ticks, self._wake = files, clock, ticks, wake
         self._cache = BlockCache(options.cache_bytes)
@@ -137,9 +143,16 @@
     # ---- opening
 
     @classmethod
-    def open(cls, path: str | Path, options: Options | None = None, *, files: Files | None = None,
-             clock: Callable[[], int] = unix_clock, ticks: Callable[[], int] = monotonic,
-             wake: Callable[["Store"], None] | None = None) -> "Store":
+    def open(
+        cls,
+        path: str | Path,
+        options: Options | None = None,
+        *,
+        files: Files | None = None,
+        clock: Callable[[], int] = unix_clock,
+        ticks: Callable[[], int] = monotonic,
+        wake: Callable[["Store"], None] | None = None,
+    ) -> "Store":
         """Open the store in the directory `path`, made where it is not there.
 
         `clock`: Unix microseconds, for leases. `wake` is called when there is something for `flush` or `work` to do,
@@ -179,13 +192,21 @@
                     replayed, seen = replayed + 1, record.at
         name = log_name(manifest.active)
         size = sizes[name]
-        self._log = Log(self._files, manifest.active, manifest.active_first, manifest.active_before,
-                        self.options.frame_bytes, self._files.open(name), size)
+        self._log = Log(
+            self._files,
+            manifest.active,
+            manifest.active_first,
+            manifest.active_before,
+            self.options.frame_bytes,
+            self._files.open(name),
+            size,
+        )
         tail, records = self._log.replay(self._log.file, size)
         last = records[-1].number if records else manifest.active_first - 1
         if last < manifest.flushed:
-            raise Corrupt(name, tail.end, f"cut short: it ends with record {last}, and record {manifest.flushed} "
-                                          "was on disk")
+            raise Corrupt(
+                name, tail.end, f"cut short: it ends with record {last}, and record {manifest.flushed} was on disk"
+            )
         for record in records:
             if record.number > manifest.flushed:
                 self._mem.add(record.number, record.revision, record.entries, weight(record))
@@ -249,8 +270,9 @@
         """Leases and the compacted revision, from the store's own keys."""
         self.leases = Leases(seen)
         for entry in self._visible(LEASE, LEASE + b"\xff" * 9, NEWEST):
-            self.leases.restore(int.from_bytes(entry.key[1:], "big"),
-                                msgspec.msgpack.decode(entry.value or b"", type=LeaseTerms))
+            self.leases.restore(
+                int.from_bytes(entry.key[1:], "big"), msgspec.msgpack.decode(entry.value or b"", type=LeaseTerms)
+            )
         for entry in self._visible(ATTACHED, b"b", NEWEST):
             self.leases.attach(int.from_bytes(entry.key[1:9], "big"), entry.key[9:])
         told = self._latest(COMPACTED)
@@ -354,8 +376,9 @@
         if new and old != new:
             entries.append(Entry(ATTACHED + new.to_bytes(8, "big") + key, number, b""))
 
-    def _append(self, entries: list[Entry], revision: int, size: int, acknowledged: Acknowledged | None,
-                own: bool = True) -> None:
+    def _append(
+        self, entries: list[Entry], revision: int, size: int, acknowledged: Acknowledged | None, own: bool = True
+    ) -> None:
         """One record. `own`: there may be keys of the store's own among the entries. Each commit goes through here,
         so what most of them do not need is asked for as cheaply as it can be."""
         number = self._number = self._number + 1
@@ -565,11 +588,22 @@
         """Close the active segment, all of which is on disk, and begin the next."""
         old, manifest = self._log, self._manifest
         new = Log(self._files, manifest.next_number, old.last + 1, old.revision, self.options.frame_bytes)
-        closed = (SegmentInfo(old.number, old.first, old.last, old.before, old.revision, old.written),) \
-            if old.last >= old.first else ()
-        self._install(msgspec.structs.replace(
-            manifest, next_number=manifest.next_number + 1, segments=(*manifest.segments, *closed),
-            active=new.number, active_first=new.first, active_before=new.before, active_durable=HEADER_SIZE))
+        closed = (
+            (SegmentInfo(old.number, old.first, old.last, old.before, old.revision, old.written),)
+            if old.last >= old.first
+            else ()
+        )
+        self._install(
+            msgspec.structs.replace(
+                manifest,
+                next_number=manifest.next_number + 1,
+                segments=(*manifest.segments, *closed),
+                active=new.number,
+                active_first=new.first,
+                active_before=new.before,
+                active_durable=HEADER_SIZE,
+            )
+        )
         new.waiting, new._waiting_bytes = old.waiting, old._waiting_bytes
         self._places[old.number] = old.places
         self._log = new
@@ -592,8 +626,9 @@
         entry = self._latest(DATA + key, NEWEST if at is None else at)
         return key_value(entry) if entry is not None and entry.value is not None else None
 
-    def range(self, start: bytes = b"", end: bytes | None = None, at: int | None = None, limit: int = 0
-              ) -> list[KeyValue]:
+    def range(
+        self, start: bytes = b"", end: bytes | None = None, at: int | None = None, limit: int = 0
+    ) -> list[KeyValue]:
         """The keys from `start` to before `end` (None: to the last), in order; at most `limit` of them if not 0."""
         found: list[KeyValue] = []
         for item in self.scan(start, end, at):
@@ -662,8 +697,9 @@
                     continue
                 for entry in record.entries:
                     if entry.key[:1] == DATA:
-                        yield Change(record.revision, entry.key[1:],
-                                     key_value(entry) if entry.value is not None else None)
+                        yield Change(
+                            record.revision, entry.key[1:], key_value(entry) if entry.value is not None else None
+                        )
 
     def snapshot(self, at: int | None = None) -> "Snapshot":
         """The state at revision `at`, now without one, readable until it is closed whatever is compacted meanwhile."""
@@ -695,8 +731,9 @@
 
     def _visible(self, start: bytes, end: bytes | None, at: int) -> Iterator[Entry]:
         """What is there at `at` of the keys from `start` to before `end`, in order."""
-        sources: list[Iterator[Entry]] = [memory.scan(start, end) for memory in (self._mem, *self._frozen)
-                                          if memory.count]
+        sources: list[Iterator[Entry]] = [
+            memory.scan(start, end) for memory in (self._mem, *self._frozen) if memory.count
+        ]
         sources += [table.scan(start, end) for table in self._tables]
         done = b""
         for entry in sources[0] if len(sources) == 1 else merged(sources):
@@ -851,10 +888,19 @@
                 manifest = self._manifest
                 self._tables.insert(0, step)
                 self._frozen.remove(memory)
-                self._install(plan.without_garbage(msgspec.structs.replace(
-                    manifest, next_number=max(manifest.next_number, step.info.number + 1),
-                    tables=(step.info, *manifest.tables), flushed=memory.high, flushed_revision=memory.revision),
-                    floor, self.options.reserve))
+                self._install(
+                    plan.without_garbage(
+                        msgspec.structs.replace(
+                            manifest,
+                            next_number=max(manifest.next_number, step.info.number + 1),
+                            tables=(step.info, *manifest.tables),
+                            flushed=memory.high,
+                            flushed_revision=memory.revision,
+                        ),
+                        floor,
+                        self.options.reserve,
+                    )
+                )
             else:
                 yield step
         yield from memory.dismantle()
@@ -867,25 +913,42 @@
         sources = [table.scan(keep=False) for table in inputs]
         entries = kept(merged(sources) if len(sources) > 1 else sources[0], floor, bottom)
         count = sum(info.entries for info in infos)
-        for step in self._write_table(entries, count, infos[-1].low, infos[0].high, infos[0].revision, floor,
-                                      tuple(info.number for info in infos)):
+        for step in self._write_table(
+            entries, count, infos[-1].low, infos[0].high, infos[0].revision, floor, tuple(info.number for info in infos)
+        ):
             if isinstance(step, Table):
                 manifest = self._manifest
                 at = self._tables.index(inputs[0])
-                self._tables[at:at + len(inputs)] = [step]
+                self._tables[at : at + len(inputs)] = [step]
                 sources.clear()
                 for table in inputs:
                     if table.readers:
                         self._discarded[table.info.number] = table
-                self._install(plan.without_garbage(msgspec.structs.replace(
-                    manifest, next_number=max(manifest.next_number, step.info.number + 1),
-                    tables=tuple(table.info for table in self._tables),
-                    retired=(*manifest.retired, *infos)), floor, self.options.reserve))
+                self._install(
+                    plan.without_garbage(
+                        msgspec.structs.replace(
+                            manifest,
+                            next_number=max(manifest.next_number, step.info.number + 1),
+                            tables=tuple(table.info for table in self._tables),
+                            retired=(*manifest.retired, *infos),
+                        ),
+                        floor,
+                        self.options.reserve,
+                    )
+                )
             else:
                 yield step
 
-    def _write_table(self, entries: Iterator[Entry | None], count: int, low: int, high: int, revision: int, floor: int,
-                     sources: tuple[int, ...]) -> Iterator[Any]:
+    def _write_table(
+        self,
+        entries: Iterator[Entry | None],
+        count: int,
+        low: int,
+        high: int,
+        revision: int,
+        floor: int,
+        sources: tuple[int, ...],
+    ) -> Iterator[Any]:
         """Write a table in steps, with files to be synced among them; the open table comes last. It is handed over
         only once the log holds on disk all that it was made by: no table may be ahead of the log."""
         number, due = self._manifest.next_number, self._number
@@ -952,8 +1015,12 @@
         told = number_of(name)
         if told is not None:
             self._places.pop(told[1], None)
-        if told is not None and told[0] == "table" and self._discarded.pop(told[1], None) is not None or \
-                self._reading[name]:
+        if (
+            told is not None
+            and told[0] == "table"
+            and self._discarded.pop(told[1], None) is not None
+            or self._reading[name]
+        ):
             file.close()  # a reader has it: it is freed when that one is through
             return
         size = file.size()
@@ -968,12 +1035,21 @@
     def info(self) -> Info:
         """The store in figures."""
         manifest = self._manifest
-        return Info(self.revision, self.compacted, manifest.floor, self._number, list(manifest.tables),
-                    len(manifest.retired), len(manifest.segments) + 1,
-                    sum(segment.size for segment in manifest.segments) + self._log.written,
-                    sum(table.size for table in (*manifest.tables, *manifest.retired)),
-                    sum(memory.count for memory in (self._mem, *self._frozen)), len(self.leases),
-                    str(self._fault) if self._fault else "", self.recovered)
+        return Info(
+            self.revision,
+            self.compacted,
+            manifest.floor,
+            self._number,
+            list(manifest.tables),
+            len(manifest.retired),
+            len(manifest.segments) + 1,
+            sum(segment.size for segment in manifest.segments) + self._log.written,
+            sum(table.size for table in (*manifest.tables, *manifest.retired)),
+            sum(memory.count for memory in (self._mem, *self._frozen)),
+            len(self.leases),
+            str(self._fault) if self._fault else "",
+            self.recovered,
+        )
 
     def close(self) -> None:
         """Make all commits last, acknowledge them and let go of the directory. An unfinished merge begins anew at
--- a/rackhub/store/faulty.py
+++ b/rackhub/store/faulty.py
@@ -54,7 +54,7 @@
         try:
             self._home.step("append", len(data))
         except OSError:
-            half = data[:self._home.random.randrange(len(data) + 1)] if data else b""  # a part may be there
+            half = data[: self._home.random.randrange(len(data) + 1)] if data else b""  # a part may be there
             self._inode.change(len(self._inode.now), half)
             raise
         except PowerCut:
@@ -64,7 +64,7 @@
 
     def read(self, offset: int, size: int) -> bytes:
         self._home.alive()
-        return bytes(self._inode.now[offset:offset + size])
+        return bytes(self._inode.now[offset : offset + size])
 
     def size(self) -> int:
         self._home.alive()
@@ -203,17 +203,17 @@
         for i, (where, what) in enumerate(inode.pending):
             if i >= stop if in_order else chance.random() < 0.5:
                 if in_order and i == stop and what:
-                    what = what[:chance.randrange(len(what) + 1)]
+                    what = what[: chance.randrange(len(what) + 1)]
                 else:
                     continue
             if what is None:
                 del data[where:]
                 continue
             if not in_order and chance.random() < 0.3:
-                what = what[:chance.randrange(len(what) + 1)]
+                what = what[: chance.randrange(len(what) + 1)]
             if len(data) < where and what:
                 data += bytes(where - len(data))
-            data[where:where + len(what)] = what
+            data[where : where + len(what)] = what
         return bytes(data)
 
     def cut(self, name: str, size: int) -> "MemoryFiles":
--- a/rackhub/store/files.py
+++ b/rackhub/store/files.py
@@ -50,12 +50,12 @@
 
     def append(self, parts: Sequence[bytes]) -> None:
         for i in range(0, len(parts), MOST_PARTS):
-            some = list(parts[i:i + MOST_PARTS])
+            some = list(parts[i : i + MOST_PARTS])
             left, sent = sum(map(len, some)), os.writev(self._fd, some)
             if sent < left:  # a short write: a signal, or a disk that is filling up
                 rest = memoryview(b"".join(some))[sent:]
                 while rest:
-                    rest = rest[os.write(self._fd, rest):]
+                    rest = rest[os.write(self._fd, rest) :]
 
     def read(self, offset: int, size: int) -> bytes:
         data = os.pread(self._fd, size, offset)
--- a/rackhub/store/framing.py
+++ b/rackhub/store/framing.py
@@ -43,7 +43,7 @@
     if len(data) < HEADER_SIZE:
         raise Corrupt(name, len(data), f"cut inside its header of {HEADER_SIZE} bytes")
     found, format, _, own, check = _HEADER.unpack(data[:HEADER_SIZE])
-    if crc32c(data[:HEADER_SIZE - 4]) != check:
+    if crc32c(data[: HEADER_SIZE - 4]) != check:
         raise Corrupt(name, 0, "its header fails its checksum")
     if found != kind:
         raise Corrupt(name, 0, f"it is of kind {found!r}, not {kind!r}")
@@ -68,8 +68,8 @@
     end = start + FRAME_SIZE + length
     if marker != MARKER or end > len(data):
         return None
-    payload = data[start + FRAME_SIZE:end]
-    if crc32c(payload, crc32c(data[start + 4:start + 12])) != check:
+    payload = data[start + FRAME_SIZE : end]
+    if crc32c(payload, crc32c(data[start + 4 : start + 12])) != check:
         return None
     return Frame(start, end, durable, payload)
 
--- a/rackhub/store/kill.py
+++ b/rackhub/store/kill.py
@@ -105,8 +105,13 @@
     return tally
 
 
-def _one(path: Path, chance: random.Random, cycle: int, acknowledged: dict[int, tuple[bytes, bytes]],
-         sent: set[tuple[bytes, bytes]]) -> None:
+def _one(
+    path: Path,
+    chance: random.Random,
+    cycle: int,
+    acknowledged: dict[int, tuple[bytes, bytes]],
+    sent: set[tuple[bytes, bytes]],
+) -> None:
     child = subprocess.Popen([sys.executable, "-m", "rackhub.store.kill", str(path)], stdout=subprocess.PIPE)
     clients: list[_Client] = []
     try:
@@ -149,12 +154,19 @@
             child.stdout.close()
 
 
-def _check(path: Path, acknowledged: dict[int, tuple[bytes, bytes]], sent: set[tuple[bytes, bytes]],
-           tally: Killed) -> None:
+def _check(
+    path: Path, acknowledged: dict[int, tuple[bytes, bytes]], sent: set[tuple[bytes, bytes]], tally: Killed
+) -> None:
     with Store.open(path, OPTIONS) as store:
         tally.torn += store.recovered.torn_bytes > 0
-        there = {change.revision: (change.key, change.now.value if change.now else b"")
-                 for change in store.changes(store.compacted + 1)} if store.compacted < store.revision else {}
+        there = (
+            {
+                change.revision: (change.key, change.now.value if change.now else b"")
+                for change in store.changes(store.compacted + 1)
+            }
+            if store.compacted < store.revision
+            else {}
+        )
         for revision, what in there.items():
             if what not in sent:
                 tally.found_unsent += 1
@@ -170,8 +182,12 @@
                 newest[key] = (revision, value)
         for key, (revision, value) in newest.items():
             found = store.get(key)
-            if found is None or found.mod_revision < revision or \
-                    found.mod_revision == revision and found.value != value:
+            if (
+                found is None
+                or found.mod_revision < revision
+                or found.mod_revision == revision
+                and found.value != value
+            ):
                 tally.lost += 1
                 tally.violations.append(f"kill {tally.kills}: key {key!r} is older than acknowledged")
     del tally.violations[100:]
--- a/rackhub/store/log.py
+++ b/rackhub/store/log.py
@@ -56,8 +56,16 @@
 class Log:
     """Records go in by `add`, to the file by `write`, to the disk between `begin_sync` and `end_sync`."""
 
-    def __init__(self, files: Files, number: int, first: int, before: int, frame_bytes: int, file: File | None = None,
-                 size: int = 0):
+    def __init__(
+        self,
+        files: Files,
+        number: int,
+        first: int,
+        before: int,
+        frame_bytes: int,
+        file: File | None = None,
+        size: int = 0,
+    ):
         """The segment `number`, which begins with record `first` at the store's revision `before`; `file` where it
         is there already, whole and on disk up to `size`."""
         self._files, self.number, self.first, self.before, self._frame_bytes = files, number, first, before, frame_bytes
@@ -178,7 +186,7 @@
         found = frame_at(data, start - base)
         if found is None:
             if len(data) - (start - base) >= FRAME_SIZE:
-                length = int.from_bytes(data[start - base + 4:start - base + 8], "little")
+                length = int.from_bytes(data[start - base + 4 : start - base + 8], "little")
                 need = FRAME_SIZE + length
             else:
                 need = FRAME_SIZE
--- a/rackhub/store/options.py
+++ b/rackhub/store/options.py
@@ -23,9 +23,15 @@
     retain_revisions: int = 0  # compact by itself to so many revisions of history; 0: keep all
 
     def __post_init__(self) -> None:
-        for name, least, most in (("memtable_bytes", 4 * KIB, 1_024 * MIB), ("block_bytes", 256, MIB),
-                                  ("cache_bytes", 0, 4_096 * MIB), ("batch_bytes", KIB, 1_024 * MIB),
-                                  ("frame_bytes", KIB, 64 * MIB), ("slice_us", 100, 1_000_000), ("runs", 2, 64),
-                                  ("retain_revisions", 0, 1 << 62)):
+        for name, least, most in (
+            ("memtable_bytes", 4 * KIB, 1_024 * MIB),
+            ("block_bytes", 256, MIB),
+            ("cache_bytes", 0, 4_096 * MIB),
+            ("batch_bytes", KIB, 1_024 * MIB),
+            ("frame_bytes", KIB, 64 * MIB),
+            ("slice_us", 100, 1_000_000),
+            ("runs", 2, 64),
+            ("retain_revisions", 0, 1 << 62),
+        ):
             if not least <= getattr(self, name) <= most:
                 raise ValueError(f"{name} is {getattr(self, name)}: from {least} to {most} is needed")
--- a/rackhub/store/plan.py
+++ b/rackhub/store/plan.py
@@ -61,16 +61,19 @@
     while a table that came straight from the log may have come from it.
     """
     fresh = [table for table in manifest.tables if not table.sources] if reserve else []
-    segments = [segment for segment in manifest.segments
-                if segment.last > manifest.flushed or segment.revision > floor
-                or any(table.low <= segment.last and segment.first <= table.high for table in fresh)]
+    segments = [
+        segment
+        for segment in manifest.segments
+        if segment.last > manifest.flushed
+        or segment.revision > floor
+        or any(table.low <= segment.last and segment.first <= table.high for table in fresh)
+    ]
     # history must stay in one piece: nothing before a segment that goes can be asked for
     gone = [segment for segment in manifest.segments if segment not in segments]
     lost = max((segment.revision for segment in gone), default=manifest.floor)
     wanted = {number for table in manifest.tables for number in table.sources} if reserve else set()
     retired = tuple(table for table in manifest.retired if table.number in wanted)
-    return msgspec.structs.replace(manifest, segments=tuple(segments), retired=retired,
-                                   floor=max(manifest.floor, lost))
+    return msgspec.structs.replace(manifest, segments=tuple(segments), retired=retired, floor=max(manifest.floor, lost))
 
 
 def named(manifest: Manifest) -> set[str]:
--- a/rackhub/store/salvage.py
+++ b/rackhub/store/salvage.py
@@ -83,8 +83,7 @@
                 stretches[-1] = msgspec.structs.replace(stretches[-1], last=last.number, revision=last.revision)
                 places[-1] = (places[-1][0], end)
             else:
-                stretches.append(plan.Stretch(number, first.number, last.number, revision_before(first),
-                                              last.revision))
+                stretches.append(plan.Stretch(number, first.number, last.number, revision_before(first), last.revision))
                 places.append((found.start, end))
         if end < len(data):
             findings.append(Finding(name, end, "no whole frame begins here"))
@@ -129,8 +128,9 @@
 
 def choose(found: Survey) -> plan.Rescue:
     """What is taken of it."""
-    return plan.rescue(list(found.tables.values()),
-                       [stretch for log in found.logs.values() for stretch in log.stretches])
+    return plan.rescue(
+        list(found.tables.values()), [stretch for log in found.logs.values() for stretch in log.stretches]
+    )
 
 
 def write(found: Survey, taken: plan.Rescue, source: Files, target: Files, seen: int) -> None:
@@ -155,13 +155,28 @@
     file.close()
     target.sync_names()
     flushed = taken.tables[0] if taken.tables else None
-    install(target, Manifest(
-        number + 1, number, taken.end + 1, taken.revision, HEADER_SIZE, flushed.high if flushed else 0,
-        flushed.revision if flushed else 0, taken.floor, seen, taken.tables, (), tuple(segments)))
-
-
-def _write_segment(found: Survey, stretch: plan.Stretch, source: Files, target: Files, number: int, due: int,
-                   before: int) -> SegmentInfo:
+    install(
+        target,
+        Manifest(
+            number + 1,
+            number,
+            taken.end + 1,
+            taken.revision,
+            HEADER_SIZE,
+            flushed.high if flushed else 0,
+            flushed.revision if flushed else 0,
+            taken.floor,
+            seen,
+            taken.tables,
+            (),
+            tuple(segments),
+        ),
+    )
+
+
+def _write_segment(
+    found: Survey, stretch: plan.Stretch, source: Files, target: Files, number: int, due: int, before: int
+) -> SegmentInfo:
     """The records of a stretch from `due` on, in a segment of their own."""
     name = log_name(stretch.log)
     log = found.logs[name]
@@ -198,8 +213,9 @@
     new.close()
 
 
-def salvage(source: Files, target: Files, seen: int, progress: Callable[[str], None] = lambda name: None
-            ) -> tuple[Survey, plan.Rescue]:
+def salvage(
+    source: Files, target: Files, seen: int, progress: Callable[[str], None] = lambda name: None
+) -> tuple[Survey, plan.Rescue]:
     """Read all that is in `source`, write what is provably whole to `target`. What could not be taken is told by
     both results: the findings of the one and what the other has `left`."""
     found = survey(source, progress)
--- a/rackhub/store/table.py
+++ b/rackhub/store/table.py
@@ -104,14 +104,18 @@
         self.offset += len(data)
         return data
 
-    def finish(self, low: int, high: int, revision: int, floor: int, sources: tuple[int, ...]
-               ) -> tuple[bytes, TableInfo]:
+    def finish(
+        self, low: int, high: int, revision: int, floor: int, sources: tuple[int, ...]
+    ) -> tuple[bytes, TableInfo]:
         """The rest of the file, and what it holds."""
         parts = [self._cut()] if self._block else []
         begins = [self.offset]
         replaced = sorted(self._replaced)
-        stale = tuple(replaced[(2 * i + 1) * len(replaced) // (2 * QUANTILES)] for i in range(QUANTILES)) \
-            if replaced else ()
+        stale = (
+            tuple(replaced[(2 * i + 1) * len(replaced) // (2 * QUANTILES)] for i in range(QUANTILES))
+            if replaced
+            else ()
+        )
         self._offsets.append(self.offset)
         index = encode((self._index, self._offsets))
         sizes = FRAME_SIZE * 3 + _FOOTER.size
@@ -133,7 +137,6 @@
         parts.append(_FOOTER.pack(*begins[:3], crc32c(told), _END))
         return b"".join(parts), info
 
-
     def open(self, name: str, file: File, cache: "BlockCache", info: TableInfo) -> "Table":
         """The table just written, without reading its index again, which takes long for a large one."""
         table = Table.__new__(Table)
@@ -243,7 +246,7 @@
                 block = self.block(i, keep)
                 low = bisect_left(block, place, key=_place) if i == first else 0
                 if end is not None and block[-1].key >= end:
-                    yield from block[low:bisect_left(block, (end, -(1 << 64)), key=_place)]
+                    yield from block[low : bisect_left(block, (end, -(1 << 64)), key=_place)]
                     return
                 yield from block[low:] if low else block
         finally:
--- a/rackhub/store/torture.py
+++ b/rackhub/store/torture.py
@@ -34,8 +34,9 @@
 KEYS = 120
 HISTORY = 400  # revisions, from which on the workload compacts: so much log is there at a time, the rest is merged
 START = 1_800_000_000_000_000  # the workload's clock, Unix microseconds
-SMALL = Options(contract="group", memtable_bytes=24 * 1_024, block_bytes=1_024, cache_bytes=65_536,
-                frame_bytes=8 * 1_024, runs=3)
+SMALL = Options(
+    contract="group", memtable_bytes=24 * 1_024, block_bytes=1_024, cache_bytes=65_536, frame_bytes=8 * 1_024, runs=3
+)
 TRIES_A_CUT = 3  # states that one power cut is tried in
 PATIENCE = 6  # power cuts in a row during one recovery
 
@@ -57,8 +58,9 @@
         made: list[tuple[bytes, KeyValue | None]] = []
         for key, (value, lease) in puts.items():
             old = state.get(key)
-            state[key] = KeyValue(key, value, old.create_revision if old else revision, revision,
-                                  old.version + 1 if old else 1, lease)
+            state[key] = KeyValue(
+                key, value, old.create_revision if old else revision, revision, old.version + 1 if old else 1, lease
+            )
             made.append((key, state[key]))
         for key in sorted(deletes):
             del state[key]
@@ -68,8 +70,8 @@
 
     def cut(self, revision: int) -> None:
         """What came after was never acknowledged, and is gone."""
-        del self.states[revision + 1:]
-        del self.changes[revision + 1:]
+        del self.states[revision + 1 :]
+        del self.changes[revision + 1 :]
 
 
 class Workload:
@@ -82,8 +84,9 @@
         self.open()
 
     def open(self) -> None:
-        self.store = Store.open("memory", self.options, files=self.files, clock=lambda: self.now,
-                                ticks=iter(range(1 << 60)).__next__)
+        self.store = Store.open(
+            "memory", self.options, files=self.files, clock=lambda: self.now, ticks=iter(range(1 << 60)).__next__
+        )
         # a step that was cut between the log's write and the model's
         self.acknowledged = min(self.acknowledged, self.store.revision)
 
@@ -131,12 +134,13 @@
         """Bytes that say which revision wrote them, so that none can pass for another's."""
         seed = b"%d %d" % (self.model.revision, self.random.randrange(1 << 30))
         size = self.random.randrange(self.value)
-        return (seed + hashlib.shake_128(seed).digest(size))[:max(size, len(seed))]
+        return (seed + hashlib.shake_128(seed).digest(size))[: max(size, len(seed))]
 
     def _told(self, revision: int) -> Callable[[StoreError | None], None]:
         def call(error: StoreError | None) -> None:
             if error is None:
                 self.acknowledged = max(self.acknowledged, revision)
+
         return call
 
     def _commit(self, batch: Batch, puts: dict[bytes, tuple[bytes, int]], deletes: set[bytes]) -> None:
@@ -207,7 +211,7 @@
             past.append((change.key, change.now))
             if not at < change.revision <= revision:
                 return f"history gives revision {change.revision} between {at + 1} and {revision}"
-        wanted = [made for one in model.changes[at + 1:store.acknowledged_revision + 1] for made in one]
+        wanted = [made for one in model.changes[at + 1 : store.acknowledged_revision + 1] for made in one]
         if past != wanted:
             return f"the history from revision {at + 1} to {revision} is not what was written"
     return ""
@@ -260,8 +264,14 @@
 
     def try_flip(self, i: int, name: str, offset: int, tally: Tally) -> None:
         image, _ = self.images[i]
-        self._try(i, name, offset, image.flip(name, offset, (offset * 7 + 3) % 8),
-                  f"image {i}, {name} flipped at {offset}", tally)
+        self._try(
+            i,
+            name,
+            offset,
+            image.flip(name, offset, (offset * 7 + 3) % 8),
+            f"image {i}, {name} flipped at {offset}",
+            tally,
+        )
 
     def _try(self, i: int, name: str, offset: int, files: MemoryFiles, what: str, tally: Tally) -> None:
         try:
@@ -406,8 +416,9 @@
         # what was read must be there still, whatever happens next: the first recovery has served it
         seen = store.revision
         store.close()
-        store = Store.open("memory", SMALL, files=files.after_power_cut(seed + 1), clock=lambda: work.now,
-                           ticks=lambda: 0)
+        store = Store.open(
+            "memory", SMALL, files=files.after_power_cut(seed + 1), clock=lambda: work.now, ticks=lambda: 0
+        )
         if store.revision != seen:
             tally.wrong(f"{what}: revision {seen} was served after a recovery, then {store.revision}")
         return None
@@ -455,8 +466,9 @@
             continue
         wrong = faults_in(work.store, work.model, work.model.revision)
         if not wrong:
-            store = Store.open("memory", SMALL, files=files.after_power_cut(seed + n), clock=_standing(work.now),
-                               ticks=lambda: 0)
+            store = Store.open(
+                "memory", SMALL, files=files.after_power_cut(seed + n), clock=_standing(work.now), ticks=lambda: 0
+            )
             wrong = faults_in(store, work.model, work.acknowledged)
         tally.recovered += 1
         if wrong:
@@ -499,8 +511,13 @@
     violations: int = 0
 
 
-def run(log_bytes: int, seed: int, modes: tuple[Mode, ...] = MODES, workers: int = 0,
-        progress: Callable[[str, int, int], None] = lambda mode, done, of: None) -> Report:
+def run(
+    log_bytes: int,
+    seed: int,
+    modes: tuple[Mode, ...] = MODES,
+    workers: int = 0,
+    progress: Callable[[str, int, int], None] = lambda mode, done, of: None,
+) -> Report:
     """The whole torture of one seed, over `workers` processes (all cores without a number)."""
     workers = workers or os.cpu_count() or 1
     here = Bench(seed, log_bytes)
@@ -515,11 +532,15 @@
                 waiting = [pool.submit(_slice, mode, part, parts) for part in range(parts)]
                 total.images, total.files = len(here.images), len(count)
             elif mode == "power":
-                waiting = [pool.submit(try_power, seed + i // workers, 60_000, 300, workers, i % workers)
-                           for i in range(workers * 2)]
+                waiting = [
+                    pool.submit(try_power, seed + i // workers, 60_000, 300, workers, i % workers)
+                    for i in range(workers * 2)
+                ]
             else:
-                waiting = [pool.submit(try_faults, seed + i // workers, 60_000, 200, workers, i % workers)
-                           for i in range(workers * 2)]
+                waiting = [
+                    pool.submit(try_faults, seed + i // workers, 60_000, 200, workers, i % workers)
+                    for i in range(workers * 2)
+                ]
             for done, future in enumerate(waiting):
                 total.add(future.result())
                 progress(mode, done + 1, len(waiting))
@@ -528,5 +549,4 @@
     return report
 
 
-__all__ = ["MODES", "Bench", "Model", "Report", "Tally", "Workload", "faults_in", "run", "try_faults",
-           "try_power"]
+__all__ = ["MODES", "Bench", "Model", "Report", "Tally", "Workload", "faults_in", "run", "try_faults", "try_power"]
--- a/rackhub/timings/bench.py
+++ b/rackhub/timings/bench.py
@@ -32,8 +32,10 @@
     "in turn each engine six times slower for 3 s": (Scene(slow_turns=3.0, spread=0.3), COPIES),
     "the same, work widely spread": (Scene(slow_turns=3.0, spread=0.6), COPIES),
     "twice the load that fits, after 10 s of calm": (Scene(per_second=2_100.0, seconds=30, calm=10), BUDGETS),
-    "all engines three times slower": (Scene(per_second=700.0, seconds=20, speeds=dict.fromkeys(range(8), 1 / 3)),
-                                       BUDGETS),
+    "all engines three times slower": (
+        Scene(per_second=700.0, seconds=20, speeds=dict.fromkeys(range(8), 1 / 3)),
+        BUDGETS,
+    ),
 }
 
 
@@ -83,8 +85,10 @@
         for name, (scene, ways) in SCENES.items():
             shorter = msgspec.structs.replace(scene, seconds=min(seconds, scene.seconds))
             for way, routes in ways.items():
-                waiting[name, way] = shorter, [pool.submit(_play, shorter, routes, seed)
-                                               for seed in range(1, seeds + 1)]
+                waiting[name, way] = (
+                    shorter,
+                    [pool.submit(_play, shorter, routes, seed) for seed in range(1, seeds + 1)],
+                )
         first: dict[str, Row] = {}
         for (name, way), (scene, futures) in waiting.items():
             outcomes = []
@@ -101,17 +105,36 @@
     def mean(call: Callable[[Outcome], float]) -> float:
         return sum(map(call, outcomes)) / len(outcomes)
 
-    return Row(scene, way, mean(lambda o: o.p50_ms), mean(lambda o: o.p99_ms), mean(lambda o: o.p999_ms),
-               mean(lambda o: o.good / told.seconds), mean(lambda o: o.served / o.requests),
-               mean(lambda o: o.refused / o.requests), mean(lambda o: o.attempts / o.requests),
-               mean(lambda o: o.copies / o.requests), mean(lambda o: o.engine_work_ms / o.requests), 1.0,
-               sum(outcome.doubled + outcome.unanswered for outcome in outcomes))
+    return Row(
+        scene,
+        way,
+        mean(lambda o: o.p50_ms),
+        mean(lambda o: o.p99_ms),
+        mean(lambda o: o.p999_ms),
+        mean(lambda o: o.good / told.seconds),
+        mean(lambda o: o.served / o.requests),
+        mean(lambda o: o.refused / o.requests),
+        mean(lambda o: o.attempts / o.requests),
+        mean(lambda o: o.copies / o.requests),
+        mean(lambda o: o.engine_work_ms / o.requests),
+        1.0,
+        sum(outcome.doubled + outcome.unanswered for outcome in outcomes),
+    )
 
 
 def fifty_routes() -> list[Route]:
     """Fifty routes by estimate, each with a time-out, a back-off and a budget; no request is without one."""
-    return [Route(cls="lookup", estimate_ms=(i * 4.0, i * 4.0 + 4 if i < 49 else 1e9), attempt_timeout_ms=900.0 + i,
-                  attempts=2, backoff_ms=LATE, retry_share=0.1) for i in range(50)]
+    return [
+        Route(
+            cls="lookup",
+            estimate_ms=(i * 4.0, i * 4.0 + 4 if i < 49 else 1e9),
+            attempt_timeout_ms=900.0 + i,
+            attempts=2,
+            backoff_ms=LATE,
+            retry_share=0.1,
+        )
+        for i in range(50)
+    ]
 
 
 def cost(rounds: int = 41, requests: int = 500) -> Cost:
--- a/rackhub/timings/check.py
+++ b/rackhub/timings/check.py
@@ -84,8 +84,11 @@
         if self.given("engine_kind"):
             for name in WORDS:
                 if name not in MATCHES and name not in BY_ENGINE and self._set(name):
-                    yield self.bad(name, "is settled before an engine is chosen: a route by engine_kind can't set it",
-                                   f"{self.at}.engine_kind")
+                    yield self.bad(
+                        name,
+                        "is settled before an engine is chosen: a route by engine_kind can't set it",
+                        f"{self.at}.engine_kind",
+                    )
 
     def _set(self, name: str) -> bool:
         default = {field.name: field.default for field in msgspec.structs.fields(Route)}[name]
@@ -93,9 +96,11 @@
 
     def _matches(self) -> Iterator[Fault]:
         site = self.settings
-        for name, there, what in (("cls", [cls.name for cls in site.classes], "class"),
-                                  ("tenant", [tenant.name for tenant in site.tenants], "tenant"),
-                                  ("engine_kind", list(site.kind_cores), "kind of engine")):
+        for name, there, what in (
+            ("cls", [cls.name for cls in site.classes], "class"),
+            ("tenant", [tenant.name for tenant in site.tenants], "tenant"),
+            ("engine_kind", list(site.kind_cores), "kind of engine"),
+        ):
             wanted = names(getattr(self.route, name))
             if wanted is None:
                 continue
@@ -146,14 +151,18 @@
             for cls in self.classes:
                 late = [reason for reason in route.retry_on if reason not in NEVER_RAN]
                 if cls.effect == "fragile" and late:
-                    yield self.bad("retry_on", f"after {', '.join(late)} a request of class {cls.name!r} may have run, "
-                                               "and it may not run twice: full and noconn are allowed")
+                    yield self.bad(
+                        "retry_on",
+                        f"after {', '.join(late)} a request of class {cls.name!r} may have run, "
+                        "and it may not run twice: full and noconn are allowed",
+                    )
 
     def _timeouts(self) -> Iterator[Fault]:
         route = self.route
         if self.given("attempt_timeout_ms") and self.given("attempt_timeout"):
-            yield self.bad("attempt_timeout", "stands beside attempt_timeout_ms: one of them",
-                           f"{self.at}.attempt_timeout_ms")
+            yield self.bad(
+                "attempt_timeout", "stands beside attempt_timeout_ms: one of them", f"{self.at}.attempt_timeout_ms"
+            )
         if self.given("attempt_timeout"):
             yield from self._quantile("attempt_timeout", route.attempt_timeout or "")
         else:
@@ -162,8 +171,9 @@
                     yield self.bad(name, "bounds a learned time-out, and there is none: set attempt_timeout")
         least, most = route.attempt_timeout_least_ms, route.attempt_timeout_most_ms
         if least is not None and most is not None and least > most:
-            yield self.bad("attempt_timeout_least_ms", "is above attempt_timeout_most_ms",
-                           f"{self.at}.attempt_timeout_most_ms")
+            yield self.bad(
+                "attempt_timeout_least_ms", "is above attempt_timeout_most_ms", f"{self.at}.attempt_timeout_most_ms"
+            )
         for name in ("attempt_timeout_ms", "attempt_timeout_least_ms"):
             for cls in self.classes:
                 value = getattr(route, name)
@@ -192,8 +202,11 @@
         for cls in self.classes:
             latest = self.latest_start(attempts)
             if 0 < cls.deadline <= latest * 1_000:
-                yield self.bad("attempts", f"attempt {attempts} may begin {latest:g} ms after the first, and class "
-                                           f"{cls.name!r} is given up after {cls.deadline / 1_000:g} ms")
+                yield self.bad(
+                    "attempts",
+                    f"attempt {attempts} may begin {latest:g} ms after the first, and class "
+                    f"{cls.name!r} is given up after {cls.deadline / 1_000:g} ms",
+                )
 
     def _keyed(self) -> Iterator[Fault]:
         route, within = self.route, self.route.repeat_within_ms
@@ -203,18 +216,24 @@
                 if cls.effect != "dedup":
                     yield self.bad("repeat_within_ms", f"class {cls.name!r} carries no key: match keyed classes alone")
                 elif within * 1_000 > cls.window:
-                    yield self.bad("repeat_within_ms", f"a repeat of class {cls.name!r} is dropped for "
-                                                       f"{cls.window / 1_000:g} ms, and runs twice after that",
-                                   f"settings.Services {cls.name}.Window")
+                    yield self.bad(
+                        "repeat_within_ms",
+                        f"a repeat of class {cls.name!r} is dropped for "
+                        f"{cls.window / 1_000:g} ms, and runs twice after that",
+                        f"settings.Services {cls.name}.Window",
+                    )
         attempts = route.attempts or 1
         if attempts < 2 or attempts > self.settings.max_attempts or any(self._ranges()):
             return
         for cls in keyed:
             latest, window = self.latest_start(attempts), cls.window / 1_000
             if latest >= window and not 0 < cls.deadline <= latest * 1_000:
-                yield self.bad("attempts", f"attempt {attempts} may begin {latest:g} ms after the first, and a repeat "
-                                           f"of class {cls.name!r} is dropped for {window:g} ms only",
-                               f"settings.Services {cls.name}.Window")
+                yield self.bad(
+                    "attempts",
+                    f"attempt {attempts} may begin {latest:g} ms after the first, and a repeat "
+                    f"of class {cls.name!r} is dropped for {window:g} ms only",
+                    f"settings.Services {cls.name}.Window",
+                )
             elif within is not None and latest > within:
                 yield self.bad("repeat_within_ms", f"attempt {attempts} may begin {latest:g} ms after the first")
 
@@ -225,12 +244,17 @@
         if not site.second_copies:
             yield self.bad("second_copy", "the site allows no two attempts of a request at once", COPIES_KEY)
         if (route.attempts or site.max_attempts) < 2:
-            yield self.bad("second_copy", "is a second attempt, and one is allowed",
-                           f"{self.at}.attempts" if route.attempts else ATTEMPTS_KEY)
+            yield self.bad(
+                "second_copy",
+                "is a second attempt, and one is allowed",
+                f"{self.at}.attempts" if route.attempts else ATTEMPTS_KEY,
+            )
         for cls in self.classes:
             if not repeatable(cls):
-                yield self.bad("second_copy", f"a request of class {cls.name!r} may not run twice: it is neither safe "
-                                              "nor keyed at all engines")
+                yield self.bad(
+                    "second_copy",
+                    f"a request of class {cls.name!r} may not run twice: it is neither safe nor keyed at all engines",
+                )
         if (copy.after_ms is None) == (copy.after is None):
             yield self.bad("second_copy", "needs one of after_ms and after")
         if copy.after is not None:
@@ -243,12 +267,14 @@
         if not 0 < after <= DAY_MS:
             yield self.bad("second_copy.after_ms", "is not above 0 and at most a day")
         elif route.attempt_timeout_ms is not None and after >= route.attempt_timeout_ms:
-            yield self.bad("second_copy.after_ms", "comes only when the attempt has timed out",
-                           f"{self.at}.attempt_timeout_ms")
+            yield self.bad(
+                "second_copy.after_ms", "comes only when the attempt has timed out", f"{self.at}.attempt_timeout_ms"
+            )
         for cls in self.classes:
             if 0 < cls.deadline <= after * 1_000:
-                yield self.bad("second_copy.after_ms",
-                               f"class {cls.name!r} is given up after {cls.deadline / 1_000:g} ms")
+                yield self.bad(
+                    "second_copy.after_ms", f"class {cls.name!r} is given up after {cls.deadline / 1_000:g} ms"
+                )
 
     # ---- legal and unwise
 
@@ -265,19 +291,29 @@
         if self.given("priority") and not site.priorities:
             yield self.bad("priority", "the site's engines heed none", PRIORITIES_KEY)
         if route.second_copy is not None and not site.cancel:
-            yield self.bad("second_copy", "the slower of two copies can't be called off, and runs to its end",
-                           CANCEL_KEY)
+            yield self.bad(
+                "second_copy", "the slower of two copies can't be called off, and runs to its end", CANCEL_KEY
+            )
         if route.second_copy is not None and route.second_copy.most_share > 0.2:
             yield self.bad("second_copy.most_share", "lets copies add more than a fifth to the load")
         for cls in self.classes:
             attempts, timeout = route.attempts or 0, route.attempt_timeout_ms
             if timeout is not None and timeout * 1_000 < cls.objective / 4:
-                yield self.bad("attempt_timeout_ms", f"is under a quarter of the {cls.objective / 1_000:g} ms within "
-                                                     f"which class {cls.name!r} is wanted: what it cuts would come")
-            if attempts > 1 and timeout and cls.deadline and \
-                    self.latest_start(attempts) < cls.deadline / 1_000 < self.latest_start(attempts) + timeout:
-                yield self.bad("attempts", f"attempt {attempts} may have less than its time-out before class "
-                                           f"{cls.name!r} is given up")
+                yield self.bad(
+                    "attempt_timeout_ms",
+                    f"is under a quarter of the {cls.objective / 1_000:g} ms within "
+                    f"which class {cls.name!r} is wanted: what it cuts would come",
+                )
+            if (
+                attempts > 1
+                and timeout
+                and cls.deadline
+                and self.latest_start(attempts) < cls.deadline / 1_000 < self.latest_start(attempts) + timeout
+            ):
+                yield self.bad(
+                    "attempts",
+                    f"attempt {attempts} may have less than its time-out before class {cls.name!r} is given up",
+                )
         if route.retry_on is not None and "late" in route.retry_on and route.retry_share is None:
             yield self.bad("retry_on", "late without retry_share: when all engines are slow, each request comes again")
 
@@ -292,9 +328,11 @@
 
 def meets(route: Route, cls: str, tenant: str, estimate: float) -> bool:
     """Whether a request meets a route, its engine aside."""
-    return (route.cls is None or cls in (names(route.cls) or ())) \
-        and (route.tenant is None or tenant in (names(route.tenant) or ())) \
+    return (
+        (route.cls is None or cls in (names(route.cls) or ()))
+        and (route.tenant is None or tenant in (names(route.tenant) or ()))
         and (route.estimate_ms is None or route.estimate_ms[0] <= estimate < route.estimate_ms[1])
+    )
 
 
 def _never_met(routes: Sequence[Route], settings: t.Settings) -> Iterator[Fault]:
@@ -320,5 +358,11 @@
     for i in range(len(routes)):
         if i not in met:
             by = ", ".join(f"timings.route[{other}]" for other in sorted(takers[i]))
-            yield Fault(f"timings.route[{i}]", None, "is never met: an earlier route takes all that it would"
-                        if by else "is never met: no request of the site is like that", by)
+            yield Fault(
+                f"timings.route[{i}]",
+                None,
+                "is never met: an earlier route takes all that it would"
+                if by
+                else "is never met: no request of the site is like that",
+                by,
+            )
--- a/rackhub/timings/desk.py
+++ b/rackhub/timings/desk.py
@@ -25,11 +25,24 @@
 class Life:
     """One request under its terms."""
 
-    __slots__ = ("terms", "generation", "maybe", "copied", "full", "cls", "within", "sent", "attempts",
-                 "repeat_within", "retries", "copies")
-
-    def __init__(self, terms: Terms, generation: int, cls: str, window: int, retries: Window | None,
-                 copies: Window | None):
+    __slots__ = (
+        "terms",
+        "generation",
+        "maybe",
+        "copied",
+        "full",
+        "cls",
+        "within",
+        "sent",
+        "attempts",
+        "repeat_within",
+        "retries",
+        "copies",
+    )
+
+    def __init__(
+        self, terms: Terms, generation: int, cls: str, window: int, retries: Window | None, copies: Window | None
+    ):
         """`window`: within which repeats of its key are dropped; 0: it is not keyed. `retries`, `copies`: what its
         further attempts and its copies are paid from; None: nothing is to be paid."""
         self.terms, self.generation, self.cls = terms, generation, cls
@@ -48,8 +61,9 @@
 class Desk:
     """All routes in force, with what is counted and learned. Times in microseconds."""
 
-    def __init__(self, table: Table, windows: Mapping[str, int], seed: int,
-                 count: Callable[[str], None] = lambda name: None):
+    def __init__(
+        self, table: Table, windows: Mapping[str, int], seed: int, count: Callable[[str], None] = lambda name: None
+    ):
         """`windows`: of keyed classes, how long a repeat is dropped. `count` adds one to a counter."""
         self._table, self._windows, self.generation = table, windows, 1
         self._random, self._count = random.Random(seed), count
@@ -62,8 +76,9 @@
 
     def _look(self) -> None:
         """Load the library that learns only where a route asks for it."""
-        self._learns = any(route.attempt_timeout or route.second_copy and route.second_copy.after
-                           for route in self._table.routes)
+        self._learns = any(
+            route.attempt_timeout or route.second_copy and route.second_copy.after for route in self._table.routes
+        )
         if self._learns and self._quantiles is None:
             from rackhub.timings import learned
 
@@ -149,8 +164,9 @@
         timeout, copy_after = engine.timeout, 0 if life.copied or life.full else engine.copy_after
         if self._quantiles is not None:
             if engine.learned is not None:
-                limit = self._quantiles.limit(life.cls, kind, engine.learned, engine.learned_least,
-                                              engine.learned_most, now)
+                limit = self._quantiles.limit(
+                    life.cls, kind, engine.learned, engine.learned_least, engine.learned_most, now
+                )
                 timeout = int(limit * MS) if limit else 0
             if engine.copy_learned is not None and not life.copied and not life.full:
                 limit = self._quantiles.limit(life.cls, kind, engine.copy_learned, 0.0, 0.0, now)
@@ -167,8 +183,9 @@
             return False
         return True
 
-    def ended(self, life: Life, number: int, kind: str, engine: str, reason: str, elapsed: int, cut: bool,
-              now: int) -> None:
+    def ended(
+        self, life: Life, number: int, kind: str, engine: str, reason: str, elapsed: int, cut: bool, now: int
+    ) -> None:
         """An attempt has ended; `cut` where the terms' own time-out ended it. What it took is learned."""
         if reason == "GOOD":
             if life.retries is not None:
--- a/rackhub/timings/explain.py
+++ b/rackhub/timings/explain.py
@@ -49,15 +49,23 @@
     timeline: list[Moment]
 
 
-def explain(routes: Sequence[Route], settings: t.Settings, cls: str, tenant: str, kind: str, estimate: float
-            ) -> Explained:
+def explain(
+    routes: Sequence[Route], settings: t.Settings, cls: str, tenant: str, kind: str, estimate: float
+) -> Explained:
     """`estimate` in milliseconds; `kind` "" for any that no route names."""
     table = Table(routes, settings)
     terms = table.find(cls, tenant, int(estimate * MS))
     told = next(one for one in settings.classes if one.name == cls)
     asked = [_asked(i, route, cls, tenant, kind, estimate) for i, route in enumerate(routes)]
-    return Explained(cls, tenant, kind, estimate, asked, _terms(terms, terms.on(kind), settings, told),
-                     timeline(terms, terms.on(kind), told))
+    return Explained(
+        cls,
+        tenant,
+        kind,
+        estimate,
+        asked,
+        _terms(terms, terms.on(kind), settings, told),
+        timeline(terms, terms.on(kind), told),
+    )
 
 
 def _asked(i: int, route: Route, cls: str, tenant: str, kind: str, estimate: float) -> Asked:
@@ -78,31 +86,61 @@
 def _terms(terms: Terms, engine: EngineTerms, settings: t.Settings, told: t.ClassSettings) -> list[Term]:
     request, here = terms.route, engine.route
     rows = [
-        Term("attempts", terms.attempts, _source(request, terms.attempts != settings.max_attempts,
-                                                 "settings.Permissions.MaxAttempts")),
-        Term("retry_on", sorted(terms.retry_on), _source(request, terms.retry_on != frozenset(REASONS),
-                                                         "the decision module")),
-        Term("backoff_ms", terms.backoff, _source(request, terms.backoff is not None, "none"))]
+        Term(
+            "attempts",
+            terms.attempts,
+            _source(request, terms.attempts != settings.max_attempts, "settings.Permissions.MaxAttempts"),
+        ),
+        Term(
+            "retry_on",
+            sorted(terms.retry_on),
+            _source(request, terms.retry_on != frozenset(REASONS), "the decision module"),
+        ),
+        Term("backoff_ms", terms.backoff, _source(request, terms.backoff is not None, "none")),
+    ]
     if terms.share is None:
         rows.append(Term("retry_share", None, "no budget"))
     else:
         told_of = f"{terms.share:g} of what is served in {terms.over / MS:g} ms, {terms.floor} at least"
         rows.append(Term("retry_share", told_of, _source(request, True, "")))
     if told.effect == "dedup":
-        rows.append(Term("repeat_within_ms", (terms.repeat_within or told.window) / MS,
-                         _source(request, bool(terms.repeat_within), f"settings.Services {told.name}.Window")))
+        rows.append(
+            Term(
+                "repeat_within_ms",
+                (terms.repeat_within or told.window) / MS,
+                _source(request, bool(terms.repeat_within), f"settings.Services {told.name}.Window"),
+            )
+        )
     if engine.learned is not None:
-        rows.append(Term("attempt_timeout", f"p{engine.learned.percent:g}*{engine.learned.factor:g}, from "
-                                            f"{engine.learned_least:g} to {engine.learned_most or 'any'} ms",
-                         _source(here, True, "")))
+        rows.append(
+            Term(
+                "attempt_timeout",
+                f"p{engine.learned.percent:g}*{engine.learned.factor:g}, from "
+                f"{engine.learned_least:g} to {engine.learned_most or 'any'} ms",
+                _source(here, True, ""),
+            )
+        )
     else:
-        rows.append(Term("attempt_timeout_ms", engine.timeout / MS or None,
-                         _source(here, bool(engine.timeout), "what is left of the request's time")))
+        rows.append(
+            Term(
+                "attempt_timeout_ms",
+                engine.timeout / MS or None,
+                _source(here, bool(engine.timeout), "what is left of the request's time"),
+            )
+        )
     if engine.copy_share:
-        after: Any = f"p{engine.copy_learned.percent:g}*{engine.copy_learned.factor:g}" if engine.copy_learned \
+        after: Any = (
+            f"p{engine.copy_learned.percent:g}*{engine.copy_learned.factor:g}"
+            if engine.copy_learned
             else engine.copy_after / MS
-        rows.append(Term("second_copy", f"after {after} ms, at most {engine.copy_share:g} of the requests",
-                         _source(here, True, "")))
+        )
+        rows.append(
+            Term(
+                "second_copy",
+                f"after {after} ms, at most {engine.copy_share:g} of the requests",
+                _source(here, True, ""),
+            )
+        )
     else:
         rows.append(Term("second_copy", None, "none"))
     rows.append(Term("priority", engine.priority, _source(here, engine.priority is not None, "the decision module")))
@@ -118,8 +156,9 @@
     now, rows = 0.0, [Moment(0.0, "taken; attempt 1 goes out")]
     copy = engine.copy_after / MS
     if engine.copy_share and terms.attempts > 1:
-        rows.append(Moment(copy, "a second copy goes out") if copy else Moment(0.0, "a second copy goes out at a "
-                                                                                    "learned time"))
+        rows.append(
+            Moment(copy, "a second copy goes out") if copy else Moment(0.0, "a second copy goes out at a learned time")
+        )
     for attempt in range(1, terms.attempts + 1):
         stop = now + limit if limit else end
         if stop >= end:
@@ -173,8 +212,19 @@
     engine = terms.on(kind)
     flat = {name: getattr(terms, name) for name in ("attempts", "backoff", "repeat_within", "share", "over", "floor")}
     flat["retry_on"] = sorted(terms.retry_on)
-    flat |= {name: getattr(engine, name) for name in ("timeout", "learned", "learned_least", "learned_most",
-                                                      "copy_after", "copy_learned", "copy_share", "priority")}
+    flat |= {
+        name: getattr(engine, name)
+        for name in (
+            "timeout",
+            "learned",
+            "learned_least",
+            "learned_most",
+            "copy_after",
+            "copy_learned",
+            "copy_share",
+            "priority",
+        )
+    }
     return flat
 
 
--- a/rackhub/timings/part.py
+++ b/rackhub/timings/part.py
@@ -16,8 +16,9 @@
         super().__init__(host)
         settings = host.source.settings
         windows = {told.name: told.window for told in settings.classes if told.effect == "dedup"}
-        self.desk = Desk(timings_table(host.operator.timings or {}, settings), windows, host.config.seed,
-                         host.counters.add)
+        self.desk = Desk(
+            timings_table(host.operator.timings or {}, settings), windows, host.config.seed, host.counters.add
+        )
         host.core.desk = self.desk
         self.again: Callable[[], None] | None = None  # where a rule book is: it says what the file is still good for
 
--- a/rackhub/timings/rig.py
+++ b/rackhub/timings/rig.py
@@ -30,8 +30,16 @@
 KNEE, THRASH, LEAST = 1.8, 0.15, 0.3  # threads a core; loss with each beyond; the least that is left
 LATENCY = 300  # microseconds on the wire, each way
 LOOKUP = t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, effect="retryable", worth=1.0)
-LOAD = t.ClassSettings("depot-load", deadline=25 * SECOND, objective=3 * SECOND, effect="dedup", dedup_scope="all",
-                       window=25 * SECOND, threads=2, worth=10.0)
+LOAD = t.ClassSettings(
+    "depot-load",
+    deadline=25 * SECOND,
+    objective=3 * SECOND,
+    effect="dedup",
+    dedup_scope="all",
+    window=25 * SECOND,
+    threads=2,
+    worth=10.0,
+)
 
 
 class World:
@@ -146,18 +154,33 @@
         self.counters = Counters()
         kinds = {"std": scene.cores}
         self.settings = t.Settings(
-            classes=(scene.cls,), tenants=(t.TenantSettings("acme"),), kind_cores=kinds, period=5 * MS, cancel=True,
-            max_attempts=3, max_retry_after=500 * MS, second_copies=scene.second_copies, priorities=True)
-        self.core = Coordinator(self.settings, seed, self.world, Timers(self.world, self.world),
-                                Limits(held_requests=100_000, held_bytes=1 << 40), self.counters)
+            classes=(scene.cls,),
+            tenants=(t.TenantSettings("acme"),),
+            kind_cores=kinds,
+            period=5 * MS,
+            cancel=True,
+            max_attempts=3,
+            max_retry_after=500 * MS,
+            second_copies=scene.second_copies,
+            priorities=True,
+        )
+        self.core = Coordinator(
+            self.settings,
+            seed,
+            self.world,
+            Timers(self.world, self.world),
+            Limits(held_requests=100_000, held_bytes=1 << 40),
+            self.counters,
+        )
         if routes is not None:
             faults = check(routes, self.settings).faults
             if faults:
                 raise ValueError("; ".join(map(str, faults)))
             windows = {scene.cls.name: scene.cls.window} if scene.cls.effect == "dedup" else {}
             self.core.desk = Desk(Table(routes, self.settings), windows, seed, self.counters.add)
-        self.engines = {f"e{i}": Engine(self.world, scene.cores, scene.speeds.get(i, 1.0), scene.most)
-                        for i in range(scene.engines)}
+        self.engines = {
+            f"e{i}": Engine(self.world, scene.cores, scene.speeds.get(i, 1.0), scene.most) for i in range(scene.engines)
+        }
         self.answers: dict[str, list[str]] = {}
         self.took: list[int] = []
         self.good = 0
@@ -220,10 +243,19 @@
 
     def ask(self, number: int) -> None:
         id, scene = f"{number:016x}", self.scene
-        work = scene.work_ms * MS * math.exp(self.random.gauss(0, scene.spread) - scene.spread ** 2 / 2)
+        work = scene.work_ms * MS * math.exp(self.random.gauss(0, scene.spread) - scene.spread**2 / 2)
         self._works[id], self.answers[id] = work, []
-        query = Query(id, scene.cls.name, b"x", self.world.time + scene.cls.deadline, self, tag=self.world.time,
-                      tenant="acme", estimate=int(work), token=id * 2 if scene.cls.effect == "dedup" else "")
+        query = Query(
+            id,
+            scene.cls.name,
+            b"x",
+            self.world.time + scene.cls.deadline,
+            self,
+            tag=self.world.time,
+            tenant="acme",
+            estimate=int(work),
+            token=id * 2 if scene.cls.effect == "dedup" else "",
+        )
         self.core.submit(query)
 
     def _slow_turn(self, which: int) -> None:
@@ -255,8 +287,18 @@
         def at_share(share: float) -> float:
             return took[min(int(len(took) * share), len(took) - 1)] / MS
 
-        return Outcome(number, told.count("served"), told.count("refused"), told.count("failed"), self.good,
-                       at_share(0.5), at_share(0.99), at_share(0.999), self.counters["attempts"],
-                       self.counters["copies"], sum(engine.done_work for engine in self.engines.values()) / MS,
-                       sum(len(answers) > 1 for answers in self.answers.values()),
-                       sum(not answers for answers in self.answers.values()))
+        return Outcome(
+            number,
+            told.count("served"),
+            told.count("refused"),
+            told.count("failed"),
+            self.good,
+            at_share(0.5),
+            at_share(0.99),
+            at_share(0.999),
+            self.counters["attempts"],
+            self.counters["copies"],
+            sum(engine.done_work for engine in self.engines.values()) / MS,
+            sum(len(answers) > 1 for answers in self.answers.values()),
+            sum(not answers for answers in self.answers.values()),
+        )
--- a/rackhub/timings/routes.py
+++ b/rackhub/timings/routes.py
@@ -77,8 +77,14 @@
 
 MATCHES = ("cls", "tenant", "engine_kind", "estimate_ms")
 # what can depend on the engine, and so stand in a route that names a kind of engine; the rest is a request's
-BY_ENGINE = ("attempt_timeout_ms", "attempt_timeout", "attempt_timeout_least_ms", "attempt_timeout_most_ms", "priority",
-             "second_copy")
+BY_ENGINE = (
+    "attempt_timeout_ms",
+    "attempt_timeout",
+    "attempt_timeout_least_ms",
+    "attempt_timeout_most_ms",
+    "priority",
+    "second_copy",
+)
 WORDS = {field.name: field.encode_name for field in msgspec.structs.fields(Route)}
 
 
--- a/rackhub/timings/table.py
+++ b/rackhub/timings/table.py
@@ -81,14 +81,29 @@
         plain = next(((i, route) for i, route in able if route.engine_kind is None), (None, Route()))
         kinds = {}
         for kind in (*self._settings.kind_cores, ""):
-            first = next(((i, route) for i, route in able
-                          if route.engine_kind is None or kind in (names(route.engine_kind) or ())), plain)
+            first = next(
+                (
+                    (i, route)
+                    for i, route in able
+                    if route.engine_kind is None or kind in (names(route.engine_kind) or ())
+                ),
+                plain,
+            )
             kinds[kind] = _engine_terms(first, plain)
         i, route = plain
         most = route.attempts if route.attempts is not None else self._settings.max_attempts
-        return Terms(i, most, route.backoff_ms, frozenset(REASONS if route.retry_on is None else route.retry_on),
-                     int((route.repeat_within_ms or 0) * MS), route.retry_share, int(route.retry_over_ms * MS),
-                     route.retry_floor, kinds, any(terms.copy_share for terms in kinds.values()))
+        return Terms(
+            i,
+            most,
+            route.backoff_ms,
+            frozenset(REASONS if route.retry_on is None else route.retry_on),
+            int((route.repeat_within_ms or 0) * MS),
+            route.retry_share,
+            int(route.retry_over_ms * MS),
+            route.retry_floor,
+            kinds,
+            any(terms.copy_share for terms in kinds.values()),
+        )
 
 
 def _engine_terms(first: tuple[int | None, Route], plain: tuple[int | None, Route]) -> EngineTerms:
@@ -98,11 +113,16 @@
     timed = route if own else under
     copy = route.second_copy if route.second_copy is not None else under.second_copy
     terms = EngineTerms(
-        first[0], int((timed.attempt_timeout_ms or 0) * MS),
+        first[0],
+        int((timed.attempt_timeout_ms or 0) * MS),
         learned(timed.attempt_timeout) if timed.attempt_timeout else None,
-        timed.attempt_timeout_least_ms or 0.0, timed.attempt_timeout_most_ms or 0.0,
-        int((copy.after_ms or 0) * MS) if copy else 0, learned(copy.after) if copy and copy.after else None,
-        copy.most_share if copy else 0.0, route.priority if route.priority is not None else under.priority)
+        timed.attempt_timeout_least_ms or 0.0,
+        timed.attempt_timeout_most_ms or 0.0,
+        int((copy.after_ms or 0) * MS) if copy else 0,
+        learned(copy.after) if copy and copy.after else None,
+        copy.most_share if copy else 0.0,
+        route.priority if route.priority is not None else under.priority,
+    )
     if terms.learned is not None or terms.copy_share:
         return terms
     return msgspec.structs.replace(terms, fixed=Sending(timeout=terms.timeout, priority=terms.priority))
--- a/rackhub/trials/fleet/cost.py
+++ b/rackhub/trials/fleet/cost.py
@@ -53,8 +53,9 @@
 
 
 def one(fleet: bool, processes: int, seconds: int, seed: int) -> Row:
-    plan = Plan(gateways=processes, engines=max(4, processes // 2), cores=4.0, seed=seed, fleet=fleet,
-                keepers=3 if fleet else 0)
+    plan = Plan(
+        gateways=processes, engines=max(4, processes // 2), cores=4.0, seed=seed, fleet=fleet, keepers=3 if fleet else 0
+    )
     with Rig(plan, reactor) as rig:
         rig.up()
         pass_time(reactor, 3.0)
@@ -66,14 +67,22 @@
         spent, after = cpu(rig) - began, sent(rig, fleet)
         requests = trial.clients.totals.requests
         trial.close()
-    return Row("fleet" if fleet else "alone", requests, round(idle * 1_000, 2),
-               round(spent * SECOND / max(requests, 1), 1), round((after[0] - packets[0]) / processes / seconds, 1),
-               round((after[1] - packets[1]) / processes / seconds, 1))
+    return Row(
+        "fleet" if fleet else "alone",
+        requests,
+        round(idle * 1_000, 2),
+        round(spent * SECOND / max(requests, 1), 1),
+        round((after[0] - packets[0]) / processes / seconds, 1),
+        round((after[1] - packets[1]) / processes / seconds, 1),
+    )
 
 
 def main(words: list[str]) -> int:
-    told = docopt("Usage: cost [--processes N] [--seconds N] [--seed N] [--json]\n\nOptions:\n  --processes N  "
-                  "[default: 8]\n  --seconds N    [default: 10]\n  --seed N       [default: 1]\n  --json\n", words)
+    told = docopt(
+        "Usage: cost [--processes N] [--seconds N] [--seed N] [--json]\n\nOptions:\n  --processes N  "
+        "[default: 8]\n  --seconds N    [default: 10]\n  --seed N       [default: 1]\n  --json\n",
+        words,
+    )
     words_ = [int(told[name]) for name in ("--processes", "--seconds", "--seed")]
     rows = [one(fleet, *words_) for fleet in (False, True)]
     show(rows, told["--json"])
--- a/rackhub/trials/fleet/history.py
+++ b/rackhub/trials/fleet/history.py
@@ -40,8 +40,10 @@
 
 def linearizable(ops: Sequence[Op]) -> tuple[bool, list[str]]:
     """Whether there is such an order, and the longest one found."""
-    ops = sorted((one if one.kind != "unknown" else one._replace(end=NEVER) for one in ops if one.kind != "failed"),
-                 key=lambda one: (one.begin, one.end))
+    ops = sorted(
+        (one if one.kind != "unknown" else one._replace(end=NEVER) for one in ops if one.kind != "failed"),
+        key=lambda one: (one.begin, one.end),
+    )
     must = sum(1 << i for i, one in enumerate(ops) if one.kind != "unknown")
     tried: set[tuple[int, State]] = set()
     best: State = ()
--- a/rackhub/trials/fleet/members_faults.py
+++ b/rackhub/trials/fleet/members_faults.py
@@ -46,7 +46,7 @@
 
 def halves(wire: Wire, watch: Watch, draw: random.Random) -> None:
     names = draw.sample(list(wire.gateways), len(wire.gateways))
-    wire.cut(names[:len(names) // 2], names[len(names) // 2:])
+    wire.cut(names[: len(names) // 2], names[len(names) // 2 :])
 
 
 def pause(wire: Wire, watch: Watch, draw: random.Random) -> None:
@@ -61,6 +61,7 @@
         def wake(gateway: Gateway = gateway, starts: int = starts) -> None:
             if gateway.paused and gateway.starts == starts:
                 gateway.wake()
+
         wire.time.later(20 * SECOND, wake)
 
 
@@ -76,8 +77,12 @@
         boot = gateway.boot - 50_000 if draw.random() < 0.3 else None
         if boot is not None:
             watch.unranked[gateway.name] = wire.time.now() + 30 * SECOND
-        wire.time.later(draw.randrange(3 * SECOND), lambda gateway=gateway, boot=boot: (  # type: ignore[misc]
-            None if gateway.up else gateway.start(boot)))
+        wire.time.later(
+            draw.randrange(3 * SECOND),
+            lambda gateway=gateway, boot=boot: (  # type: ignore[misc]
+                None if gateway.up else gateway.start(boot)
+            ),
+        )
 
 
 def late(wire: Wire, watch: Watch, draw: random.Random) -> None:
@@ -98,6 +103,7 @@
             gateway.kill()
             wire.late.clear()
             gateway.start()
+
     wire.time.later(4 * SECOND, again)
 
 
@@ -126,17 +132,30 @@
         parcel = Parcel(CLUSTER, liar.name, target.name)
         wild = draw.choice((0, 1, 7, 1 << 19, 1 << 30, 1 << 53))
         host = draw.choice((victim.address[0], "10.9.9.9"))
-        parcel.put(f.encode(f.Claim(victim.name, host, victim.address[1],
-                                    victim.boot + draw.choice((0, 0, 1, 1 << 20, 1 << 42, 1 << 52)),
-                                    wild, draw.randrange(4), liar.name)))
+        parcel.put(
+            f.encode(
+                f.Claim(
+                    victim.name,
+                    host,
+                    victim.address[1],
+                    victim.boot + draw.choice((0, 0, 1, 1 << 20, 1 << 42, 1 << 52)),
+                    wild,
+                    draw.randrange(4),
+                    liar.name,
+                )
+            )
+        )
         parcel.put(f.encode(f.Note(victim.name, "demand", victim.boot, wild, 0, b"nonsense")))
         parcel.put(f.encode(f.Want({name: ["demand"] * 40 for name in names})))
         parcel.put(msgspec.msgpack.encode([99, "a kind that nobody knows"]))
         parcel.put(msgspec.msgpack.encode([3, draw.randbytes(9)]))
         stamps = [draw.randrange(1 << 53) for _ in range(3)]
         wire.carry(liar, target.address, parcel.close(liar.core.own.boot, *stamps))
+
     lie()
 
 
-FAULTS: dict[str, Fault] = {fault.__name__: fault for fault in (
-    loss, double, disorder, damage, one_way, halves, pause, kill, restart, late, reborn, leave, nonsense)}
+FAULTS: dict[str, Fault] = {
+    fault.__name__: fault
+    for fault in (loss, double, disorder, damage, one_way, halves, pause, kill, restart, late, reborn, leave, nonsense)
+}
--- a/rackhub/trials/fleet/members_measure.py
+++ b/rackhub/trials/fleet/members_measure.py
@@ -44,8 +44,10 @@
 def loopback(gateways: int, seconds: int) -> dict[str, Any]:
     addresses = [f"127.0.7.{i + 1}:17946" for i in range(gateways)]
     command = [sys.executable, "-m", "rackhub.trials.fleet.members_measure", "one"]
-    children = [subprocess.Popen([*command, address, addresses[0], str(seconds)], stdout=subprocess.PIPE)
-                for address in addresses]
+    children = [
+        subprocess.Popen([*command, address, addresses[0], str(seconds)], stdout=subprocess.PIPE)
+        for address in addresses
+    ]
     try:
         figures = [json.loads(child.communicate(timeout=seconds + 60)[0]) for child in children]
     finally:
@@ -53,9 +55,13 @@
             if child.poll() is None:
                 child.kill()
     keys = [key for key in figures[0] if key != "heard"]
-    return {"processes": gateways, "measured": "loopback", "all_heard": all(f["heard"] == gateways for f in figures),
-            "records_posted_s_each": len(KINDS) * 1_000 / EACH, "per_member_s": {
-                key: round(sum(figure[key] for figure in figures) / gateways, 1) for key in keys}}
+    return {
+        "processes": gateways,
+        "measured": "loopback",
+        "all_heard": all(f["heard"] == gateways for f in figures),
+        "records_posted_s_each": len(KINDS) * 1_000 / EACH,
+        "per_member_s": {key: round(sum(figure[key] for figure in figures) / gateways, 1) for key in keys},
+    }
 
 
 def one(address: str, join: str, seconds: int) -> None:
@@ -63,6 +69,7 @@
 
     from rackhub.fleet.members.part import Membership
     from rackhub.fleet.settings import FleetSettings
+
     reactor: Any = any_reactor
     name = "g" + address.replace(":", "-")
     part = Membership(reactor, FleetSettings(cluster="measure", listen=address, name=name, join=(join,)), None)
@@ -105,6 +112,7 @@
         for gateway in wire.running():
             for kind in KINDS:
                 gateway.post(kind, wire.random.randbytes(SIZE))
+
     rows = {}
     wire.time.run(gateways * wire.timing.period)  # each has probed each
     for load in ("idle", "with records"):
@@ -115,13 +123,23 @@
         wire.time.run(seconds * SECOND)
         after = [(gateway.bytes, gateway.packets) for gateway in wire.gateways.values()]
         count = gateways * seconds
-        rows[load] = {"bytes_out": round(sum(b[0] - a[0] for a, b in zip(before, after, strict=True)) / count, 1),
-                      "packets_out": round(sum(b[1] - a[1] for a, b in zip(before, after, strict=True)) / count, 1)}
-    ages = sorted(gateway.core.records.read(KINDS[0])[name].age for gateway in wire.gateways.values()
-                  for name in gateway.core.records.read(KINDS[0]))
-    return {"gateways": gateways, "simulated": True, "records_posted_s_each": len(KINDS) * 1_000 / every,
-            "per_member_s": rows, "records_held_of": len(ages) / gateways ** 2,
-            "age_ms": {part: ages[min(len(ages) - 1, len(ages) * part // 100)] // MS for part in (50, 99, 100)}}
+        rows[load] = {
+            "bytes_out": round(sum(b[0] - a[0] for a, b in zip(before, after, strict=True)) / count, 1),
+            "packets_out": round(sum(b[1] - a[1] for a, b in zip(before, after, strict=True)) / count, 1),
+        }
+    ages = sorted(
+        gateway.core.records.read(KINDS[0])[name].age
+        for gateway in wire.gateways.values()
+        for name in gateway.core.records.read(KINDS[0])
+    )
+    return {
+        "gateways": gateways,
+        "simulated": True,
+        "records_posted_s_each": len(KINDS) * 1_000 / every,
+        "per_member_s": rows,
+        "records_held_of": len(ages) / gateways**2,
+        "age_ms": {part: ages[min(len(ages) - 1, len(ages) * part // 100)] // MS for part in (50, 99, 100)},
+    }
 
 
 class Finder:
@@ -171,12 +189,18 @@
             wire.time.run(30 * SECOND)
         first.sort()
         last.sort()
-        rows.append({"loss": lose, "gateways": gateways, "simulated": True,
-                     "suspected wrongly, for each member an hour": round(quiet[0], 2),
-                     "given up wrongly, for each member an hour": round(quiet[1], 3),
-                     "found of 20": len(first),
-                     "first holds it gone, s, median and worst": [first[len(first) // 2] / SECOND, first[-1] / SECOND],
-                     "last holds it gone, s, median and worst": [last[len(last) // 2] / SECOND, last[-1] / SECOND]})
+        rows.append(
+            {
+                "loss": lose,
+                "gateways": gateways,
+                "simulated": True,
+                "suspected wrongly, for each member an hour": round(quiet[0], 2),
+                "given up wrongly, for each member an hour": round(quiet[1], 3),
+                "found of 20": len(first),
+                "first holds it gone, s, median and worst": [first[len(first) // 2] / SECOND, first[-1] / SECOND],
+                "last holds it gone, s, median and worst": [last[len(last) // 2] / SECOND, last[-1] / SECOND],
+            }
+        )
     return rows
 
 
@@ -189,8 +213,9 @@
     if options["detect"]:
         told: Any = detect(gateways, int(options["--seed"]))
     else:
-        told = loopback(gateways, seconds) if options["loopback"] else virtual(
-            gateways, seconds, int(options["--every"]))
+        told = (
+            loopback(gateways, seconds) if options["loopback"] else virtual(gateways, seconds, int(options["--every"]))
+        )
     if options["--json"]:
         print(json.dumps(told))
     else:
--- a/rackhub/trials/fleet/members_plants.py
+++ b/rackhub/trials/fleet/members_plants.py
@@ -27,6 +27,7 @@
         core = Core(start, msgspec.structs.replace(times, **timing or {}), limits, now)
         change(core)
         return core
+
     return make
 
 
@@ -57,10 +58,12 @@
 
 def of(kind: type[Any]) -> Callable[[Core], None]:
     """The core's part of that kind becomes the planted one."""
+
     def change(core: Core) -> None:
         for part in list(vars(core).values()):
             if type(part) in kind.__mro__ and type(part) is not object:
                 part.__class__ = kind
+
     return change
 
 
@@ -80,6 +83,7 @@
         if peer is not None and packet.boot < peer.boot and claim is not None:
             core.table.merge(claim, packet.name)
         return ask(packet)
+
     receive.__dict__["_sender"] = sender
 
 
@@ -91,6 +95,7 @@
         if peer.inbox is None:
             peer.inbox = Forgetful(core.here.limits, core.here.count)
         page(peer, frame)
+
     receive.__dict__["_page"] = _page
 
 
--- a/rackhub/trials/fleet/members_torture.py
+++ b/rackhub/trials/fleet/members_torture.py
@@ -95,22 +95,29 @@
                 counts.update(gateway.core.here.counts)
         over = sorted(watch.over)
         return {
-            "simulated": True, "gateways": len(self.wire.gateways), "cycles": len(self.settled),
+            "simulated": True,
+            "gateways": len(self.wire.gateways),
+            "cycles": len(self.settled),
             "faults": dict(self.faults),
             "healthy members given up and not taken back": watch.counts["lost_for_good"],
             "healthy members given up for a time": watch.counts["given_up"],
             "fleets not settled within the bound": watch.counts["not_settled"],
-            "bound_s": self.bound / SECOND, "settled_s_worst": max(self.settled, default=0) / SECOND,
+            "bound_s": self.bound / SECOND,
+            "settled_s_worst": max(self.settled, default=0) / SECOND,
             "settled_s_median": sorted(self.settled)[len(self.settled) // 2] / SECOND if self.settled else 0,
             "late words that revived or views going back": watch.counts["views_going_back"],
             "board going back": watch.counts["board_going_back"],
             "records told younger than they are": watch.counts["records_too_young"],
-            "records told older, ms, median and 99%": [over[len(over) * part // 100] // MS for part in (50, 99)
-                                                       ] if over else [],
-            "records": len(over), "records made up": watch.counts["records_made_up"],
-            "mail sent": watch.counts["mail_sent"], "mail taken": watch.counts["mail_taken"],
+            "records told older, ms, median and 99%": [over[len(over) * part // 100] // MS for part in (50, 99)]
+            if over
+            else [],
+            "records": len(over),
+            "records made up": watch.counts["records_made_up"],
+            "mail sent": watch.counts["mail_sent"],
+            "mail taken": watch.counts["mail_taken"],
             "mail taken twice": watch.counts["mail_twice"] + watch.counts["mail_astray"] + watch.counts["mail_made_up"],
-            "violations": watch.worded, "counts": dict(sorted(counts.items())),
+            "violations": watch.worded,
+            "counts": dict(sorted(counts.items())),
         }
 
 
--- a/rackhub/trials/fleet/members_wire.py
+++ b/rackhub/trials/fleet/members_wire.py
@@ -75,6 +75,7 @@
             if self.starts == starts and self._timer == due:
                 self._timer = 0
                 self.step(Tick())
+
         self.wire.time.later(max(0, due - self.local()), tick)
 
     def take(self, data: bytes) -> None:
@@ -112,8 +113,15 @@
 class Wire:
     """`seen` gets every effect that is no datagram. Probabilities are by datagram, times microseconds."""
 
-    def __init__(self, count: int, seed: int = 0, timing: Timing | None = None, limits: Limits | None = None,
-                 make: Make = Core, seeds: int = 2):
+    def __init__(
+        self,
+        count: int,
+        seed: int = 0,
+        timing: Timing | None = None,
+        limits: Limits | None = None,
+        make: Make = Core,
+        seeds: int = 2,
+    ):
         self.time, self.random, self.counts = Time(), random.Random(f"{seed}/wire"), Counter[str]()
         self.timing, self.limits, self.make = timing or Timing(), limits or Limits(), make
         self.lose = self.double = self.damage = 0.0
@@ -125,8 +133,9 @@
         names = [f"g{i:03}" for i in range(count)]
         self.at: dict[Address, Gateway] = {}
         self.seeds: Sequence[Address] = [("10.0.0.1", 7_000 + i) for i in range(min(seeds, count))]
-        self.gateways = {name: Gateway(self, name, ("10.0.0.1", 7_000 + i), seed * 1_000 + i)
-                         for i, name in enumerate(names)}
+        self.gateways = {
+            name: Gateway(self, name, ("10.0.0.1", 7_000 + i), seed * 1_000 + i) for i, name in enumerate(names)
+        }
         self.at = {gateway.address: gateway for gateway in self.gateways.values()}
 
     def start(self) -> None:
--- a/rackhub/trials/fleet/overload.py
+++ b/rackhub/trials/fleet/overload.py
@@ -46,8 +46,15 @@
     simulated: bool = True
 
 
-def run(gateways: int, engines: int, led: bool, load: float, seed: int, hot: float, kill: float = 0.0,
-        ) -> tuple[float, ...]:
+def run(
+    gateways: int,
+    engines: int,
+    led: bool,
+    load: float,
+    seed: int,
+    hot: float,
+    kill: float = 0.0,
+) -> tuple[float, ...]:
     world = World(gateways, engines, led, lambda at: load if BEFORE <= at < BEFORE + LASTS else CALM, seed, hot)
     if kill:
         world.run(BEFORE + 2)
@@ -59,16 +66,25 @@
     looks = [step * STEP for step in range(int((AFTER - SPAN) / STEP) + 1)]
     recovery = next((at for at in looks if world.worth_in(gone + at, gone + at + SPAN) >= BACK * before), -1.0)
     probes = sum(engine.probes for engine in world.engines.values()) / engines / (BEFORE + LASTS + AFTER)
-    return (world.worth_in(BEFORE + 0.5, gone), counts["served"] / counts["requests"],
-            counts["attempts"] / counts["served"], counts["carried"] / counts["requests"], recovery, probes)
+    return (
+        world.worth_in(BEFORE + 0.5, gone),
+        counts["served"] / counts["requests"],
+        counts["attempts"] / counts["served"],
+        counts["carried"] / counts["requests"],
+        recovery,
+        probes,
+    )
 
 
 def rows(gateways: int, loads: list[float], seeds: int, hot: float, kill: float) -> Iterator[Row]:
     engines = gateways if gateways < 50 else gateways // 4
     for load in loads:
         best = 0.0
-        for how, count, led in (("one gateway", 1, False), ("as it stands", gateways, False),
-                                ("as one", gateways, True)):
+        for how, count, led in (
+            ("one gateway", 1, False),
+            ("as it stands", gateways, False),
+            ("as one", gateways, True),
+        ):
             part, dying = (hot, kill) if count > 1 else (0.0, 0.0)
             runs = [run(count, engines, led, load, seed, part, dying) for seed in range(1, seeds + 1)]
             means = [round(sum(one[at] for one in runs) / seeds, 3) for at in range(6)]
@@ -92,8 +108,13 @@
         sizes = [int(word) for word in said["--gateways"].split(",")]
         loads = [float(word) for word in said["--loads"].split(",")]
         seeds, hot, kill = int(said["--seeds"]), float(said["--hot"]), float(said["--kill"])
-        if not (all(1 <= size <= 200 for size in sizes) and all(0 < load <= 10 for load in loads)
-                and 1 <= seeds <= 20 and 0 <= hot < 1 and 0 <= kill <= 1):
+        if not (
+            all(1 <= size <= 200 for size in sizes)
+            and all(0 < load <= 10 for load in loads)
+            and 1 <= seeds <= 20
+            and 0 <= hot < 1
+            and 0 <= kill <= 1
+        ):
             raise ValueError("1 to 200 gateways, loads over 0 to 10, 1 to 20 seeds, parts below 1 are needed")
     except ValueError as bad:
         sys.exit(f"overload: {bad}")
@@ -104,9 +125,11 @@
         if said["--json"]:
             print(msgspec.json.encode(row).decode(), flush=True)
         else:
-            print(f"           {row.gateways:8} {row.load:4} {row.how:13} {row.worth:7.1f} {row.of_one:6.3f} "
-                  f"{row.served:6.3f} {row.attempts:8.3f} {row.carried:7.3f} {row.recovery:8.1f} {row.probes:6.2f}",
-                  flush=True)
+            print(
+                f"           {row.gateways:8} {row.load:4} {row.how:13} {row.worth:7.1f} {row.of_one:6.3f} "
+                f"{row.served:6.3f} {row.attempts:8.3f} {row.carried:7.3f} {row.recovery:8.1f} {row.probes:6.2f}",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/rackhub/trials/fleet/overload_world.py
+++ b/rackhub/trials/fleet/overload_world.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 from rackhub import interface as t
@@ -23,9 +24,10 @@
 from rackhub.trials.fleet.twin import MS, SECOND, Net, Time
 
 WIRE, CARRY = 1 * MS, 20 * MS  # to an engine; from a refusal to the next gateway's door
-CLASSES = (t.ClassSettings("lookup", deadline=2 * SECOND, objective=600 * MS, effect="retryable", worth=1.0),
-           t.ClassSettings("report", deadline=6 * SECOND, objective=2 * SECOND, effect="retryable", worth=2.5,
-                           threads=2))
+CLASSES = (
+    t.ClassSettings("lookup", deadline=2 * SECOND, objective=600 * MS, effect="retryable", worth=1.0),
+    t.ClassSettings("report", deadline=6 * SECOND, objective=2 * SECOND, effect="retryable", worth=2.5, threads=2),
+)
 WORK = {"lookup": 0.1, "report": 1.0}  # thread-seconds, the mean
 TENANTS = (t.TenantSettings("north", 0.4), t.TenantSettings("south", 0.4), t.TenantSettings("night", 0.2))
 TRAFFIC = (0.3, 0.3, 0.4)  # of each tenant
@@ -33,9 +35,21 @@
 
 
 def site(gateways: int, me: int) -> t.Settings:
-    return t.Settings(classes=CLASSES, tenants=TENANTS, gateways=gateways, me=me, kind_cores={"e": CORES},
-                      max_attempts=3, max_retry_after=5 * SECOND, peers=True, probes=True, cancel=True,
-                      repeat_ratio=0.1, free_resends=3, counted_over=10 * SECOND)
+    return t.Settings(
+        classes=CLASSES,
+        tenants=TENANTS,
+        gateways=gateways,
+        me=me,
+        kind_cores={"e": CORES},
+        max_attempts=3,
+        max_retry_after=5 * SECOND,
+        peers=True,
+        probes=True,
+        cancel=True,
+        repeat_ratio=0.1,
+        free_resends=3,
+        counted_over=10 * SECOND,
+    )
 
 
 class Waker:
@@ -60,12 +74,18 @@
         self.core = Coordinator(settings, number + world.seed * 1_000, world.time, timers, limits, Counters())
         self.part: Overload | None = None
         if led:
-            self.part = Overload(world.net.nodes[name].fleet(world.seed), settings, limits, self.core, self.probe,
-                                 FleetSettings(cluster="rig", listen="127.0.0.1:7001"))
+            self.part = Overload(
+                world.net.nodes[name].fleet(world.seed),
+                settings,
+                limits,
+                self.core,
+                self.probe,
+                FleetSettings(cluster="rig", listen="127.0.0.1:7001"),
+            )
             self.core.guide = self.part
         else:
             self.core.guide = Alone(self)
-        listing = Listing(1, tuple(t.EngineEntry(name, kind="e", came_up=-10**9) for name in world.engines), {})
+        listing = Listing(1, tuple(t.EngineEntry(name, kind="e", came_up=-(10**9)) for name in world.engines), {})
         self.core.start(self, listing.entries, 1)
         if self.part is not None:
             self.part.listed(listing)
@@ -85,13 +105,13 @@
             node.restart()
             world.gateways[world.gateways.index(self)] = Gateway(world, self._made[0], self.name, *self._made[1:])
             self._learn(State.ALIVE, 200 * MS, SECOND)
+
         world.time.later(back, again)
 
     def _learn(self, state: State, least: int, most: int) -> None:
         for node in self.world.net.nodes.values():
             if node.me != self.name:
-                self.world.time.later(self.world.random.randrange(least, most),
-                                      lambda node=node: node.say(self.name, state))  # type: ignore[misc]
+                self.world.time.later(self.world.random.randrange(least, most), partial(node.say, self.name, state))
 
     # ---- the engine port
 
@@ -101,8 +121,9 @@
         self.world.counts["attempts"] += 1
         self.world.counts["further"] += attempt.number > 0
         threads = next(cls.threads for cls in CLASSES if cls.name == attempt.query.cls)
-        self.world.time.later(WIRE, lambda: self.world.engines[attempt.engine].take(self, attempt, threads)
-                              if not attempt.over else None)
+        self.world.time.later(
+            WIRE, lambda: self.world.engines[attempt.engine].take(self, attempt, threads) if not attempt.over else None
+        )
 
     def give_up(self, attempt: Attempt) -> None:
         self.world.time.later(WIRE, lambda: self.world.engines[attempt.engine].drop(attempt))
@@ -154,8 +175,9 @@
         self.asked += 1
         self.world.counts["asked"] += 1
         self.at, self.open = gateway, f"{self.number}.{self.asked}"
-        gateway.core.submit(Query(self.open, self.cls, b"select %d" % self.number, self.until, self,
-                                  tag=self.work, tenant=self.tenant))
+        gateway.core.submit(
+            Query(self.open, self.cls, b"select %d" % self.number, self.until, self, tag=self.work, tenant=self.tenant)
+        )
 
     def carry(self, source: Gateway) -> None:
         others = [gateway for gateway in self.world.gateways if gateway is not source] or [source]
@@ -191,8 +213,9 @@
 class World:
     """A fleet, its engines and its clients. `load(seconds)`: what is asked, against what all cores can do."""
 
-    def __init__(self, gateways: int, engines: int, led: bool, load: Callable[[float], float], seed: int,
-                 hot: float = 0.0):
+    def __init__(
+        self, gateways: int, engines: int, led: bool, load: Callable[[float], float], seed: int, hot: float = 0.0
+    ):
         names = [f"g{i}" for i in range(gateways)]
         self.net, self.seed, self.random, self.load, self.hot = Net(names, seed), seed, random.Random(seed), load, hot
         self.net.least, self.net.most = 50 * MS, 600 * MS  # a board spreads by rounds of probes
@@ -203,8 +226,11 @@
         self.cores, self._number = engines * CORES, 0
         self.worth: Counter[int] = Counter()  # served, by the tenth of a second in which it was
         self.served: Counter[tuple[str, str]] = Counter()
-        mix = [(cls, tenant, part * half) for cls, half in (("lookup", 0.5), ("report", 0.5))
-               for tenant, part in zip((told.name for told in TENANTS), TRAFFIC, strict=True)]
+        mix = [
+            (cls, tenant, part * half)
+            for cls, half in (("lookup", 0.5), ("report", 0.5))
+            for tenant, part in zip((told.name for told in TENANTS), TRAFFIC, strict=True)
+        ]
         self._mix, self._weights = mix, [part / WORK[cls] for cls, _, part in mix]
         self._per_core = sum(self._weights)  # requests in a second that fill one core
         self.time.later(1, self.arrive)
--- a/rackhub/trials/fleet/register_explore.py
+++ b/rackhub/trials/fleet/register_explore.py
@@ -214,22 +214,34 @@
             if reads or mine in (value or b""):
                 return value, None
             return (value or b"") + mine, None
+
         return change
 
     def _next_round(self, world: World, at: int) -> Iterator[tuple[str, World, str]]:
         editor: Editor = self.rounds.all[world.editors[at]]
         if not editor.left:
             return
-        top = max([0, *(self.rounds.all[one].round.ballot.number for one in world.editors
-                        if self.rounds.all[one].round is not None),
-                   *(max(self.voters.all[one].promised.number for one in world.memory),)])
+        top = max(
+            [
+                0,
+                *(
+                    self.rounds.all[one].round.ballot.number
+                    for one in world.editors
+                    if self.rounds.all[one].round is not None
+                ),
+                *(max(self.voters.all[one].promised.number for one in world.memory),),
+            ]
+        )
         for number in {top + 1, max(top, 1)}:
             ballot = Ballot(number, EDITORS[at], 10 - editor.left)
             began, prepare = begin(KEEPERS, ballot, editor.known, editor.value)
             after = editor._replace(round=began, left=editor.left - 1, floor=self.values.all[world.longest])
             sent = world.sent | self._post([(name, prepare) for name in KEEPERS])
-            yield (f"{EDITORS[at]} begins {ballot}", self._without_dead(world._replace(
-                sent=sent, editors=_put(world.editors, at, self.rounds(after)))), "")
+            yield (
+                f"{EDITORS[at]} begins {ballot}",
+                self._without_dead(world._replace(sent=sent, editors=_put(world.editors, at, self.rounds(after)))),
+                "",
+            )
 
     def _without_dead(self, world: World) -> World:
         """Replies to a round that is over can do nothing any more."""
@@ -243,18 +255,23 @@
             if isinstance(message, Noted):
                 if self.voters.all[world.memory[KEEPERS.index(to)]].voting:
                     sent ^= low
-            elif to in ballots and (now is None or now.ballot != message.ballot
-                                  or now.offered and isinstance(message, Promise)):
+            elif to in ballots and (
+                now is None or now.ballot != message.ballot or now.offered and isinstance(message, Promise)
+            ):
                 sent ^= low
         return world._replace(sent=sent)
 
     def _synced(self, world: World, at: int) -> World:
-        return world._replace(disks=_put(world.disks, at, world.memory[at]), held=_put(world.held, at, 0),
-                              sent=world.sent | world.held[at])
+        return world._replace(
+            disks=_put(world.disks, at, world.memory[at]),
+            held=_put(world.held, at, 0),
+            sent=world.sent | world.held[at],
+        )
 
     def _crashed(self, world: World, at: int) -> World:
-        return world._replace(memory=_put(world.memory, at, world.disks[at]), held=_put(world.held, at, 0),
-                              crashes=world.crashes - 1)
+        return world._replace(
+            memory=_put(world.memory, at, world.disks[at]), held=_put(world.held, at, 0), crashes=world.crashes - 1
+        )
 
     def _wiped(self, world: World, at: int) -> Iterator[tuple[str, World, str]]:
         """Its disk is replaced. Two of three at once are more than any register bears."""
@@ -265,9 +282,17 @@
         if self.bounds.empty:
             fresh = msgspec.structs.replace(fresh, voting=True)
         number = self.voters(fresh)
-        yield f"{old.me} loses its disk", world._replace(
-            memory=_put(world.memory, at, number), disks=_put(world.disks, at, number), held=_put(world.held, at, 0),
-            wipes=world.wipes - 1, sent=world.sent | (0 if self.bounds.empty else self._enter(fresh))), ""
+        yield (
+            f"{old.me} loses its disk",
+            world._replace(
+                memory=_put(world.memory, at, number),
+                disks=_put(world.disks, at, number),
+                held=_put(world.held, at, 0),
+                wipes=world.wipes - 1,
+                sent=world.sent | (0 if self.bounds.empty else self._enter(fresh)),
+            ),
+            "",
+        )
 
     # ---- all of them
 
@@ -331,12 +356,18 @@
 
 
 def _put(things: tuple[int, ...], at: int, thing: int) -> tuple[int, ...]:
-    return (*things[:at], thing, *things[at + 1:])
+    return (*things[:at], thing, *things[at + 1 :])
 
 
 SMALL = (Bounds(rounds=(1, 1)), Bounds(rounds=(1, 0), crashes=1), Bounds(rounds=(1, 0), born=True))
-FULL = (*SMALL, Bounds(rounds=(2, 1)), Bounds(rounds=(1, 1), crashes=1), Bounds(rounds=(1, 1), born=True),
-        Bounds(rounds=(2, 0), wipes=1), Bounds(rounds=(1, 1), wipes=1))
+FULL = (
+    *SMALL,
+    Bounds(rounds=(2, 1)),
+    Bounds(rounds=(1, 1), crashes=1),
+    Bounds(rounds=(1, 1), born=True),
+    Bounds(rounds=(2, 0), wipes=1),
+    Bounds(rounds=(1, 1), wipes=1),
+)
 
 __all__ = ["Bounds", "Explorer", "FULL", "SMALL"]
 
@@ -347,9 +378,12 @@
         reports.append(Explorer(bounds).run())
         if "--json" not in words:
             one = reports[-1]
-            print(f"{bounds}: {one.states:,} states, {one.steps:,} steps, {one.chosen:,} with a value chosen, "
-                  f"{'all' if one.complete else 'NOT ALL'}, violations {len(one.violations)}, "
-                  f"{one.seconds} s", flush=True)
+            print(
+                f"{bounds}: {one.states:,} states, {one.steps:,} steps, {one.chosen:,} with a value chosen, "
+                f"{'all' if one.complete else 'NOT ALL'}, violations {len(one.violations)}, "
+                f"{one.seconds} s",
+                flush=True,
+            )
     if "--json" in words:
         print(msgspec.json.encode(reports).decode())
     return 1 if any(one.violations for one in reports) else 0
--- a/rackhub/trials/fleet/rules_torture.py
+++ b/rackhub/trials/fleet/rules_torture.py
@@ -119,9 +119,11 @@
                 ended[0] = True
                 self.ops[at] = self._op(ask, begin, outcome)
                 done(outcome)
+
             at = len(self.ops)
             self.ops.append(Op(begin, 0, ask.id, ask.on, "unknown"))  # and so it stays where its gateway is killed
             change(ask, over)
+
         book.holder.learn, book.changes.change = learned, changed  # type: ignore[method-assign]
         self.books[name], self.words[name] = book, words
         book.start()
@@ -208,11 +210,20 @@
             report.lost += number not in self.seen or self.seen[number].id != id
         last = self.seen.get(newest)
         for book in self.books.values():
-            report.still_held += last is not None and (book.held.version != newest or book.held.content != (
-                last.content if last.trial is None else self.seen[newest - 1].content))
+            report.still_held += last is not None and (
+                book.held.version != newest
+                or book.held.content != (last.content if last.trial is None else self.seen[newest - 1].content)
+            )
         for part, version in self.held.values():
-            able = [self.seen[one].content.get("shed") if one else None for one in (version, version - 1) if one >= 0
-                    and (one == version or self.seen[version].trial is not None)] if version else [None]
+            able = (
+                [
+                    self.seen[one].content.get("shed") if one else None
+                    for one in (version, version - 1)
+                    if one >= 0 and (one == version or self.seen[version].trial is not None)
+                ]
+                if version
+                else [None]
+            )
             report.two_contents += part not in able
         report.linearizable, _ = linearizable(self.ops)
         report.calls, report.acknowledged = len(self.ops), sum(one.kind == "done" for one in self.ops)
@@ -247,8 +258,10 @@
         times = sorted(self.undos)
         if times:
             report.undos_timed = len(times)
-            report.undo_p50_ms, report.undo_p99_ms = times[len(times) // 2], times[min(len(times) - 1,
-                                                                                      int(len(times) * 0.99))]
+            report.undo_p50_ms, report.undo_p99_ms = (
+                times[len(times) // 2],
+                times[min(len(times) - 1, int(len(times) * 0.99))],
+            )
         report.seconds = round(time.monotonic() - began, 1)
         return report
 
@@ -262,8 +275,12 @@
             return
         name = draw.choice(able)
         self.asked += 1
-        words: dict[str, Any] = {"author": draw.choice(["ann", "bob"]), "reason": f"number {self.asked}",
-                                 "id": f"e{self.asked}", "on": stand.books[name].holder.book.newest}
+        words: dict[str, Any] = {
+            "author": draw.choice(["ann", "bob"]),
+            "reason": f"number {self.asked}",
+            "id": f"e{self.asked}",
+            "on": stand.books[name].holder.book.newest,
+        }
         what = draw.choice(["edit", "edit", "undo", "undo", "trial", "confirm"])
         if self.doubtful and draw.random() < 0.5:
             what, words = self.doubtful.pop()
@@ -278,6 +295,7 @@
             open_.clear()
             if told.get("unknown"):
                 self.doubtful.append((what, words))
+
         open_ = [name]
         stand.call(name, "edit" if what == "trial" else what, answered, **words)
         if what == "trial" and draw.random() < 0.4:
@@ -352,6 +370,7 @@
 
             def everywhere(at: int = before) -> bool:
                 return all(one.version > at for one in books.values())
+
             if stand.net.time.run(10 * SECOND, everywhere):
                 self.undos.append((stand.net.time.now() - began) / MS)
             stand.run(SECOND)
@@ -360,8 +379,10 @@
 def main(words: list[str]) -> int:
     def option(name: str, otherwise: int) -> int:
         return int(words[words.index(name) + 1]) if name in words else otherwise
-    report = Torture(option("--seed", 1), option("--edits", 120), option("--gateways", 12),
-                     option("--keepers", 3)).run()
+
+    report = Torture(
+        option("--seed", 1), option("--edits", 120), option("--gateways", 12), option("--keepers", 3)
+    ).run()
     if "--json" in words:
         print(msgspec.json.encode(report).decode())
     else:
--- a/rackhub/trials/fleet/twin.py
+++ b/rackhub/trials/fleet/twin.py
@@ -108,6 +108,7 @@
         def due() -> None:
             if self.up and self.boot == boot:
                 self.held.append(call) if self.paused else call()
+
         return self.net.time.later(delay, due)
 
     # ---- faults
@@ -138,17 +139,24 @@
     # ---- members
 
     def all(self) -> Mapping[Name, Member]:
-        return {name: Member(name, ("127.0.0.1", 7_000 + i), self.net.nodes[name].boot, 0,
-                             self._states.get(name, State.ALIVE), 0)
-                for i, name in enumerate(sorted(self.net.nodes))}
+        return {
+            name: Member(
+                name, ("127.0.0.1", 7_000 + i), self.net.nodes[name].boot, 0, self._states.get(name, State.ALIVE), 0
+            )
+            for i, name in enumerate(sorted(self.net.nodes))
+        }
 
     def living(self) -> frozenset[Name]:
-        return frozenset(name for name, member in self.all().items()
-                         if member.state in (State.ALIVE, State.SUSPECT, State.CUT) or name == self.me)
+        return frozenset(
+            name
+            for name, member in self.all().items()
+            if member.state in (State.ALIVE, State.SUSPECT, State.CUT) or name == self.me
+        )
 
     def heard(self) -> frozenset[Name]:
-        return frozenset(name for name in self.living()
-                         if self._states.get(name, State.ALIVE) is not State.CUT or name == self.me)
+        return frozenset(
+            name for name in self.living() if self._states.get(name, State.ALIVE) is not State.CUT or name == self.me
+        )
 
     def hears(self, one: Name, other: Name) -> bool | None:
         return (other, one) not in self.net.cuts
@@ -181,8 +189,14 @@
             call(Record(owner, kind, boot, number, self.now() - at, body))
 
     def read(self, kind: str) -> Mapping[Name, Record]:
-        return {owner: Record(owner, kind, boot, number, self.now() - at, body)
-                for (owner, of, ), (boot, number, at, body) in self._seen.items() if of == kind}
+        return {
+            owner: Record(owner, kind, boot, number, self.now() - at, body)
+            for (
+                owner,
+                of,
+            ), (boot, number, at, body) in self._seen.items()
+            if of == kind
+        }
 
     # ---- mail
 
--- a/rackhub/trials/gather/audit.py
+++ b/rackhub/trials/gather/audit.py
@@ -23,6 +23,7 @@
 
 def judge(sites: Sequence[str], cls: str, partial: bool, seen: Seen) -> Judge:
     """What is wrong with a served answer; None: nothing. Answers of other classes must have no mark."""
+
     def wrong(request: Request, result: dict[str, Any]) -> str | None:
         arrival = request.arrival
         body = base64.b64decode(result["body"])
--- a/rackhub/trials/gather/policies.py
+++ b/rackhub/trials/gather/policies.py
@@ -27,13 +27,19 @@
 SITES = ("s0", "s1", "s2", "s3")
 TOML = "".join(f'[[gather.site]]\nname = "{site}"\nzones = ["{site}"]\n' for site in SITES)
 RULE = '[[gather.rule]]\nclass = "report"\nsites = ["s0", "s1", "s2", "s3"]\n'
-NEED = 'weight = 0.75\npartial = true\n'
-POLICIES = {"all": "", "need": NEED + 'wait = "need"\n', "learned": NEED + 'wait = "learned"\n',
-            "fill": NEED + 'wait = "learned"\nfill_ms = 60000\n'}
+NEED = "weight = 0.75\npartial = true\n"
+POLICIES = {
+    "all": "",
+    "need": NEED + 'wait = "need"\n',
+    "learned": NEED + 'wait = "learned"\n',
+    "fill": NEED + 'wait = "learned"\nfill_ms = 60000\n',
+}
 FAULTS: dict[str, tuple[Step, ...]] = {
-    "none": (), "slow": (Step(at_ms=1_500, do="slow", whom=("e3",), more={"times": 8.0}),),
+    "none": (),
+    "slow": (Step(at_ms=1_500, do="slow", whom=("e3",), more={"times": 8.0}),),
     "silent": (Step(at_ms=1_500, do="mood", whom=("e3",), more={"silent": True}),),
-    "cut": (Step(at_ms=1_500, do="engine_dies", whom=("e3",)),)}
+    "cut": (Step(at_ms=1_500, do="engine_dies", whom=("e3",)),),
+}
 
 
 class Row(msgspec.Struct):
@@ -66,8 +72,13 @@
     seen, partial = Seen(), policy != "all"
     with Rig(plan, reactor) as rig:
         rig.up()
-        trial = Trial(rig, [Load(rate=rate, end=seconds * SECOND, kinds=("report",))], seed,
-                      steps=Schedule(step=FAULTS[fault]), judge=judge(SITES, "report", partial, seen))
+        trial = Trial(
+            rig,
+            [Load(rate=rate, end=seconds * SECOND, kinds=("report",))],
+            seed,
+            steps=Schedule(step=FAULTS[fault]),
+            judge=judge(SITES, "report", partial, seen),
+        )
         run = trial.clients.run
         trial.clients.run = lambda arrivals: run(again(drawn(plan, trial.loads, seed), 12))  # type: ignore[method-assign]
         trial.run()
@@ -77,15 +88,28 @@
         trial.close()
     asked = max(totals.requests, 1)
     times: dict[str, Any] = verdict.latencies.get("report", {})
-    return Row(fault, policy, totals.requests, round(seen.whole / asked, 3), round(seen.partial / asked, 3),
-               round(totals.refused / asked, 3), round((totals.served - late) / asked, 3),
-               times.get("p50_ms", 0.0), times.get("p99_ms", 0.0), round(1 - seen.used / max(len(ran), 1), 3),
-               seen.filled, verdict.faults)
+    return Row(
+        fault,
+        policy,
+        totals.requests,
+        round(seen.whole / asked, 3),
+        round(seen.partial / asked, 3),
+        round(totals.refused / asked, 3),
+        round((totals.served - late) / asked, 3),
+        times.get("p50_ms", 0.0),
+        times.get("p99_ms", 0.0),
+        round(1 - seen.used / max(len(ran), 1), 3),
+        seen.filled,
+        verdict.faults,
+    )
 
 
 def main(words: list[str]) -> int:
-    told = docopt("Usage: policies [--seconds N] [--seed N] [--json]\n\nOptions:\n  --seconds N  [default: 8]\n"
-                  "  --seed N     [default: 1]\n  --json       One JSON document instead of a table.\n", words)
+    told = docopt(
+        "Usage: policies [--seconds N] [--seed N] [--json]\n\nOptions:\n  --seconds N  [default: 8]\n"
+        "  --seed N     [default: 1]\n  --json       One JSON document instead of a table.\n",
+        words,
+    )
     rows = [one(fault, policy, int(told["--seconds"]), int(told["--seed"])) for fault in FAULTS for policy in POLICIES]
     show(rows, told["--json"])
     return 1 if any(row.wrong for row in rows) else 0
--- a/rackhub/trials/processes/arrivals.py
+++ b/rackhub/trials/processes/arrivals.py
@@ -57,8 +57,13 @@
         group = int(math.sqrt(chance.random()) * 20)
         number = chance.getrandbits(48)
         statement = f"SELECT a, b, c FROM trips_{group}.docks WHERE k = {number} /* work={work} rows={load.rows} */"
-        yield Arrival(int(at), kind, chance.choices([name for name, _ in plan.tenants],
-                                                    [share for _, share in plan.tenants])[0],
-                      chance.choices(names, weights)[0], work, statement.encode(),
-                      f"{chance.getrandbits(128):032x}" if kind.effect == "dedup" else "",
-                      chance.choice(BAD) if chance.random() < load.bad else "")
+        yield Arrival(
+            int(at),
+            kind,
+            chance.choices([name for name, _ in plan.tenants], [share for _, share in plan.tenants])[0],
+            chance.choices(names, weights)[0],
+            work,
+            statement.encode(),
+            f"{chance.getrandbits(128):032x}" if kind.effect == "dedup" else "",
+            chance.choice(BAD) if chance.random() < load.bad else "",
+        )
--- a/rackhub/trials/processes/audit.py
+++ b/rackhub/trials/processes/audit.py
@@ -5,9 +5,27 @@
 KEPT = 5  # cases of each kind that are told; all are counted
 
 # a fault of safety: none of these may ever be there
-SAFETY = ("lost", "answered_twice", "wrong_rows", "never_ran", "bad_served", "unreadable", "stray_answer",
-          "two_attempts", "effects_twice", "after_told", "partial_as_whole", "crashed", "cold_fell",
-          "acknowledged_lost", "two_contents", "order_broken", "version_back", "open_changed", "over_bound")
+SAFETY = (
+    "lost",
+    "answered_twice",
+    "wrong_rows",
+    "never_ran",
+    "bad_served",
+    "unreadable",
+    "stray_answer",
+    "two_attempts",
+    "effects_twice",
+    "after_told",
+    "partial_as_whole",
+    "crashed",
+    "cold_fell",
+    "acknowledged_lost",
+    "two_contents",
+    "order_broken",
+    "version_back",
+    "open_changed",
+    "over_bound",
+)
 
 
 class Found(msgspec.Struct):
--- a/rackhub/trials/processes/bound.py
+++ b/rackhub/trials/processes/bound.py
@@ -13,8 +13,12 @@
 def most(sent: Iterable[Sent], plan: Plan, begin: int, end: int) -> int:
     """The most threads that were out at any time between."""
     threads = {kind.name: kind.threads for kind in plan.kinds}
-    moves = sorted((at, way * threads[each.cls]) for each in sent if each.at < end and not 0 < each.over <= begin
-                   for at, way in ((max(each.at, begin), 1), (each.over or end, -1)))
+    moves = sorted(
+        (at, way * threads[each.cls])
+        for each in sent
+        if each.at < end and not 0 < each.over <= begin
+        for at, way in ((max(each.at, begin), 1), (each.over or end, -1))
+    )
     out = found = 0
     for _, by in moves:  # of one moment the ends come first
         out += by
--- a/rackhub/trials/processes/calls.py
+++ b/rackhub/trials/processes/calls.py
@@ -40,8 +40,9 @@
             self._done(line)
 
 
-def call(reactor: Any, address: Address, line: bytes, done: Callable[[bytes | None], None],
-         patience: float = 2.0) -> None:
+def call(
+    reactor: Any, address: Address, line: bytes, done: Callable[[bytes | None], None], patience: float = 2.0
+) -> None:
     """`done` gets the line that came back, or None: nobody listened, it closed, or the time was over."""
     protocol = _Call(line, done)
     reactor.connectTCP(*address, OneDial(protocol, protocol.connectionLost), timeout=patience)
@@ -55,8 +56,13 @@
     protocol._done = finished
 
 
-def say(reactor: Any, address: Address, message: dict[str, Any], done: Callable[[dict[str, Any] | None], None],
-        patience: float = 2.0) -> None:
+def say(
+    reactor: Any,
+    address: Address,
+    message: dict[str, Any],
+    done: Callable[[dict[str, Any] | None], None],
+    patience: float = 2.0,
+) -> None:
     """The same with one JSON object each way; what can't be read counts as no answer."""
 
     def heard(line: bytes | None) -> None:
@@ -71,5 +77,9 @@
 
 def alive(reactor: Any, address: Address, done: Callable[[bool], None]) -> None:
     """Whether a gateway takes requests."""
-    say(reactor, address, {"jsonrpc": "2.0", "id": 1, "method": "alive"},
-        lambda told: done(bool(told and told.get("result", {}).get("pass"))))
+    say(
+        reactor,
+        address,
+        {"jsonrpc": "2.0", "id": 1, "method": "alive"},
+        lambda told: done(bool(told and told.get("result", {}).get("pass"))),
+    )
--- a/rackhub/trials/processes/cases/__init__.py
+++ b/rackhub/trials/processes/cases/__init__.py
@@ -17,5 +17,8 @@
 )
 from rackhub.trials.processes.cases.case import Case
 
-CASES: dict[str, Case] = {case.name: case for module in (
-    overload, gateways, engines, members, gathers, undone, rules, keepers, versions) for case in module.CASES}
+CASES: dict[str, Case] = {
+    case.name: case
+    for module in (overload, gateways, engines, members, gathers, undone, rules, keepers, versions)
+    for case in module.CASES
+}
--- a/rackhub/trials/processes/cases/case.py
+++ b/rackhub/trials/processes/cases/case.py
@@ -1,6 +1,7 @@
 """What a case is made of, and what cases share."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, NamedTuple
 
 from rackhub.trials.processes.arrivals import Load
@@ -28,7 +29,7 @@
     """The first gateways that make up this part of all, at least one, never all but for a part of 1."""
     count = len(rig.gateways)
     most = count if part >= 1 else count - 1
-    return tuple(rig.plan.gateway_names()[:max(1, min(round(count * part), most))])
+    return tuple(rig.plan.gateway_names()[: max(1, min(round(count * part), most))])
 
 
 def steady(rig: Rig, level: float, end: float, begin: float = 0.0, **more: Any) -> Load:
@@ -45,8 +46,7 @@
     heard: dict[str, Any] = {}
     asked = list(whom or rig.gateways)
     for name in asked:
-        say(rig.reactor, rig.gateways[name].control, words,
-            lambda told, name=name: heard.__setitem__(name, told), patience)  # type: ignore[misc]
+        say(rig.reactor, rig.gateways[name].control, words, partial(heard.__setitem__, name), patience)
     until(rig.reactor, lambda: len(heard) == len(asked), patience + 5, "answers at the control ports")
     return heard
 
@@ -62,25 +62,41 @@
     return False
 
 
-def recovery(trial: Trial, verdict: Verdict, before: tuple[float, float], during: tuple[float, float], end: float,
-             within: int = 5) -> None:
+def recovery(
+    trial: Trial,
+    verdict: Verdict,
+    before: tuple[float, float],
+    during: tuple[float, float],
+    end: float,
+    within: int = 5,
+) -> None:
     """Adds figures before, during and after; the final state asked for is 95% of what was served before, from `within`
     seconds after `end` on."""
     clients = trial.clients
     level = clients.timeline.share(*before)
     took = clients.timeline.recovered(int(end), 0.95 * level)
     verdict.figures |= {
-        "worth_before": round(level, 3), "worth_during": round(clients.timeline.share(*during), 3),
-        "worth_after": round(clients.timeline.share(end, trial.seconds), 3), "recovered_s": took,
-        "attempts_a_request_during": round(trial.amplification(*during), 3)}
+        "worth_before": round(level, 3),
+        "worth_during": round(clients.timeline.share(*during), 3),
+        "worth_after": round(clients.timeline.share(end, trial.seconds), 3),
+        "recovered_s": took,
+        "attempts_a_request_during": round(trial.amplification(*during), 3),
+    }
     if took is None:
         verdict.unsettled.append(f"not back to 95% of what was served before by {trial.seconds - end:g} s after")
     elif took > within:
         verdict.unsettled.append(f"back to 95% only after {took} s, not within {within}")
 
 
-def recovers(rig: Rig, seed: int, name: str, load: Load, steps: Sequence[Step], during: tuple[float, float],
-             patience: float = 20.0) -> Verdict:
+def recovers(
+    rig: Rig,
+    seed: int,
+    name: str,
+    load: Load,
+    steps: Sequence[Step],
+    during: tuple[float, float],
+    patience: float = 20.0,
+) -> Verdict:
     """One load under these steps; asked for: the level of what came before `during` again after it, and all serve."""
     trial = Trial(rig, [load], seed, steps=Schedule(step=tuple(steps))).run(patience)
     verdict = trial.verdict(name)
--- a/rackhub/trials/processes/cases/engines.py
+++ b/rackhub/trials/processes/cases/engines.py
@@ -13,24 +13,39 @@
     """Under pressure one engine dies, and comes back cold into what the others can't carry. `first_together`: what all
     gateways sent it before its first answer, which takes a while: else there is no time for a second one."""
     whom, end = ("e0",), 14.0 if brief else 22.0
-    trial = Trial(rig, [steady(rig, 0.95, end, bad=0.01)], seed, steps=Schedule(step=(
-        step(2.0, "engine_dies", whom), step(5.0, "engine_back", whom),
-        step(5.0, "mood", whom, late=FIRST), step(7.0, "mood", whom, late=0)))).run()
+    trial = Trial(
+        rig,
+        [steady(rig, 0.95, end, bad=0.01)],
+        seed,
+        steps=Schedule(
+            step=(
+                step(2.0, "engine_dies", whom),
+                step(5.0, "engine_back", whom),
+                step(5.0, "mood", whom, late=FIRST),
+                step(7.0, "mood", whom, late=0),
+            )
+        ),
+    ).run()
     verdict = trial.verdict("engine-cold")
     engine = rig.engines["e0"]
     here = [sent for sent in rig.attempts.all if sent.engine == "e0" and sent.at >= engine.came_up > 0]
     first = min((sent.over for sent in here if sent.how == "served"), default=0)
     verdict.figures |= {
-        "sent_when_cold": len(here), "first_together": sum(sent.at < first for sent in here),
+        "sent_when_cold": len(here),
+        "first_together": sum(sent.at < first for sent in here),
         "first_gateways": len({sent.gateway for sent in here if sent.at < first}),
-        "cold_worst": round(max(engine.worst_cold, engine.cores.worst), 3), "fell": engine.falls}
+        "cold_worst": round(max(engine.worst_cold, engine.cores.worst), 3),
+        "fell": engine.falls,
+    }
     if engine.falls:
         verdict.unsettled.append("the cold engine was pushed over and is down")
     elif not first:
         verdict.unsettled.append("the engine that came back was not used again")
     elif rig.plan.fleet and verdict.figures["first_together"] != 1:
-        verdict.unsettled.append(f"{verdict.figures['first_together']} requests went to the engine that came back "
-                                 "before its first answer, not one")
+        verdict.unsettled.append(
+            f"{verdict.figures['first_together']} requests went to the engine that came back "
+            "before its first answer, not one"
+        )
     all_serve(rig, verdict)
     trial.close()
     return verdict
@@ -39,9 +54,17 @@
 def site(rig: Rig, seed: int, brief: bool, name: str, **mood: object) -> Verdict:
     whom = tuple(engine.name for engine in rig.engines.values() if engine.site == "s0")
     end = 5.0 if brief else 8.0
-    return recovers(rig, seed, name, steady(rig, 0.35, end + 7.0, bad=0.01, rows=400), (
-        step(2.0, "mood", whom, **mood),
-        step(end, "mood", whom, silent=False, trickle=0, late=0, errors=0.0, resets=0.0)), (2.0, end))
+    return recovers(
+        rig,
+        seed,
+        name,
+        steady(rig, 0.35, end + 7.0, bad=0.01, rows=400),
+        (
+            step(2.0, "mood", whom, **mood),
+            step(end, "mood", whom, silent=False, trickle=0, late=0, errors=0.0, resets=0.0),
+        ),
+        (2.0, end),
+    )
 
 
 def silent(rig: Rig, seed: int, brief: bool) -> Verdict:
@@ -63,9 +86,15 @@
 
 CASES = (
     Case("engine-cold", "an engine dies under pressure and comes back cold", cold),
-    Case("engine-cold-fleet", "the same with [fleet] on: the first request to it is one", cold, ("overload",),
-         {"fleet": True}),
+    Case(
+        "engine-cold-fleet",
+        "the same with [fleet] on: the first request to it is one",
+        cold,
+        ("overload",),
+        {"fleet": True},
+    ),
     Case("site-silent", "one site takes all and answers nothing for some seconds", silent),
     Case("site-trickles", "one site gives its pages ever so slowly", trickles),
     Case("site-late", "one site answers after the end", late),
-    Case("site-resets", "one site breaks off in the middle of its rows", killed_mid_rows))
+    Case("site-resets", "one site breaks off in the middle of its rows", killed_mid_rows),
+)
--- a/rackhub/trials/processes/cases/gathers.py
+++ b/rackhub/trials/processes/cases/gathers.py
@@ -15,17 +15,29 @@
 NEED = PLACES + RULE + 'needs = ["s0"]\npartial = true\nwait = "learned"\n'
 REPORTS = ("report",)
 NEAR = ("s0", "far")  # the second is gateways of this rig itself, which gather no further
-FAR = PLACES + '[[gather.site]]\nname = "far"\ngateways = ["@door:g0@", "@door:g1@"]\n' \
+FAR = (
+    PLACES + '[[gather.site]]\nname = "far"\ngateways = ["@door:g0@", "@door:g1@"]\n'
     '[[gather.rule]]\nclass = "report"\nsites = ["s0", "far"]\nneeds = ["s0"]\npartial = true\nwait = "learned"\n'
-
-
-def gather(rig: Rig, seed: int, name: str, steps: tuple[Step, ...], partial: bool, end: float, expect: bool = True,
-           within: int = 5, sites: tuple[str, ...] = SITES) -> Verdict:
+)
+
+
+def gather(
+    rig: Rig,
+    seed: int,
+    name: str,
+    steps: tuple[Step, ...],
+    partial: bool,
+    end: float,
+    expect: bool = True,
+    within: int = 5,
+    sites: tuple[str, ...] = SITES,
+) -> Verdict:
     """A third of what the engines can do, so that three parts of each report fit. `expect`: partial answers must have
     been seen where the rule allows them, else the case has proved nothing."""
     judge = Judge(sites, REPORTS, partial, lambda sign: rig.attempts.signs.get(sign, set()), ("far",))
-    trial = Trial(rig, [steady(rig, 0.25, end + 7.0, bad=0.01, rows=200)], seed, steps=Schedule(step=steps),
-                  judge=judge).run(30.0)
+    trial = Trial(
+        rig, [steady(rig, 0.25, end + 7.0, bad=0.01, rows=200)], seed, steps=Schedule(step=steps), judge=judge
+    ).run(30.0)
     verdict = trial.verdict(name)
     recovery(trial, verdict, (0.0, 2.0), (2.0, end), end, within)
     verdict.figures |= {"gathered": dict(judge.seen), "missing": dict(judge.missing)}
@@ -85,15 +97,17 @@
 def term(rig: Rig, seed: int, brief: bool) -> Verdict:
     """The gathering gateway gets SIGTERM while gathers are open."""
     whom = names(rig, 0.5)
-    return gather(rig, seed, "gather-term", (step(2.0, "term", whom), step(2.1, "start", whom)), True, 4.0,
-                  expect=False)
+    return gather(
+        rig, seed, "gather-term", (step(2.0, "term", whom), step(2.1, "start", whom)), True, 4.0, expect=False
+    )
 
 
 def far(rig: Rig, seed: int, brief: bool, name: str, expect: bool = True, **mode: Any) -> Verdict:
     """The other site is gateways behind doors, over the clients' protocol; something is with the doors for a while."""
     end, whom = (5.0 if brief else 9.0), ("g0", "g1")
-    return gather(rig, seed, name, (step(2.0, "door", whom, **mode), step(end, "door", whom)), True, end, expect,
-                  sites=NEAR)
+    return gather(
+        rig, seed, name, (step(2.0, "door", whom, **mode), step(end, "door", whom)), True, end, expect, sites=NEAR
+    )
 
 
 def one_way(rig: Rig, seed: int, brief: bool) -> Verdict:
@@ -109,15 +123,23 @@
     return far(rig, seed, brief, "gather-byte-by-byte", trickle=2_000)
 
 
-CASES = tuple(Case(name, about, run, ("gather",), {"sites": 3, "engines": 6, "peers": True, "operator_more": more})
-              for name, about, run, more in (
-    ("gather-silent", "one of three sites takes all and answers nothing; the need is met without it", silent, NEED),
-    ("gather-all-silent", "the same where all sites are needed: nothing partial is ever seen", silent_all, ALL),
-    ("gather-trickles", "one of three sites gives its pages ever so slowly", trickles, NEED),
-    ("gather-resets", "one of three sites breaks off in the middle of its rows", resets, NEED),
-    ("gather-late", "all three sites are late at once", late, NEED),
-    ("gather-dead", "the engines of one site die, and come back cold", dead, NEED),
-    ("gather-term", "gathering gateways get SIGTERM with gathers open", term, NEED),
-    ("gather-one-way", "gateways that gather from one another; nothing comes back for a while", one_way, FAR),
-    ("gather-mid-rows", "the same; all connections between them break, and none comes up for a while", mid_rows, FAR),
-    ("gather-byte-by-byte", "the same; what comes back trickles", slowly, FAR)))
+CASES = tuple(
+    Case(name, about, run, ("gather",), {"sites": 3, "engines": 6, "peers": True, "operator_more": more})
+    for name, about, run, more in (
+        ("gather-silent", "one of three sites takes all and answers nothing; the need is met without it", silent, NEED),
+        ("gather-all-silent", "the same where all sites are needed: nothing partial is ever seen", silent_all, ALL),
+        ("gather-trickles", "one of three sites gives its pages ever so slowly", trickles, NEED),
+        ("gather-resets", "one of three sites breaks off in the middle of its rows", resets, NEED),
+        ("gather-late", "all three sites are late at once", late, NEED),
+        ("gather-dead", "the engines of one site die, and come back cold", dead, NEED),
+        ("gather-term", "gathering gateways get SIGTERM with gathers open", term, NEED),
+        ("gather-one-way", "gateways that gather from one another; nothing comes back for a while", one_way, FAR),
+        (
+            "gather-mid-rows",
+            "the same; all connections between them break, and none comes up for a while",
+            mid_rows,
+            FAR,
+        ),
+        ("gather-byte-by-byte", "the same; what comes back trickles", slowly, FAR),
+    )
+)
--- a/rackhub/trials/processes/cases/keepers.py
+++ b/rackhub/trials/processes/cases/keepers.py
@@ -26,5 +26,12 @@
     return verdict
 
 
-CASES = (Case("rules-at-answer", "a keeper is killed between accept and answer, and comes back with its disk", between,
-              ("members", "rules"), PLAN),)
+CASES = (
+    Case(
+        "rules-at-answer",
+        "a keeper is killed between accept and answer, and comes back with its disk",
+        between,
+        ("members", "rules"),
+        PLAN,
+    ),
+)
--- a/rackhub/trials/processes/cases/overload.py
+++ b/rackhub/trials/processes/cases/overload.py
@@ -18,15 +18,25 @@
 HEARD = 1.0  # seconds
 
 
-def over(rig: Rig, seed: int, brief: bool, name: str, hot: float = 0.0, steps: Sequence[Step] = (),
-         honour: bool = True, after: float = AFTER) -> Verdict:
+def over(
+    rig: Rig,
+    seed: int,
+    brief: bool,
+    name: str,
+    hot: float = 0.0,
+    steps: Sequence[Step] = (),
+    honour: bool = True,
+    after: float = AFTER,
+) -> Verdict:
     begin, after = (2.0, 6.0) if brief else (BEGIN, after)
     end = begin + LASTS
     gateways = rig.plan.gateway_names()
     cold = (1 - hot) / max(len(gateways) - 1, 1)
     weights = {each: hot if each == gateways[0] else cold for each in gateways} if hot else {}
-    loads: list[Load] = [steady(rig, BASE, end + after, weights=weights, bad=0.01),
-                         steady(rig, TIMES - BASE, end, begin, weights=weights)]
+    loads: list[Load] = [
+        steady(rig, BASE, end + after, weights=weights, bad=0.01),
+        steady(rig, TIMES - BASE, end, begin, weights=weights),
+    ]
     moved = tuple(step(begin + each.at_ms / 1_000, each.do, each.whom, **each.more) for each in steps)
     trial = Trial(rig, loads, seed, Retry(most=2, honour=honour), Schedule(step=moved)).run()
     all_serve(rig, trial_verdict := trial.verdict(name))
@@ -52,14 +62,16 @@
 
 def killed(rig: Rig, seed: int, brief: bool) -> Verdict:
     whom = names(rig, 0.7)
-    return over(rig, seed, brief, "overload-killed",
-                steps=(step(1.5, "kill", whom), step(2.5, "start", whom)))
+    return over(rig, seed, brief, "overload-killed", steps=(step(1.5, "kill", whom), step(2.5, "start", whom)))
 
 
 def restarted(rig: Rig, seed: int, brief: bool) -> Verdict:
     """All of them, a moment apart, as a rollout in a hurry."""
-    steps = [each for number, name in enumerate(rig.gateways)
-             for each in (step(1.0 + 0.15 * number, "term", (name,)), step(1.05 + 0.15 * number, "start", (name,)))]
+    steps = [
+        each
+        for number, name in enumerate(rig.gateways)
+        for each in (step(1.0 + 0.15 * number, "term", (name,)), step(1.05 + 0.15 * number, "start", (name,)))
+    ]
     return over(rig, seed, brief, "overload-restarted", steps=steps, after=AFTER + 8)
 
 
@@ -68,6 +80,15 @@
     Case("overload-heedless", "the same with clients that do not heed the back-off", heedless),
     Case("overload-hot", "the same with one gateway at 60% of all traffic", hot),
     Case("overload-killed", "the same with 7 of 10 killed at its height and back empty", killed),
-    Case("overload-restarted", "the same with all restarted at its height", restarted))
-CASES = ALONE + tuple(Case(f"{case.name}-fleet", f"{case.about}; with [fleet] on, and what all run within its bound",
-                           case.run, ("overload",), {"fleet": True}) for case in ALONE)
+    Case("overload-restarted", "the same with all restarted at its height", restarted),
+)
+CASES = ALONE + tuple(
+    Case(
+        f"{case.name}-fleet",
+        f"{case.about}; with [fleet] on, and what all run within its bound",
+        case.run,
+        ("overload",),
+        {"fleet": True},
+    )
+    for case in ALONE
+)
--- a/rackhub/trials/processes/cases/undone.py
+++ b/rackhub/trials/processes/cases/undone.py
@@ -21,8 +21,10 @@
 
 
 def content(sites: tuple[str, ...]) -> dict[str, Any]:
-    return {"site": [{"name": each, "zones": [each]} for each in ONE],
-            "rule": [{"class": "report", "sites": list(sites)}]}
+    return {
+        "site": [{"name": each, "zones": [each]} for each in ONE],
+        "rule": [{"class": "report", "sites": list(sites)}],
+    }
 
 
 def undone(rig: Rig, seed: int, brief: bool) -> Verdict:
@@ -55,25 +57,41 @@
     rig.reactor.callLater(6.0, undo, OTHER)
     engines = tuple(rig.engines)
     loads = [steady(rig, 0.1, end + 2.0, kinds=("lookup",), bad=0.01), steady(rig, 0.05, end, kinds=("report",))]
-    trial = Trial(rig, loads, seed, steps=Schedule(step=(
-        step(1.0, "mood", engines, late=LATE), step(end, "mood", engines, late=0))), judge=wrong).run(30.0)
+    trial = Trial(
+        rig,
+        loads,
+        seed,
+        steps=Schedule(step=(step(1.0, "mood", engines, late=LATE), step(end, "mood", engines, late=0))),
+        judge=wrong,
+    ).run(30.0)
     verdict = trial.verdict("gather-undone")
     pass_time(rig.reactor, 0.5)
     judge(rig, editors, verdict)
-    verdict.figures |= {"open_across": changes.across, "under_new": changes.after, "between": changes.between,
-                        "undo_ms": [(op.end - op.begin) // 1_000 for op in made]}
+    verdict.figures |= {
+        "open_across": changes.across,
+        "under_new": changes.after,
+        "between": changes.between,
+        "undo_ms": [(op.end - op.begin) // 1_000 for op in made],
+    }
     for op in made:
         missing = editors.answers.get(op.id, {}).get("missing")
         if not op.number or missing:
             verdict.unsettled.append(f"an undo was not held by all: {op.why or missing}")
     if not changes.across or not changes.after:
-        verdict.unsettled.append(f"nothing is proved: {changes.across} gathers were open across an undo, "
-                                 f"{changes.after} came after one")
+        verdict.unsettled.append(
+            f"nothing is proved: {changes.across} gathers were open across an undo, {changes.after} came after one"
+        )
     all_serve(rig, verdict)
     trial.close()
     return verdict
 
 
-CASES = (Case("gather-undone", "a gather's rule is undone under open gathers, and brought back", undone,
-              ("members", "rules", "gather"),
-              {"fleet": True, "keepers": 3, "sites": 3, "engines": 6, "peers": True}),)
+CASES = (
+    Case(
+        "gather-undone",
+        "a gather's rule is undone under open gathers, and brought back",
+        undone,
+        ("members", "rules", "gather"),
+        {"fleet": True, "keepers": 3, "sites": 3, "engines": 6, "peers": True},
+    ),
+)
--- a/rackhub/trials/processes/cases/versions.py
+++ b/rackhub/trials/processes/cases/versions.py
@@ -19,8 +19,9 @@
 def git(*words: str) -> bytes:
     """Raises `RuntimeError` with git's reason."""
     try:
-        return subprocess.run(["git", *words], cwd=Path(rackhub.__file__).parents[1], capture_output=True, check=True,
-                              timeout=30).stdout
+        return subprocess.run(
+            ["git", *words], cwd=Path(rackhub.__file__).parents[1], capture_output=True, check=True, timeout=30
+        ).stdout
     except (OSError, subprocess.SubprocessError) as bad:
         told = getattr(bad, "stderr", None) or str(bad).encode()
         raise RuntimeError(f"git {words[0]}: {told.decode(errors='replace').strip()[:200]}") from None
@@ -81,5 +82,12 @@
         return verdict
 
 
-CASES = (Case("versions", "half of the gateways run an earlier commit of the program, then are rolled over", versions,
-              ("members", "rules"), PLAN),)
+CASES = (
+    Case(
+        "versions",
+        "half of the gateways run an earlier commit of the program, then are rolled over",
+        versions,
+        ("members", "rules"),
+        PLAN,
+    ),
+)
--- a/rackhub/trials/processes/changes.py
+++ b/rackhub/trials/processes/changes.py
@@ -29,7 +29,7 @@
         """What is wrong with an answer of these sites that came now; None: nothing."""
         most = bisect_right(self._asked, sent + CROSSED)  # changes that it may have seen, and that it must have
         least = bisect_right(self._held, sent - CROSSED)
-        allowed = self._contents[least:most + 1]
+        allowed = self._contents[least : most + 1]
         if sites not in allowed:
             return f"open_changed: sent under {allowed}, answered by {sites}"
         if least != most:
--- a/rackhub/trials/processes/clients.py
+++ b/rackhub/trials/processes/clients.py
@@ -38,10 +38,18 @@
     """All clients of a rig. `away(gateway, since, until)`: whether the rig had that gateway paused or down then;
     `ran(rid)`: the engines that ran it."""
 
-    def __init__(self, reactor: Any, clock: Clock, addresses: Mapping[str, Address], retry: Retry, seed: int,
-                 away: Callable[[str, int, int], bool], ran: Callable[[str], set[str]],
-                 takes: Callable[[str], bool] = lambda gateway: True,
-                 judge: served.Judge | None = None):
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        addresses: Mapping[str, Address],
+        retry: Retry,
+        seed: int,
+        away: Callable[[str, int, int], bool],
+        ran: Callable[[str], set[str]],
+        takes: Callable[[str], bool] = lambda gateway: True,
+        judge: served.Judge | None = None,
+    ):
         """`takes`: whether the front still sends that gateway anything. `judge`: see `served.fault`."""
         self.reactor, self.clock, self.retry, self._away, self._ran = reactor, clock, retry, away, ran
         self._takes = takes
--- a/rackhub/trials/processes/compare.py
+++ b/rackhub/trials/processes/compare.py
@@ -39,11 +39,13 @@
     faults: dict[str, int]
 
 
-def one(way: str, times: float, seed: int, processes: int, engines: int, lasts: float, honour: bool,
-        reactor: Any) -> Row:
+def one(
+    way: str, times: float, seed: int, processes: int, engines: int, lasts: float, honour: bool, reactor: Any
+) -> Row:
     fleet = way == "fleet"
-    plan = Plan(gateways=1 if way == "one" else processes, engines=engines, cores=4.0, seed=seed, peers=fleet,
-                fleet=fleet)
+    plan = Plan(
+        gateways=1 if way == "one" else processes, engines=engines, cores=4.0, seed=seed, peers=fleet, fleet=fleet
+    )
     begin, end = CALM, CALM + lasts
     with Rig(plan, reactor) as rig:
         rig.up()
@@ -51,13 +53,23 @@
         trial = Trial(rig, steps, seed, Retry(most=2, honour=honour)).run()
         verdict, totals, line = trial.verdict(way), trial.clients.totals, trial.clients.timeline
         before = line.share(1, begin)
-        row = Row(way, times, seed, round(line.share(begin, end), 3), round(line.rate(begin, end), 1),
-                  round(before, 3), round(line.share(end, end + AFTER), 3),
-                  round(trial.amplification(begin, end), 3), verdict.figures["tries_a_request"],
-                  totals.carried_on, totals.refusals,
-                  line.recovered(int(end), 0.95 * before),
-                  round(sum(sum(each.probes.values()) for each in rig.engines.values()) / engines / trial.seconds, 2),
-                  totals.late, verdict.faults)
+        row = Row(
+            way,
+            times,
+            seed,
+            round(line.share(begin, end), 3),
+            round(line.rate(begin, end), 1),
+            round(before, 3),
+            round(line.share(end, end + AFTER), 3),
+            round(trial.amplification(begin, end), 3),
+            verdict.figures["tries_a_request"],
+            totals.carried_on,
+            totals.refusals,
+            line.recovered(int(end), 0.95 * before),
+            round(sum(sum(each.probes.values()) for each in rig.engines.values()) / engines / trial.seconds, 2),
+            totals.late,
+            verdict.faults,
+        )
         trial.close()
     return row
 
@@ -88,17 +100,34 @@
         for way, here in ways.items():
             worth = statistics.mean(row.worth for row in here)
             back = [row.recovered_s for row in here if row.recovered_s is not None]
-            found.append(Summary(
-                way, times, round(worth, 3), round(worth / ideal, 3) if ideal else None,
-                round(statistics.mean(row.attempts for row in here), 3),
-                round(statistics.mean(row.tries for row in here), 3),
-                round(statistics.mean(row.carried_on for row in here), 1), max(back, default=None),
-                len(here) - len(back), round(statistics.mean(row.probes for row in here), 2)))
+            found.append(
+                Summary(
+                    way,
+                    times,
+                    round(worth, 3),
+                    round(worth / ideal, 3) if ideal else None,
+                    round(statistics.mean(row.attempts for row in here), 3),
+                    round(statistics.mean(row.tries for row in here), 3),
+                    round(statistics.mean(row.carried_on for row in here), 1),
+                    max(back, default=None),
+                    len(here) - len(back),
+                    round(statistics.mean(row.probes for row in here), 2),
+                )
+            )
     return found
 
 
-def run(processes: int, engines: int, times: Sequence[float], ways: Sequence[str], seeds: Sequence[int], lasts: float,
-        honour: bool, reactor: Any, told: Callable[[Row], None] = lambda row: None) -> list[Row]:
+def run(
+    processes: int,
+    engines: int,
+    times: Sequence[float],
+    ways: Sequence[str],
+    seeds: Sequence[int],
+    lasts: float,
+    honour: bool,
+    reactor: Any,
+    told: Callable[[Row], None] = lambda row: None,
+) -> list[Row]:
     rows = []
     for seed in seeds:
         for each in times:
--- a/rackhub/trials/processes/editors.py
+++ b/rackhub/trials/processes/editors.py
@@ -31,10 +31,12 @@
 
     def watch(self, every: float = 0.3) -> None:
         for gateway in self.rig.gateways:
+
             def heard(told: dict[str, Any] | None, gateway: str = gateway) -> None:
                 if told and "newest" in told:
-                    self.held.append(Held(self.rig.clock.now(), gateway, told["version"], told["newest"],
-                                          self.rig.wiped[gateway]))
+                    self.held.append(
+                        Held(self.rig.clock.now(), gateway, told["version"], told["newest"], self.rig.wiped[gateway])
+                    )
 
             if self.rig.processes.by_name[gateway].running() and not self.rig.processes.by_name[gateway].paused:
                 self._say(gateway, {"call": "rules.status"}, heard)
@@ -44,9 +46,11 @@
     def histories(self, done: Callable[[dict[str, list[Entry]]], None]) -> None:
         found: dict[str, list[Entry]] = {}
         for gateway in self.rig.gateways:
+
             def heard(told: dict[str, Any] | None, gateway: str = gateway) -> None:
-                found[gateway] = [Entry(each["number"], each["id"], each["digest"])
-                                  for each in (told or {}).get("versions", ())]
+                found[gateway] = [
+                    Entry(each["number"], each["id"], each["digest"]) for each in (told or {}).get("versions", ())
+                ]
                 if len(found) == len(self.rig.gateways):
                     done(found)
 
@@ -54,8 +58,14 @@
 
     # ---- operations
 
-    def edit(self, gateway: str, part: dict[str, Any] | None, then: Callable[[Op], None] = lambda op: None,
-             name: str = "timings", **more: Any) -> Op:
+    def edit(
+        self,
+        gateway: str,
+        part: dict[str, Any] | None,
+        then: Callable[[Op], None] = lambda op: None,
+        name: str = "timings",
+        **more: Any,
+    ) -> Op:
         """An edit of this part of the book on the version that this gateway holds as the newest."""
         op = self._begin("edit", gateway)
 
--- a/rackhub/trials/processes/engines.py
+++ b/rackhub/trials/processes/engines.py
@@ -48,8 +48,19 @@
 class Engine:
     """One engine: up or down, and while up what runs on it."""
 
-    def __init__(self, name: str, site: str, model: Model, reactor: Any, clock: Clock, attempts: Attempts,
-                 told: Callable[[str, str], int | None], seed: int, keys: dict[str, int], window: int = 25 * SECOND):
+    def __init__(
+        self,
+        name: str,
+        site: str,
+        model: Model,
+        reactor: Any,
+        clock: Clock,
+        attempts: Attempts,
+        told: Callable[[str, str], int | None],
+        seed: int,
+        keys: dict[str, int],
+        window: int = 25 * SECOND,
+    ):
         """`told(gateway, engine)`: when that gateway was told that it drains or is gone. `keys`: loads done, by key,
         shared by all engines, which drop a repeat within `window`."""
         self.name, self.site, self.model, self.mood = name, site, model, Mood()
@@ -140,7 +151,8 @@
         work, _ = rows.hints(statement)
         sent = self._attempts.began(
             Sent(now, gateway, self.name, id.decode(), fields["profile"], rows.digest(statement), key, work),
-            self._told(gateway, self.name))
+            self._told(gateway, self.name),
+        )
         run = Run(peer, id, sent, statement)
         if len(self.cores.running) >= self.model.sessions or self._random.random() < self.mood.full:
             self._attempts.ended(sent, now, "full")
--- a/rackhub/trials/processes/forger.py
+++ b/rackhub/trials/processes/forger.py
@@ -48,8 +48,10 @@
             way = chance.choice(self._ways)
             body = msgspec.msgpack.encode(load(way))
         elif note.kind.startswith(records.PROBES):
-            way, body = "all_engines_dead", records.pack_seen([records.Seen(code, 0, 2, 1, 1 + chance.randrange(256))
-                                                               for code in self._engines])
+            way, body = (
+                "all_engines_dead",
+                records.pack_seen([records.Seen(code, 0, 2, 1, 1 + chance.randrange(256)) for code in self._engines]),
+            )
         else:
             return bytes(raw)
         self.forged[way] += 1
@@ -65,8 +67,23 @@
         return records.Load(room=0)
     lent = records.Lent(part, part, 0, 0) if way == "lends_all" else records.Lent(0, 0, part, part)
     cells = tuple(records.Cell(code, most, most) for code in range(8))
-    return records.Load(cells, most, (records.Work(1, most, most),), most, most, most, most, most, most, most, lent,
-                        lent, (records.Trial(1, 1, 0),), most, most)
+    return records.Load(
+        cells,
+        most,
+        (records.Work(1, most, most),),
+        most,
+        most,
+        most,
+        most,
+        most,
+        most,
+        most,
+        lent,
+        lent,
+        (records.Trial(1, 1, 0),),
+        most,
+        most,
+    )
 
 
 class AtAnswer:
@@ -90,8 +107,12 @@
     try:
         for raw in f.read(packet).frames:
             page = f.frame(raw)
-            if isinstance(page, f.Page) and page.kind == TOLD and page.count == 1 \
-                    and isinstance(decode(page.body), Accepted):
+            if (
+                isinstance(page, f.Page)
+                and page.kind == TOLD
+                and page.count == 1
+                and isinstance(decode(page.body), Accepted)
+            ):
                 return True
     except (f.Damaged, msgspec.MsgspecError):
         pass
--- a/rackhub/trials/processes/gathered.py
+++ b/rackhub/trials/processes/gathered.py
@@ -14,8 +14,14 @@
     a statement. `partial`: whether the rule lets an answer be partial. `far`: sites
     whose rows may be any engine's, since another installation's gateways answer for them."""
 
-    def __init__(self, sites: Sequence[str], classes: Sequence[str], partial: bool, ran: Callable[[str], set[str]],
-                 far: Sequence[str] = ()):
+    def __init__(
+        self,
+        sites: Sequence[str],
+        classes: Sequence[str],
+        partial: bool,
+        ran: Callable[[str], set[str]],
+        far: Sequence[str] = (),
+    ):
         self._sites, self._classes, self._partial, self._ran = list(sites), classes, partial, ran
         self._far = far
         self.seen: Counter[str] = Counter()  # whole, partial, filled
@@ -36,8 +42,9 @@
             return "rows that no engine made for it"
         sites = [{"site": site} for site in self._sites] if told is None else told["sites"]
         within = [each for each in sites if not each.get("missing")]
-        if len(made) != len(within) or any(each["site"] not in (site, *self._far)
-                                           for (_, site), each in zip(made, within, strict=True)):
+        if len(made) != len(within) or any(
+            each["site"] not in (site, *self._far) for (_, site), each in zip(made, within, strict=True)
+        ):
             kind = "partial_as_whole" if told is None or told["whole"] else "wrong_rows"
             return f"{kind}: rows of {[site for _, site in made]}, told {[each['site'] for each in within]}"
         if [each["site"] for each in sites] != self._sites:
--- a/rackhub/trials/processes/histogram.py
+++ b/rackhub/trials/processes/histogram.py
@@ -19,6 +19,10 @@
         self._by_class[cls].record_value(max(took, 1))
 
     def table(self) -> dict[str, dict[str, float]]:
-        return {cls: {"count": held.get_total_count(),
-                      **{f"p{quantile:g}_ms": held.get_value_at_percentile(quantile) / 1_000
-                         for quantile in QUANTILES}} for cls, held in sorted(self._by_class.items())}
+        return {
+            cls: {
+                "count": held.get_total_count(),
+                **{f"p{quantile:g}_ms": held.get_value_at_percentile(quantile) / 1_000 for quantile in QUANTILES},
+            }
+            for cls, held in sorted(self._by_class.items())
+        }
--- a/rackhub/trials/processes/history.py
+++ b/rackhub/trials/processes/history.py
@@ -44,18 +44,28 @@
     for entries in histories.values():
         for entry in entries:
             digests[entry.number].add((entry.id, entry.digest))
-    found += [("two_contents", f"version {number}: {sorted(told)}") for number, told in sorted(digests.items())
-              if len(told) > 1]
+    found += [
+        ("two_contents", f"version {number}: {sorted(told)}")
+        for number, told in sorted(digests.items())
+        if len(told) > 1
+    ]
     for op in ops:
         if op.number:
             for name, entries in histories.items():
                 kept = {entry.number: entry.id for entry in entries}
                 if kept and op.number >= min(kept) and kept.get(op.number) != op.id:
-                    found.append(("acknowledged_lost", f"{op.kind} {op.id} as version {op.number}, at {name}: "
-                                                       f"{kept.get(op.number, 'nothing')}"))
+                    found.append(
+                        (
+                            "acknowledged_lost",
+                            f"{op.kind} {op.id} as version {op.number}, at {name}: {kept.get(op.number, 'nothing')}",
+                        )
+                    )
     numbers = [op.number for op in ops if op.number]
-    found += [("two_contents", f"version {number} told to two editors") for number in sorted(set(numbers))
-              if numbers.count(number) > 1]
+    found += [
+        ("two_contents", f"version {number} told to two editors")
+        for number in sorted(set(numbers))
+        if numbers.count(number) > 1
+    ]
     done = sorted((op for op in ops if op.number), key=lambda op: op.end)
     for later in done:
         for earlier in done:
--- a/rackhub/trials/processes/lanes.py
+++ b/rackhub/trials/processes/lanes.py
@@ -80,4 +80,4 @@
         at = self._random.randrange(len(packet))
         if self._random.random() < 0.5:
             return packet[:at]
-        return packet[:at] + bytes([packet[at] ^ self._random.randrange(1, 256)]) + packet[at + 1:]
+        return packet[:at] + bytes([packet[at] ^ self._random.randrange(1, 256)]) + packet[at + 1 :]
--- a/rackhub/trials/processes/link.py
+++ b/rackhub/trials/processes/link.py
@@ -122,9 +122,14 @@
 def message(each: Try) -> bytes:
     """The request as the protocol words it; a bad client's is wrong in the way that its arrival says."""
     arrival, bad = each.request.arrival, each.request.arrival.bad
-    params: dict[str, Any] = {"rid": each.rid, "budget": each.budget // MS, "acct": arrival.tenant,
-                              "body": base64.b64encode(arrival.statement).decode(), "est": arrival.work / MS,
-                              "ram": 16}
+    params: dict[str, Any] = {
+        "rid": each.rid,
+        "budget": each.budget // MS,
+        "acct": arrival.tenant,
+        "body": base64.b64encode(arrival.statement).decode(),
+        "est": arrival.work / MS,
+        "ram": 16,
+    }
     if arrival.token:
         params["token"] = arrival.token
     cls = arrival.kind.name
--- a/rackhub/trials/processes/one.py
+++ b/rackhub/trials/processes/one.py
@@ -23,11 +23,22 @@
     backoff_ms: int = 0
 
 
-def ask(addresses: Sequence[str], cls: str, statement: bytes, tenant: str, budget_ms: int, key: str | None = None,
-        keyed: bool = False) -> Answer:
+def ask(
+    addresses: Sequence[str],
+    cls: str,
+    statement: bytes,
+    tenant: str,
+    budget_ms: int,
+    key: str | None = None,
+    keyed: bool = False,
+) -> Answer:
     """Of the first that can be reached. Raises `ValueError` for an address that is none."""
-    params: dict[str, Any] = {"rid": os.urandom(8).hex(), "budget": budget_ms, "acct": tenant,
-                              "body": base64.b64encode(statement).decode()}
+    params: dict[str, Any] = {
+        "rid": os.urandom(8).hex(),
+        "budget": budget_ms,
+        "acct": tenant,
+        "body": base64.b64encode(statement).decode(),
+    }
     if key or keyed:
         params["token"] = key or os.urandom(16).hex()
     line = msgspec.json.encode({"jsonrpc": "2.0", "id": 1, "method": cls, "params": params}) + b"\n"
--- a/rackhub/trials/processes/probes.py
+++ b/rackhub/trials/processes/probes.py
@@ -28,25 +28,41 @@
 
 def one(way: str, processes: int, engines: int, seed: int, load: float, seconds: float, reactor: Any) -> Row:
     fleet = way == "fleet"
-    with Rig(Plan(gateways=processes, engines=engines, seed=seed, peers=fleet, fleet=fleet, probes=True),
-             reactor) as rig:
+    with Rig(
+        Plan(gateways=processes, engines=engines, seed=seed, peers=fleet, fleet=fleet, probes=True), reactor
+    ) as rig:
         rig.up()
         if fleet and not comes_about(rig, lambda: whole(rig), HEAL):
             raise RuntimeError(f"{processes} gateways were never one fleet")
         before: dict[str, int] = {}
-        rig.reactor.callLater(CALM, lambda: before.update(
-            {name: sum(each.probes.values()) for name, each in rig.engines.items()}))
+        rig.reactor.callLater(
+            CALM, lambda: before.update({name: sum(each.probes.values()) for name, each in rig.engines.items()})
+        )
         trial = Trial(rig, [steady(rig, load, CALM + seconds)], seed).run()
         spent = (rig.clock.now() - trial.at(CALM)) / 1_000_000
         found = [(sum(each.probes.values()) - before[name]) / spent for name, each in rig.engines.items()]
-        row = Row(way, processes, round(sum(found) / len(found), 2), round(min(found), 2), round(max(found), 2),
-                  trial.verdict("probes").faults)
+        row = Row(
+            way,
+            processes,
+            round(sum(found) / len(found), 2),
+            round(min(found), 2),
+            round(max(found), 2),
+            trial.verdict("probes").faults,
+        )
         trial.close()
         return row
 
 
-def run(counts: Sequence[int], ways: Sequence[str], engines: int, seed: int, load: float, seconds: float, reactor: Any,
-        told: Callable[[Row], None] = lambda row: None) -> list[Row]:
+def run(
+    counts: Sequence[int],
+    ways: Sequence[str],
+    engines: int,
+    seed: int,
+    load: float,
+    seconds: float,
+    reactor: Any,
+    told: Callable[[Row], None] = lambda row: None,
+) -> list[Row]:
     rows = []
     for way in ways:
         for processes in counts:
--- a/rackhub/trials/processes/processes.py
+++ b/rackhub/trials/processes/processes.py
@@ -56,9 +56,15 @@
             log.write(b"---- start %d\n" % self.boot)
             log.flush()
             self._child = subprocess.Popen(
-                [sys.executable, "-m", "rackhub", "serve", *words], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                cwd=self.code, env=environment | {"TMPDIR": str(home)}, start_new_session=True,
-                preexec_fn=lambda: _with_parent(parent))
+                [sys.executable, "-m", "rackhub", "serve", *words],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=self.code,
+                env=environment | {"TMPDIR": str(home)},
+                start_new_session=True,
+                preexec_fn=lambda: _with_parent(parent),
+            )
         self.told_to_end, self._asked_to_end, self.paused = 0, False, False
 
     @property
--- a/rackhub/trials/processes/resolver.py
+++ b/rackhub/trials/processes/resolver.py
@@ -26,8 +26,11 @@
         asked.fromStr(query)
     except Exception:  # the decoder raises whatever the bytes led it to
         return None
-    if len(asked.queries) != 1 or asked.queries[0].type != dns.SRV or \
-            asked.queries[0].name.name.lower() != SERVICE.encode():
+    if (
+        len(asked.queries) != 1
+        or asked.queries[0].type != dns.SRV
+        or asked.queries[0].name.name.lower() != SERVICE.encode()
+    ):
         return None
     told = dns.Message(id=asked.id, answer=1, auth=True, maxSize=MOST)
     told.queries = asked.queries
@@ -73,8 +76,7 @@
 class Resolver:
     """`listed(gateway)` gives the list as it is for that gateway; `changed` says that there is a new one."""
 
-    def __init__(self, reactor: Any, clock: Clock, names: Sequence[str],
-                 listed: Callable[[str], Sequence[Engine]]):
+    def __init__(self, reactor: Any, clock: Clock, names: Sequence[str], listed: Callable[[str], Sequence[Engine]]):
         self.clock, self.names, self._reactor, self._listed = clock, list(names), reactor, listed
         self.rev, self.desks, self._ports = 0, dict[str, Desk](), dict[str, Any]()
         self._events: deque[tuple[int, int, dict[str, Sequence[Engine]]]] = deque(maxlen=64)  # when, rev, lists
--- a/rackhub/trials/processes/resp.py
+++ b/rackhub/trials/processes/resp.py
@@ -17,20 +17,20 @@
     end = data.find(b"\r\n", at)
     if end < 0:
         return None
-    if data[at:at + 1] != b"*":
+    if data[at : at + 1] != b"*":
         raise ValueError(f"not an array: {data[at:end][:40]!r}")
     words, here = [], end + 2
-    for _ in range(int(data[at + 1:end])):
+    for _ in range(int(data[at + 1 : end])):
         end = data.find(b"\r\n", here)
         if end < 0:
             return None
-        if data[here:here + 1] != b"$":
+        if data[here : here + 1] != b"$":
             raise ValueError(f"not a bulk string: {data[here:end][:40]!r}")
-        size = int(data[here + 1:end])
+        size = int(data[here + 1 : end])
         here = end + 2 + size + 2
         if here > len(data):
             return None
-        words.append(data[end + 2:here - 2])
+        words.append(data[end + 2 : here - 2])
     return words, here
 
 
--- a/rackhub/trials/processes/rig.py
+++ b/rackhub/trials/processes/rig.py
@@ -35,8 +35,11 @@
         binds = {name: self.places.free(self.places.host(10 + number), udp=True) for number, name in enumerate(names)}
         self.switch = Switch(reactor, self.clock, binds, plan.seed)
         self.gateways = {name: self._gateway(name, number, binds[name]) for number, name in enumerate(names)}
-        self.doors = {name: Door(reactor, self.places.host(2), gateway.listen)
-                      for name, gateway in self.gateways.items() if f"@door:{name}@" in plan.operator_more}
+        self.doors = {
+            name: Door(reactor, self.places.host(2), gateway.listen)
+            for name, gateway in self.gateways.items()
+            if f"@door:{name}@" in plan.operator_more
+        }
         self.engines = {name: self._engine(name, number) for number, name in enumerate(plan.engine_names())}
         self.states: dict[str, str] = dict.fromkeys(self.engines, "ready")  # of engines, as the list has them
         self.since_ms: dict[str, int] = dict.fromkeys(self.engines, 0)
@@ -44,22 +47,40 @@
 
     def _gateway(self, name: str, number: int, bind: Address) -> site.Gateway:
         free, host = self.places.free, self.places.host(10 + number)
-        return site.Gateway(name, number, self.plan.site_of(number), free(host), free(host), bind,
-                            self.switch.addresses[name], free(host))
+        return site.Gateway(
+            name,
+            number,
+            self.plan.site_of(number),
+            free(host),
+            free(host),
+            bind,
+            self.switch.addresses[name],
+            free(host),
+        )
 
     def _engine(self, name: str, number: int) -> Engine:
         plan = self.plan
-        model = Model(cores=plan.cores, cold_from=plan.cold_from, ramp=plan.ramp, fall_multiple=plan.fall_multiple,
-                      fall=plan.fall, sessions=int(plan.cores * 8))
-        return Engine(name, plan.site_of(number), model, self.reactor, self.clock, self.attempts, self._told, plan.seed,
-                      self.keys)
+        model = Model(
+            cores=plan.cores,
+            cold_from=plan.cold_from,
+            ramp=plan.ramp,
+            fall_multiple=plan.fall_multiple,
+            fall=plan.fall,
+            sessions=int(plan.cores * 8),
+        )
+        return Engine(
+            name, plan.site_of(number), model, self.reactor, self.clock, self.attempts, self._told, plan.seed, self.keys
+        )
 
     def _told(self, gateway: str, engine: str) -> int | None:
         return self.resolver.desks[gateway].told.get(engine)
 
     def _listed(self, gateway: str) -> Sequence[site.Engine]:
-        return [site.Engine(name, engine.site, engine.addresses[gateway], self.states[name], self.since_ms[name])
-                for name, engine in self.engines.items() if self.states[name] != "gone"]
+        return [
+            site.Engine(name, engine.site, engine.addresses[gateway], self.states[name], self.since_ms[name])
+            for name, engine in self.engines.items()
+            if self.states[name] != "gone"
+        ]
 
     # ---- up and down
 
@@ -80,8 +101,9 @@
         gateway, process, place = self.gateways[name], self.processes.by_name[name], self.processes.place
         rev, engines = self.resolver.start_of(name)
         config, operator = place / f"{name}.json", place / f"{name}.toml"
-        config.write_bytes(site.configuration(self.plan, gateway, self.nameservers[name], site.known(rev, engines),
-                                              process.boot + 1))
+        config.write_bytes(
+            site.configuration(self.plan, gateway, self.nameservers[name], site.known(rev, engines), process.boot + 1)
+        )
         others = [other for other in self.gateways.values() if other is not gateway]
         state = place / f"{name}.state"
         if self.plan.fleet:
@@ -168,7 +190,6 @@
         shutil.rmtree(self.processes.place / f"{name}.state", ignore_errors=True)
         self.wiped[name] += 1
 
-
     def engine_gone(self, name: str, told: bool = True) -> None:
         self.engines[name].die()
         if told:
--- a/rackhub/trials/processes/rows.py
+++ b/rackhub/trials/processes/rows.py
@@ -68,7 +68,7 @@
         except (ValueError, UnicodeDecodeError):
             return None
         part = b"".join(rows(*here, statement))
-        if not part or body[at:at + len(part)] != part:
+        if not part or body[at : at + len(part)] != part:
             return None
         found.append(here)
         at += len(part)
--- a/rackhub/trials/processes/running.py
+++ b/rackhub/trials/processes/running.py
@@ -45,13 +45,26 @@
 
 def of(rig: Rig) -> Running:
     plan = rig.plan
-    gateways = [Listening(each.name, each.site, text(each.listen), text(each.staff),
-                          text(each.control) if plan.fleet else "", text(each.advertise) if plan.fleet else "",
-                          rig.processes.by_name[each.name].pid) for each in rig.gateways.values()]
-    return Running(os.getpid(), str(rig.processes.place), gateways,
-                   {name: engine.site for name, engine in rig.engines.items()},
-                   [Class(kind.name, kind.deadline // 1_000, kind.effect == "dedup") for kind in plan.kinds],
-                   [name for name, _ in plan.tenants])
+    gateways = [
+        Listening(
+            each.name,
+            each.site,
+            text(each.listen),
+            text(each.staff),
+            text(each.control) if plan.fleet else "",
+            text(each.advertise) if plan.fleet else "",
+            rig.processes.by_name[each.name].pid,
+        )
+        for each in rig.gateways.values()
+    ]
+    return Running(
+        os.getpid(),
+        str(rig.processes.place),
+        gateways,
+        {name: engine.site for name, engine in rig.engines.items()},
+        [Class(kind.name, kind.deadline // 1_000, kind.effect == "dedup") for kind in plan.kinds],
+        [name for name, _ in plan.tenants],
+    )
 
 
 def write(running: Running, path: Path) -> None:
--- a/rackhub/trials/processes/schedule.py
+++ b/rackhub/trials/processes/schedule.py
@@ -1,10 +1,10 @@
 """A schedule of faults as data: at such a time do this to those. In TOML or JSON, or drawn from one seed.
 
-    [[step]]
-    at_ms = 2000
-    do = "kill"          # one of DOES
-    whom = ["g1", "g2"]  # gateways, or engines where the deed is one on engines
-    more = {...}         # what the deed needs beside, see DOES
+[[step]]
+at_ms = 2000
+do = "kill"          # one of DOES
+whom = ["g1", "g2"]  # gateways, or engines where the deed is one on engines
+more = {...}         # what the deed needs beside, see DOES
 """
 
 import random
@@ -106,14 +106,26 @@
             rig.doors[name].reset()
 
 
-GATEWAYS = {"pause": _each_process("pause"), "go_on": _each_process("go_on"), "kill": _each_process("kill"),
-            "term": _each_process("term"), "start": _start, "wipe": _wipe, "way": _way, "resolver": _desk,
-            "door": _door}
-ENGINES = {"engine_dies": _engine(lambda rig, name: rig.engine_gone(name)),
-           "engine_vanishes": _engine(lambda rig, name: rig.engine_gone(name, told=False)),
-           "engine_back": _engine(lambda rig, name: rig.engine_back(name)),
-           "drain": _engine(lambda rig, name: rig.mark(name, "draining")),
-           "undrain": _engine(lambda rig, name: rig.mark(name, "ready")), "mood": _mood, "slow": _slow}
+GATEWAYS = {
+    "pause": _each_process("pause"),
+    "go_on": _each_process("go_on"),
+    "kill": _each_process("kill"),
+    "term": _each_process("term"),
+    "start": _start,
+    "wipe": _wipe,
+    "way": _way,
+    "resolver": _desk,
+    "door": _door,
+}
+ENGINES = {
+    "engine_dies": _engine(lambda rig, name: rig.engine_gone(name)),
+    "engine_vanishes": _engine(lambda rig, name: rig.engine_gone(name, told=False)),
+    "engine_back": _engine(lambda rig, name: rig.engine_back(name)),
+    "drain": _engine(lambda rig, name: rig.mark(name, "draining")),
+    "undrain": _engine(lambda rig, name: rig.mark(name, "ready")),
+    "mood": _mood,
+    "slow": _slow,
+}
 PLAIN: dict[str, Callable[[Rig, Step], None]] = {"heal": lambda rig, step: rig.switch.heal()}
 DOES = GATEWAYS | ENGINES | PLAIN
 
@@ -170,8 +182,14 @@
         elif kind == "kill":
             steps += [Step(at_ms=at, do="kill", whom=whom[:1]), Step(at_ms=back, do="start", whom=whom[:1])]
         elif kind == "noise":
-            steps.append(Step(at_ms=at, do="way", whom=whom, more={
-                "drop": 0.2, "double": 0.1, "damage": 0.1, "reorder": 0.2, "jitter": 50_000}))
+            steps.append(
+                Step(
+                    at_ms=at,
+                    do="way",
+                    whom=whom,
+                    more={"drop": 0.2, "double": 0.1, "damage": 0.1, "reorder": 0.2, "jitter": 50_000},
+                )
+            )
         else:
             steps.append(Step(at_ms=at, do="way", whom=whom, more={"cut": True, "both": kind == "cut"}))
     steps.append(Step(at_ms=span_ms, do="heal"))
--- a/rackhub/trials/processes/served.py
+++ b/rackhub/trials/processes/served.py
@@ -11,8 +11,12 @@
 Judge = Callable[[Request, dict[str, Any]], str | None]
 
 
-def fault(each: Try, result: dict[str, Any], ran: Callable[[str], set[str]], judge: Judge | None,
-          ) -> tuple[str, str] | None:
+def fault(
+    each: Try,
+    result: dict[str, Any],
+    ran: Callable[[str], set[str]],
+    judge: Judge | None,
+) -> tuple[str, str] | None:
     """Its kind and its words. `judge` looks at it in place of the rule for a single engine's rows; what it finds may
     begin with a kind of fault and a colon. `ran(rid)`: the engines that ran it."""
     arrival = each.request.arrival
--- a/rackhub/trials/processes/site.py
+++ b/rackhub/trials/processes/site.py
@@ -34,8 +34,10 @@
 KINDS = (
     Kind("lookup", 0.81, 60 * MS, 2 * SECOND, 600 * MS, 1.5, 1.0),
     Kind("report", 0.14, 600 * MS, 6 * SECOND, 2 * SECOND, 2.5, 7.5, threads=3),
-    Kind("depot-load", 0.05, 800 * MS, 8 * SECOND, 2 * SECOND, 2.5, 10.0, threads=2, effect="dedup",
-         window=25 * SECOND))
+    Kind(
+        "depot-load", 0.05, 800 * MS, 8 * SECOND, 2 * SECOND, 2.5, 10.0, threads=2, effect="dedup", window=25 * SECOND
+    ),
+)
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,9 +62,13 @@
     operator_more: str = ""  # further parts of the operators' files, as TOML
 
     def __post_init__(self) -> None:
-        for name, value, least, most in (("gateways", self.gateways, 1, 16), ("sites", self.sites, 1, 8),
-                                         ("engines", self.engines, 1, 40), ("cores", self.cores, 0.5, 64),
-                                         ("keepers", self.keepers, 0, self.gateways)):
+        for name, value, least, most in (
+            ("gateways", self.gateways, 1, 16),
+            ("sites", self.sites, 1, 8),
+            ("engines", self.engines, 1, 40),
+            ("cores", self.cores, 0.5, 64),
+            ("keepers", self.keepers, 0, self.gateways),
+        ):
             if not least <= value <= most:
                 raise ValueError(f"{name}: {value} is not from {least} to {most}")
 
@@ -87,21 +93,48 @@
 def settings(plan: Plan) -> dict[str, Any]:
     """The settings in the platform's nested form."""
     return {
-        "Services": [{"Name": kind.name, "Deadline": kind.deadline, "Objective": kind.objective,
-                      "AimStretch": kind.stretch, "Worth": kind.worth, "Effect": kind.effect,
-                      **({"DedupScope": "all", "Window": kind.window} if kind.effect == "dedup" else {})}
-                     for kind in plan.kinds],
+        "Services": [
+            {
+                "Name": kind.name,
+                "Deadline": kind.deadline,
+                "Objective": kind.objective,
+                "AimStretch": kind.stretch,
+                "Worth": kind.worth,
+                "Effect": kind.effect,
+                **({"DedupScope": "all", "Window": kind.window} if kind.effect == "dedup" else {}),
+            }
+            for kind in plan.kinds
+        ],
         "Tenants": [{"Name": name, "Fraction": share} for name, share in plan.tenants],
         "HostTypes": ["std"],
-        "FamilyInfo": {"Dop": [kind.threads for kind in plan.kinds], "HoldsTables": [False] * len(plan.kinds),
-                       "BlockedByLoads": [False] * len(plan.kinds), "KindCores": [plan.cores], "RanksHeeded": True,
-                       "NotePeriod": SECOND},
-        "Permissions": {"Peers": plan.peers, "Probes": plan.probes, "Cancel": True, "MaxAttempts": 3,
-                        "MaxRetryAfter": 2 * SECOND, "DialTimeout": 250 * MS, "ConnIdle": 30 * SECOND},
+        "FamilyInfo": {
+            "Dop": [kind.threads for kind in plan.kinds],
+            "HoldsTables": [False] * len(plan.kinds),
+            "BlockedByLoads": [False] * len(plan.kinds),
+            "KindCores": [plan.cores],
+            "RanksHeeded": True,
+            "NotePeriod": SECOND,
+        },
+        "Permissions": {
+            "Peers": plan.peers,
+            "Probes": plan.probes,
+            "Cancel": True,
+            "MaxAttempts": 3,
+            "MaxRetryAfter": 2 * SECOND,
+            "DialTimeout": 250 * MS,
+            "ConnIdle": 30 * SECOND,
+        },
         "Report": {"Source": "piggyback"},
-        "Obligations": {"ColdFrom": plan.cold_from, "RampTime": plan.ramp, "FallMultiple": plan.fall_multiple,
-                        "Fall": plan.fall},
-        "Instances": plan.gateways, "Period": 5 * MS, "Discovery": "push"}
+        "Obligations": {
+            "ColdFrom": plan.cold_from,
+            "RampTime": plan.ramp,
+            "FallMultiple": plan.fall_multiple,
+            "Fall": plan.fall,
+        },
+        "Instances": plan.gateways,
+        "Period": 5 * MS,
+        "Discovery": "push",
+    }
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -129,18 +162,38 @@
 
 def known(rev: int, engines: Sequence[Engine]) -> dict[str, Any]:
     """The list of the start as one whole event."""
-    endpoints = [{"name": each.name, "address": text(each.address), "zone": each.site, "type": "std", "group": 0,
-                  "status": each.status, "weight": 4, "since_ms": each.since_ms} for each in engines]
+    endpoints = [
+        {
+            "name": each.name,
+            "address": text(each.address),
+            "zone": each.site,
+            "type": "std",
+            "group": 0,
+            "status": each.status,
+            "weight": 4,
+            "since_ms": each.since_ms,
+        }
+        for each in engines
+    ]
     return {"rev": rev, "notices": [{"rev": rev, "pool": {"index": 0, "snapshot": True, "endpoints": endpoints}}]}
 
 
 def configuration(plan: Plan, gateway: Gateway, nameserver: Address, start: Mapping[str, Any], boot: int) -> bytes:
     """The platform's file for one start of one gateway."""
     seed = random.Random(f"{plan.seed}/{gateway.name}/{boot}").getrandbits(64)
-    return json.dumps({
-        "name": gateway.name, "listen": text(gateway.listen), "operator": text(gateway.staff), "seed": f"{seed:016x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1_024}, "nameserver": text(nameserver), "known": start,
-        "settings": settings(plan) | {"Me": gateway.number}}, indent=1).encode()
+    return json.dumps(
+        {
+            "name": gateway.name,
+            "listen": text(gateway.listen),
+            "operator": text(gateway.staff),
+            "seed": f"{seed:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1_024},
+            "nameserver": text(nameserver),
+            "known": start,
+            "settings": settings(plan) | {"Me": gateway.number},
+        },
+        indent=1,
+    ).encode()
 
 
 def operator(plan: Plan, gateway: Gateway, others: Sequence[Gateway], state: str) -> str:
@@ -148,8 +201,15 @@
     lines = []
     if plan.fleet:
         part: dict[str, Any] = {
-            "cluster": "rig", "listen": text(gateway.bind), "advertise": text(gateway.advertise),
-            "site": gateway.site, "join": [text(other.advertise) for other in others], "control": text(gateway.control),
-            "state": state, "keepers": plan.gateway_names()[:plan.keepers], **plan.fleet_more}
+            "cluster": "rig",
+            "listen": text(gateway.bind),
+            "advertise": text(gateway.advertise),
+            "site": gateway.site,
+            "join": [text(other.advertise) for other in others],
+            "control": text(gateway.control),
+            "state": state,
+            "keepers": plan.gateway_names()[: plan.keepers],
+            **plan.fleet_more,
+        }
         lines = ["[fleet]", *(f"{key} = {json.dumps(value)}" for key, value in part.items()), ""]
     return "\n".join(lines) + plan.operator_more
--- a/rackhub/trials/processes/switch.py
+++ b/rackhub/trials/processes/switch.py
@@ -42,7 +42,8 @@
         self._places = {name: _Place(self._taker(name)) for name in binds}
         self._ports = {name: reactor.listenUDP(0, self._places[name], interface=binds[name][0]) for name in binds}
         self.addresses: dict[str, Address] = {
-            name: (binds[name][0], port.getHost().port) for name, port in self._ports.items()}
+            name: (binds[name][0], port.getHost().port) for name, port in self._ports.items()
+        }
 
     def _taker(self, to: str) -> Callable[[bytes, Address], None]:
         def came(packet: bytes, source: Address) -> None:
--- a/rackhub/trials/processes/torture.py
+++ b/rackhub/trials/processes/torture.py
@@ -64,8 +64,16 @@
         return Verdict(case.name, seed, unsettled=[f"{type(fault).__name__}: {fault}"])
 
 
-def run(processes: int, cycles: int, seed: int, names: Sequence[str], reactor: Any, brief: bool = False,
-        fleet: bool = False, told: Callable[[Verdict], None] = lambda verdict: None) -> Report:
+def run(
+    processes: int,
+    cycles: int,
+    seed: int,
+    names: Sequence[str],
+    reactor: Any,
+    brief: bool = False,
+    fleet: bool = False,
+    told: Callable[[Verdict], None] = lambda verdict: None,
+) -> Report:
     """So many cycles, each one case, in the order of `CASES`; the seed goes on by one each time."""
     chosen = [CASES[name] for name in names or CASES]
     skipped = {case.name: why for case in chosen if (why := missing(case))}
@@ -82,5 +90,13 @@
     for verdict in verdicts:
         for kind, count in verdict.faults.items():
             faults[kind] = faults.get(kind, 0) + count
-    return Report(processes, cycles, seed, len(verdicts), faults, sum(bool(each.unsettled) for each in verdicts),
-                  skipped, verdicts)
+    return Report(
+        processes,
+        cycles,
+        seed,
+        len(verdicts),
+        faults,
+        sum(bool(each.unsettled) for each in verdicts),
+        skipped,
+        verdicts,
+    )
--- a/rackhub/trials/processes/trial.py
+++ b/rackhub/trials/processes/trial.py
@@ -44,18 +44,31 @@
 class Trial:
     """Clients and faults on a rig that is up. `seconds` is how long requests come."""
 
-    def __init__(self, rig: Rig, loads: Sequence[Load], seed: int, retry: Retry = PATIENT,
-                 steps: Schedule = CALM,
-                 judge: Callable[[Request, dict[str, Any]], str | None] | None = None,
-                 through: Mapping[str, Address] | None = None):
+    def __init__(
+        self,
+        rig: Rig,
+        loads: Sequence[Load],
+        seed: int,
+        retry: Retry = PATIENT,
+        steps: Schedule = CALM,
+        judge: Callable[[Request, dict[str, Any]], str | None] | None = None,
+        through: Mapping[str, Address] | None = None,
+    ):
         """`through`: addresses where clients reach gateways, in place of their own."""
         self.rig, self.seed, self.loads = rig, seed, list(loads)
         self.seconds = max(load.end for load in loads) / SECOND
         self._steps, self._judge = steps, judge
         self.clients = Clients(
-            rig.reactor, rig.clock,
-            {name: each.listen for name, each in rig.gateways.items()} | dict(through or {}), retry, seed, self.away,
-            lambda rid: rig.attempts.ran.get(rid, set()), lambda name: rig.processes.by_name[name].takes(), judge)
+            rig.reactor,
+            rig.clock,
+            {name: each.listen for name, each in rig.gateways.items()} | dict(through or {}),
+            retry,
+            seed,
+            self.away,
+            lambda rid: rig.attempts.ran.get(rid, set()),
+            lambda name: rig.processes.by_name[name].takes(),
+            judge,
+        )
         self.began = 0
 
     def away(self, gateway: str, since: int, until: int) -> bool:
@@ -125,15 +138,29 @@
                 found.add("cold_fell", f"{engine.name}: {engine.cores.worst:.2f} of what pushes it over")
         totals = clients.totals
         figures = {
-            "worth": round(totals.share(), 4), "tries_a_request": round(totals.tries / max(totals.requests, 1), 3),
+            "worth": round(totals.share(), 4),
+            "tries_a_request": round(totals.tries / max(totals.requests, 1), 3),
             "attempts_a_request": round(len(rig.attempts.all) / max(totals.requests, 1), 3),
-            "cold_worst": round(max((max(each.worst_cold, each.cores.worst) for each in rig.engines.values()),
-                                    default=0.0), 3),
+            "cold_worst": round(
+                max((max(each.worst_cold, each.cores.worst) for each in rig.engines.values()), default=0.0), 3
+            ),
             "switch": rig.switch.counts(),
-            "by_second": [round(second.served / second.asked, 2) if second.asked else None
-                          for _, second in sorted(clients.timeline.seconds.items())]}
-        return Verdict(case, self.seed, found.faults(), found.cases, [], figures, totals, clients.latencies.table(),
-                       [f"{(at - self.began) / SECOND:.1f} s {text}" for at, text in self.did])
+            "by_second": [
+                round(second.served / second.asked, 2) if second.asked else None
+                for _, second in sorted(clients.timeline.seconds.items())
+            ],
+        }
+        return Verdict(
+            case,
+            self.seed,
+            found.faults(),
+            found.cases,
+            [],
+            figures,
+            totals,
+            clients.latencies.table(),
+            [f"{(at - self.began) / SECOND:.1f} s {text}" for at, text in self.did],
+        )
 
     did: list[tuple[int, str]] = []
 
@@ -143,5 +170,5 @@
 
 def traceback_of(log: str) -> str:
     """The last line of the first traceback."""
-    lines = log[log.index("Traceback"):].splitlines()[1:]
+    lines = log[log.index("Traceback") :].splitlines()[1:]
     return next((line for line in lines if line and not line.startswith(" ")), "")[:200]
--- a/rackhub/trials/processes/undos.py
+++ b/rackhub/trials/processes/undos.py
@@ -51,8 +51,10 @@
         undos: list[Op] = []
         edits: list[Op] = []
         for number in range(count):
-            for made, call in ((edits, lambda at: editors.edit(at, GOOD, wait_ms=WAIT_MS)),
-                               (undos, lambda at: editors.undo(at, wait_ms=WAIT_MS))):
+            for made, call in (
+                (edits, lambda at: editors.edit(at, GOOD, wait_ms=WAIT_MS)),
+                (undos, lambda at: editors.undo(at, wait_ms=WAIT_MS)),
+            ):
                 op = call(names[number % len(names)])
                 made.append(op)
                 until(reactor, lambda op=op: bool(op.end), 120.0, "an edit or undo")  # type: ignore[misc]
@@ -66,6 +68,15 @@
         taken = [op for op in undos if op.number]
         late = [op for op in taken if editors.answers[op.id].get("missing")]
         took = [(op.end - op.begin) / 1_000 for op in taken]
-        return Report(processes, len(taken), len(undos) - len(taken), len(late), quantile(took, 0.5),
-                      quantile(took, 0.99), max(took, default=0.0),
-                      quantile([(op.end - op.begin) / 1_000 for op in edits if op.number], 0.5), faults, worth)
+        return Report(
+            processes,
+            len(taken),
+            len(undos) - len(taken),
+            len(late),
+            quantile(took, 0.5),
+            quantile(took, 0.99),
+            max(took, default=0.0),
+            quantile([(op.end - op.begin) / 1_000 for op in edits if op.number], 0.5),
+            faults,
+            worth,
+        )
--- a/rackhub/trials/virtual/cold.py
+++ b/rackhub/trials/virtual/cold.py
@@ -37,19 +37,49 @@
 
 
 SITES = {
-    "kigali": Site(2.0, 3 * SECOND, 0.32, 13 * SECOND, (8, 8, 16),
-                   (("lookup", (96, 200), (11, 18)), ("report", (2_400, 5_000), (2.1, 2.8)),
-                    ("load", (3_200, 6_700), (0.57, 1.4)))),
-    "banqiao": Site(4.0, 3 * SECOND // 2, 0.32, 15 * SECOND, (16,),
-                    (("lookup", (150, 310), (9.4, 17)), ("report", (1_900, 3_800), (2.2, 3)),
-                     ("load", (1_900, 3_900), (0.51, 1.4)))),
+    "kigali": Site(
+        2.0,
+        3 * SECOND,
+        0.32,
+        13 * SECOND,
+        (8, 8, 16),
+        (
+            ("lookup", (96, 200), (11, 18)),
+            ("report", (2_400, 5_000), (2.1, 2.8)),
+            ("load", (3_200, 6_700), (0.57, 1.4)),
+        ),
+    ),
+    "banqiao": Site(
+        4.0,
+        3 * SECOND // 2,
+        0.32,
+        15 * SECOND,
+        (16,),
+        (
+            ("lookup", (150, 310), (9.4, 17)),
+            ("report", (1_900, 3_800), (2.2, 3)),
+            ("load", (1_900, 3_900), (0.51, 1.4)),
+        ),
+    ),
 }
 CLASSES = (
     t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, aim_stretch=1.5, effect="retryable"),
-    t.ClassSettings("report", deadline=20 * SECOND, objective=3 * SECOND, aim_stretch=2.5, effect="retryable",
-                    threads=3, worth=7.5),
-    t.ClassSettings("load", deadline=25 * SECOND, objective=3 * SECOND, aim_stretch=2.5, effect="dedup",
-                    dedup_scope="all", window=25 * SECOND, threads=2, worth=10.0, holds_tables=True))
+    t.ClassSettings(
+        "report", deadline=20 * SECOND, objective=3 * SECOND, aim_stretch=2.5, effect="retryable", threads=3, worth=7.5
+    ),
+    t.ClassSettings(
+        "load",
+        deadline=25 * SECOND,
+        objective=3 * SECOND,
+        aim_stretch=2.5,
+        effect="dedup",
+        dedup_scope="all",
+        window=25 * SECOND,
+        threads=2,
+        worth=10.0,
+        holds_tables=True,
+    ),
+)
 ENGINES = {3: 6, 5: 8, 20: 12, 30: 12, 200: 24}  # by gateways
 
 
@@ -73,19 +103,39 @@
 class Fleet:
     """One trial: `play` gives the starts."""
 
-    def __init__(self, site: Site, gateways: int, seed: int, batch: bool, load: float = 1.2, estimates: bool = True,
-                 fails: float = 0.04):
+    def __init__(
+        self,
+        site: Site,
+        gateways: int,
+        seed: int,
+        batch: bool,
+        load: float = 1.2,
+        estimates: bool = True,
+        fails: float = 0.04,
+    ):
         self.site, self.draw, self.now, self.order, self.batch = site, random.Random(seed), BEGUN, 0, batch
         self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.engines = {f"e{i}": Engine(f"e{i}", site.kinds[i % len(site.kinds)]) for i in range(ENGINES[gateways])}
         uniform = self.draw.uniform
         self.mean = {name: uniform(*works) * MS for name, works, _ in site.works}
         self.shares = [uniform(*share) for _, _, share in site.works]
-        told = t.Settings(classes=CLASSES, tenants=(t.TenantSettings("one"),), gateways=gateways,
-                          kind_cores={str(cores): float(cores) for cores in site.kinds}, period=5 * MS,
-                          priorities=True, note_period=SECOND, cancel=True, max_attempts=3,
-                          max_retry_after=500 * MS, cold_from=site.cold_from, ramp_time=site.ramp, fall=site.fall,
-                          fall_multiple=site.fall_multiple, report_source="piggyback")
+        told = t.Settings(
+            classes=CLASSES,
+            tenants=(t.TenantSettings("one"),),
+            gateways=gateways,
+            kind_cores={str(cores): float(cores) for cores in site.kinds},
+            period=5 * MS,
+            priorities=True,
+            note_period=SECOND,
+            cancel=True,
+            max_attempts=3,
+            max_retry_after=500 * MS,
+            cold_from=site.cold_from,
+            ramp_time=site.ramp,
+            fall=site.fall,
+            fall_multiple=site.fall_multiple,
+            report_source="piggyback",
+        )
         self.controls = [Control(replace(told, me=i), seed * 1_009 + i) for i in range(gateways)]
         self.weights = [self.draw.lognormvariate(0, 0.8) for _ in range(gateways)]  # some get several times the mean
         self.request = sum(self.mean[w[0]] * s for w, s in zip(site.works, self.shares, strict=True)) / sum(self.shares)
@@ -107,7 +157,7 @@
 
     def play(self) -> list[Start]:
         names = list(self.engines)
-        come = names[:len(names) // 2] if self.batch else names[:1]
+        come = names[: len(names) // 2] if self.batch else names[:1]
         leave, begin = BEGUN + TAUGHT, BEGUN + TAUGHT + DOWN
         for gateway in range(len(self.controls)):
             self.tell(gateway, "Complete", names)
@@ -127,8 +177,10 @@
         return int(self.draw.uniform(0, 1.5 * SECOND))
 
     def tell(self, gateway: int, scope: str, names: list[str]) -> None:
-        entries = tuple(t.EngineEntry(e.name, kind=str(e.cores), state="Ready" if e.up else "Gone", came_up=e.came_up)
-                        for e in map(self.engines.__getitem__, names))
+        entries = tuple(
+            t.EngineEntry(e.name, kind=str(e.cores), state="Ready" if e.up else "Gone", came_up=e.came_up)
+            for e in map(self.engines.__getitem__, names)
+        )
         self.do(gateway, t.EngineList(scope, entries))
 
     def gone(self, names: list[str]) -> None:
@@ -185,8 +237,18 @@
         gateway, query, number = attempt
         report = {"busy_reqs": float(len(self.out[engine])), "pending": 0.0} if reason == "GOOD" else {}
         sent = self.controls[gateway].attempts.get((query, number))
-        self.do(gateway, t.AttemptEnded(query, number, reason, settled=reason == "GOOD", engine=engine, report=report,
-                                        elapsed=self.now - sent.sent if sent else 0))
+        self.do(
+            gateway,
+            t.AttemptEnded(
+                query,
+                number,
+                reason,
+                settled=reason == "GOOD",
+                engine=engine,
+                report=report,
+                elapsed=self.now - sent.sent if sent else 0,
+            ),
+        )
 
     def warm(self, engine: Engine, now: float) -> float:
         age = max(now - engine.came_up, 0) if engine.came_up else self.site.ramp
@@ -213,8 +275,9 @@
         return Start(worst, calls, over, sum(work for _, work in engine.got) / whole, first)
 
 
-def starts(site: str, gateways: int, trials: int, load: float = 1.2, fails: float = 0.04,
-           first: int = 0) -> Iterator[Start]:
+def starts(
+    site: str, gateways: int, trials: int, load: float = 1.2, fails: float = 0.04, first: int = 0
+) -> Iterator[Start]:
     """A batch and a single engine in turn; estimates are told in two of four."""
     for seed in range(first, first + trials):
         yield from Fleet(SITES[site], gateways, seed, seed % 2 == 0, load, seed % 4 < 2, fails).play()
@@ -234,5 +297,13 @@
 def measure(site: str, gateways: int, trials: int, load: float = 1.2, first: int = 0) -> Row:
     found = list(starts(site, gateways, trials, load, first=first))
     worst = [start.worst for start in found]
-    return Row(site, gateways, len(found), mean(start.budget for start in found), max(worst), mean(worst),
-               mean(start.over for start in found), mean(start.used for start in found))
+    return Row(
+        site,
+        gateways,
+        len(found),
+        mean(start.budget for start in found),
+        max(worst),
+        mean(worst),
+        mean(start.over for start in found),
+        mean(start.used for start in found),
+    )
