--- a/rackhub/trials/virtual/cost.py
+++ b/rackhub/trials/virtual/cost.py
@@ -22,9 +22,10 @@
 OUT = 20  # requests that wait for their engine at any time
 SIZES = (8, 60, 300)
 APART = 10 * MS  # from one request to the next
-CLASSES = (t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, effect="retryable"),
-           t.ClassSettings("report", deadline=20 * SECOND, objective=3 * SECOND, effect="retryable", threads=3,
-                           worth=7.5))
+CLASSES = (
+    t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, effect="retryable"),
+    t.ClassSettings("report", deadline=20 * SECOND, objective=3 * SECOND, effect="retryable", threads=3, worth=7.5),
+)
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -60,11 +61,23 @@
     def __init__(self, engines: int):
         self.out: deque[Attempt] = deque()
         self.world = Virtual()
-        settings = t.Settings(classes=CLASSES, tenants=(t.TenantSettings("one"), t.TenantSettings("two")),
-                              gateways=max(engines * 2 // 3, 1), kind_cores={"std": 8.0}, period=5 * MS,
-                              priorities=True, note_period=SECOND, cancel=True, max_attempts=3,
-                              max_retry_after=500 * MS, cold_from=0.3, ramp_time=13 * SECOND, fall=3 * SECOND,
-                              fall_multiple=2.0, report_source="piggyback")
+        settings = t.Settings(
+            classes=CLASSES,
+            tenants=(t.TenantSettings("one"), t.TenantSettings("two")),
+            gateways=max(engines * 2 // 3, 1),
+            kind_cores={"std": 8.0},
+            period=5 * MS,
+            priorities=True,
+            note_period=SECOND,
+            cancel=True,
+            max_attempts=3,
+            max_retry_after=500 * MS,
+            cold_from=0.3,
+            ramp_time=13 * SECOND,
+            fall=3 * SECOND,
+            fall_multiple=2.0,
+            report_source="piggyback",
+        )
         self.core = Coordinator(settings, 1, self.world, Timers(self.world, self.world), Limits(), Counters())
         entries = [t.EngineEntry(f"e{i:03}", kind="std") for i in range(engines)]
         self.core.start(self, entries, 1)
@@ -83,8 +96,16 @@
         """One request in, and as many answers as leave `OUT` waiting."""
         self.world.move(APART)
         cls = CLASSES[number % 8 == 7]
-        query = Query(f"{number:016x}", cls.name, b"select 1 from sales_1.rides", self.world.time + cls.deadline, self,
-                      tenant="one" if number % 5 else "two", estimate=(20 + number % 7 * 40) * MS, tables=number % 9)
+        query = Query(
+            f"{number:016x}",
+            cls.name,
+            b"select 1 from sales_1.rides",
+            self.world.time + cls.deadline,
+            self,
+            tenant="one" if number % 5 else "two",
+            estimate=(20 + number % 7 * 40) * MS,
+            tables=number % 9,
+        )
         self.core.submit(query)
         while len(self.out) > OUT:
             report = {"busy_reqs": 6.0 + number % 5, "pending": 0.0}
--- a/rackhub/trials/virtual/rig.py
+++ b/rackhub/trials/virtual/rig.py
@@ -29,8 +29,9 @@
 START = 1_000 * SECOND
 WIRE = 0.0004  # seconds one way, to engines and resolver
 LOOKUP = t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, aim_stretch=1.5, effect="retryable")
-REPORT = t.ClassSettings("report", deadline=20 * SECOND, objective=3 * SECOND, aim_stretch=2.5, effect="retryable",
-                         threads=3, worth=7.5)
+REPORT = t.ClassSettings(
+    "report", deadline=20 * SECOND, objective=3 * SECOND, aim_stretch=2.5, effect="retryable", threads=3, worth=7.5
+)
 WORK = {"lookup": 150 * MS, "report": 3_500 * MS}  # the mean, of all threads together
 
 
@@ -165,8 +166,9 @@
         if self.running:
             threads = sum(3 if attempt.query.cls == "report" else 1 for attempt in self.running)
             share = min(1.0, self.world.scene.cores * self.warm() / threads)
-            soonest = min(left[0] / (3 if attempt.query.cls == "report" else 1)
-                          for attempt, left in self.running.items())
+            soonest = min(
+                left[0] / (3 if attempt.query.cls == "report" else 1) for attempt, left in self.running.items()
+            )
             self.world.clock.callLater(max(soonest / share, 0.0005), self._due, self._turn)
 
     def _due(self, turn: int) -> None:
@@ -288,10 +290,12 @@
     def __init__(self, world: "World", number: int, settings: t.Settings, limits: Limits):
         self.world, self.random = world, random.Random(number * 1_000 + world.seed)
         self.counters, self.rev = Counters(), 1
-        self.core = Coordinator(settings, number + 1, self, Timers(self, ReactorWaker(world.clock)), limits,
-                                self.counters)
-        self.pools = Pools(lambda pool: Wire(self, pool), self, limits, self.counters, self.core,
-                           limits.engine_connections)
+        self.core = Coordinator(
+            settings, number + 1, self, Timers(self, ReactorWaker(world.clock)), limits, self.counters
+        )
+        self.pools = Pools(
+            lambda pool: Wire(self, pool), self, limits, self.counters, self.core, limits.engine_connections
+        )
         self.asking, self._next = Asking(limits, self.random.random), None
         self.gone: dict[str, float] = {}  # engines that it was told are gone, and when
         self._send, self.pools.send = self.pools.send, self.send
@@ -345,8 +349,18 @@
         mean = WORK[cls.name]
         work = max(round(mean * self.random.lognormvariate(-0.32, 0.8)), MS)  # mean 1, so that loads add up
         number = self.world.requests = self.world.requests + 1
-        self.core.submit(Query(f"{number:016x}", cls.name, b"select", self.now() + cls.deadline, self.world,
-                               estimate=work, tenant="one", tables=self.random.randrange(50)))
+        self.core.submit(
+            Query(
+                f"{number:016x}",
+                cls.name,
+                b"select",
+                self.now() + cls.deadline,
+                self.world,
+                estimate=work,
+                tenant="one",
+                tables=self.random.randrange(50),
+            )
+        )
 
 
 class World(Reply):
@@ -364,10 +378,22 @@
         self.history: list[tuple[float, Listing]] = []
         self._list()
         settings = t.Settings(
-            classes=(LOOKUP, REPORT), tenants=(t.TenantSettings("one"),), gateways=scene.coordinators,
-            kind_cores={"std": scene.cores}, period=5 * MS, priorities=True, note_period=SECOND, cancel=True,
-            max_attempts=3, max_retry_after=500 * MS, report_source="piggyback", cold_from=scene.cold_from,
-            ramp_time=int(scene.ramp * SECOND), fall=int(scene.fall * SECOND), fall_multiple=scene.multiple)
+            classes=(LOOKUP, REPORT),
+            tenants=(t.TenantSettings("one"),),
+            gateways=scene.coordinators,
+            kind_cores={"std": scene.cores},
+            period=5 * MS,
+            priorities=True,
+            note_period=SECOND,
+            cancel=True,
+            max_attempts=3,
+            max_retry_after=500 * MS,
+            report_source="piggyback",
+            cold_from=scene.cold_from,
+            ramp_time=int(scene.ramp * SECOND),
+            fall=int(scene.fall * SECOND),
+            fall_multiple=scene.multiple,
+        )
         self.sites = [Site(self, i, settings, limits or Limits()) for i in range(scene.coordinators)]
 
     def time(self) -> float:
@@ -385,11 +411,24 @@
 
     def _list(self, after: float = 0.0) -> None:
         there = [engine for engine in self.engines.values() if engine.up]
-        entries = tuple(t.EngineEntry(engine.name, engine.zone, "std", 0, "Ready", 1.0,
-                                      START + round(engine.came_up * SECOND) if engine.came_up else 0)
-                        for engine in there)
-        self.history.append((self.time() + after, Listing(len(self.history) + 1, entries,
-                                                          {engine.name: (engine.name, 1) for engine in there})))
+        entries = tuple(
+            t.EngineEntry(
+                engine.name,
+                engine.zone,
+                "std",
+                0,
+                "Ready",
+                1.0,
+                START + round(engine.came_up * SECOND) if engine.came_up else 0,
+            )
+            for engine in there
+        )
+        self.history.append(
+            (
+                self.time() + after,
+                Listing(len(self.history) + 1, entries, {engine.name: (engine.name, 1) for engine in there}),
+            )
+        )
 
     def _zone(self, back: bool) -> None:
         for engine in self.engines.values():
@@ -422,16 +461,28 @@
         if scene.lost:
             self.clock.callLater(scene.lost[0], self._zone, False)
             self.clock.callLater(scene.lost[1], self._zone, True)
-        while self.time() < scene.seconds + 21 and \
-                (self.time() < scene.seconds or sum(self.answers.values()) < self.requests):
+        while self.time() < scene.seconds + 21 and (
+            self.time() < scene.seconds or sum(self.answers.values()) < self.requests
+        ):
             self.clock.step()
         seconds = range(int(scene.seconds))
-        by_second = {what: [self.counts[what][second] for second in seconds]
-                     for what in ("list_calls", "dials", "dials_refused", "attempts", "further")}
+        by_second = {
+            what: [self.counts[what][second] for second in seconds]
+            for what in ("list_calls", "dials", "dials_refused", "attempts", "further")
+        }
         told = sum(self.answers[how] for how in ("served", "refused", "failed"))
-        return Report(self.requests, self.answers["served"], self.answers["refused"], self.answers["failed"],
-                      self.answers["twice"], self.requests - told, most_connections=self.most,
-                      after_told=self.after_told, cold_work=self._cold_work(), **by_second)
+        return Report(
+            self.requests,
+            self.answers["served"],
+            self.answers["refused"],
+            self.answers["failed"],
+            self.answers["twice"],
+            self.requests - told,
+            most_connections=self.most,
+            after_told=self.after_told,
+            cold_work=self._cold_work(),
+            **by_second,
+        )
 
     def _cold_work(self) -> float:
         """The most that was sent to a cold engine within any window of the rule, against what it may be sent."""
--- a/tests/replacing.py
+++ b/tests/replacing.py
@@ -160,15 +160,26 @@
 
     def __init__(self, place, name, listen, engines, nameserver, program=("-m", "rackhub")):
         self.operator = free_ports(1)[0]
-        entries = [endpoint(f"e{i}") | {"address": f"127.0.0.1:{engine.port.getHost().port}"}
-                   for i, engine in enumerate(engines)]
-        config = told(listen=f"127.0.0.1:{listen}", nameserver=f"127.0.0.1:{nameserver}", settings=READERS,
-                      operator=f"127.0.0.1:{self.operator}", known={"rev": 3, "notices": [notice(3, *entries)]})
+        entries = [
+            endpoint(f"e{i}") | {"address": f"127.0.0.1:{engine.port.getHost().port}"}
+            for i, engine in enumerate(engines)
+        ]
+        config = told(
+            listen=f"127.0.0.1:{listen}",
+            nameserver=f"127.0.0.1:{nameserver}",
+            settings=READERS,
+            operator=f"127.0.0.1:{self.operator}",
+            known={"rev": 3, "notices": [notice(3, *entries)]},
+        )
         path = place / f"{name}.json"
         path.write_text(json.dumps(config))
         self.log = open(place / f"{name}.log", "w+")
-        self.child = subprocess.Popen([sys.executable, *program, "serve", "--config", str(path)], stderr=self.log,
-                                      stdout=self.log, env=os.environ | {"TMPDIR": str(place)})
+        self.child = subprocess.Popen(
+            [sys.executable, *program, "serve", "--config", str(path)],
+            stderr=self.log,
+            stdout=self.log,
+            env=os.environ | {"TMPDIR": str(place)},
+        )
 
     def say(self, words):
         """One call at the second address, and its answer; "" where nobody listens."""
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -24,10 +24,29 @@
 CLASSES = (
     t.ClassSettings("lookup", deadline=3 * S, objective=S, effect="retryable", blocked_by_loads=True),
     t.ClassSettings("report", deadline=20 * S, objective=3 * S, effect="retryable", threads=3, worth=7.5),
-    t.ClassSettings("depot-load", deadline=25 * S, objective=3 * S, effect="dedup", dedup_scope="all", window=25 * S,
-                    threads=2, holds_tables=True, worth=10.0))
-SETTINGS = t.Settings(classes=CLASSES, tenants=(t.TenantSettings("acme"),), kind_cores={"std": 8.0}, period=5 * MS,
-                      priorities=True, note_period=S, cancel=True, max_attempts=3, max_retry_after=500 * MS)
+    t.ClassSettings(
+        "depot-load",
+        deadline=25 * S,
+        objective=3 * S,
+        effect="dedup",
+        dedup_scope="all",
+        window=25 * S,
+        threads=2,
+        holds_tables=True,
+        worth=10.0,
+    ),
+)
+SETTINGS = t.Settings(
+    classes=CLASSES,
+    tenants=(t.TenantSettings("acme"),),
+    kind_cores={"std": 8.0},
+    period=5 * MS,
+    priorities=True,
+    note_period=S,
+    cancel=True,
+    max_attempts=3,
+    max_retry_after=500 * MS,
+)
 LIMITS = Limits(dial_timeout=60 * S)
 LOGIN = TdsLogin(user="desk", password=hashed("open sesame", b"0123456789abcdef"), cls="lookup", tenants=["acme"])
 TDS = TdsFrontSettings(listen="127.0.0.1:1433", database="rides", login=[LOGIN])
@@ -94,7 +113,7 @@
         self.held += data
         if len(self.held) < self.need:
             return
-        word, rest = self.held[:self.need - 2], self.held[self.need:]
+        word, rest = self.held[: self.need - 2], self.held[self.need :]
         self.words.append(word)
         self.due -= 1
         if not self.due:
@@ -118,8 +137,11 @@
                 self.tell(codec.prelogin())
             elif kind == codec.LOGIN7:
                 good = codec.login_of(body)[2:4] == ("hub", "secret")
-                self.tell(codec.login_ack(codec.VERSION_74, "stand") + codec.done(0) if good else
-                          codec.notice(codec.ERROR, 18456, 1, 14, "no", "stand") + codec.done(codec.DONE_ERROR))
+                self.tell(
+                    codec.login_ack(codec.VERSION_74, "stand") + codec.done(0)
+                    if good
+                    else codec.notice(codec.ERROR, 18456, 1, 14, "no", "stand") + codec.done(codec.DONE_ERROR)
+                )
             elif kind == codec.ATTENTION:
                 self.stand.heard.append((b"never_mind",))
                 self.tell(codec.done(codec.DONE_ATTN))
@@ -138,8 +160,12 @@
         if word == b"200":
             rows = [line.split("\t") for line in body.decode().splitlines()]
             load = codec.notice(codec.INFO, 51010, 1, 0, fields.decode().partition("report=")[2], "stand")
-            self.tell(load + codec.columns("abc") + b"".join(map(codec.row, rows))
-                      + codec.done(codec.DONE_COUNT, len(rows), codec.DONEPROC))
+            self.tell(
+                load
+                + codec.columns("abc")
+                + b"".join(map(codec.row, rows))
+                + codec.done(codec.DONE_COUNT, len(rows), codec.DONEPROC)
+            )
         else:
             number = {b"503": 51503, b"504": 51504}.get(word, 51500)
             self.tell(codec.notice(codec.ERROR, number, 1, 16, "no", "stand") + codec.done(codec.DONE_ERROR))
@@ -215,10 +241,15 @@
         self.clock, self.counters, self.stands = FakeClock(), Counters(), stands
         self.core = Coordinator(settings, 7, self.clock, Timers(self.clock, self.clock), limits, self.counters)
         shared = self.clock, limits, self.counters, self.core
-        self.pools = tds_pools(reactor, TdsEngineSettings(user="hub", password="secret"), *shared) if tds_engines \
+        self.pools = (
+            tds_pools(reactor, TdsEngineSettings(user="hub", password="secret"), *shared)
+            if tds_engines
             else resp_pools(reactor, *shared)
-        self.fronts = (jsonrpc_front(self.core, limits, self.counters),
-                       tds_front(TDS, self.core, limits, self.counters, ids))
+        )
+        self.fronts = (
+            jsonrpc_front(self.core, limits, self.counters),
+            tds_front(TDS, self.core, limits, self.counters, ids),
+        )
         self.ports = [reactor.listenTCP(0, front, interface="127.0.0.1") for front in self.fronts]
         self.pools.listed({f"e{i}": ("127.0.0.1", stand.port.getHost().port) for i, stand in enumerate(stands)})
         self.core.start(self.pools, [t.EngineEntry(f"e{i}", "z", "std") for i in range(len(stands))], 1)
@@ -241,5 +272,9 @@
         for stand in self.stands:
             for connection in stand.connections:
                 connection.transport.abortConnection()
-        spin(lambda: not any(front.connections for front in self.fronts)
-             and not any(pool.links for pool in self.pools.pools.values()))
+        spin(
+            lambda: (
+                not any(front.connections for front in self.fronts)
+                and not any(pool.links for pool in self.pools.pools.values())
+            )
+        )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,18 +3,25 @@
 import subprocess
 import sys
 
-START = ("START\tI=gateway-0\tRngSeed=7\tInstances=1\tMe=0\tPeriod=5000\tHostTypes=std\tFamilyInfo.KindCores=16"
-         "\tFamilyInfo.Dop=1\tPermissions.MaxAttempts=3\tPermissions.MaxRetryAfter=2000000\tServices.count=1"
-         "\tServices.0.Name=lookup\tServices.0.Effect=retryable\tServices.0.Deadline=2500000"
-         "\tServices.0.Objective=500000\tServices.0.Worth=1.0\tTenants.count=1\tTenants.0.Name=firm\tNew.Thing=x")
+START = (
+    "START\tI=gateway-0\tRngSeed=7\tInstances=1\tMe=0\tPeriod=5000\tHostTypes=std\tFamilyInfo.KindCores=16"
+    "\tFamilyInfo.Dop=1\tPermissions.MaxAttempts=3\tPermissions.MaxRetryAfter=2000000\tServices.count=1"
+    "\tServices.0.Name=lookup\tServices.0.Effect=retryable\tServices.0.Deadline=2500000"
+    "\tServices.0.Objective=500000\tServices.0.Worth=1.0\tTenants.count=1\tTenants.0.Name=firm\tNew.Thing=x"
+)
 PAGE = "DIRECTORY\tPage=0\tRows=1\nM\tNode=node-a\tDc=z\tModel=std\tStageState=Ready\tSize=1"
 LIST = "MEMBERS\tI=gateway-0\tScope=Persisted\tRev=1\tPage=0"
 ORDER = "ORDER\tI=gateway-0\tRequestId=00000000000000aa\tTenant=firm\tDropDead=3000000\tCls=lookup\tLater=1"
 
 
 def talk(*lines):
-    done = subprocess.run([sys.executable, "-m", "rackhub.adapter"], input="\n".join(lines) + "\n",
-                          capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "rackhub.adapter"],
+        input="\n".join(lines) + "\n",
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     return done.stdout.splitlines(), done.stderr, done.returncode
 
 
@@ -24,9 +31,20 @@
 
 def test_a_query_is_sent_and_its_answer_closes_it():
     out, err, code = talk(
-        "SYNC\tT=1000000", START, PAGE, LIST, "END", "SYNC\tT=1005000", ORDER, "WHATEVER\tI=gateway-0", "END",
-        "SYNC\tT=1100000", "OUTCOME\tI=gateway-0\tRequestId=00000000000000aa\tSettled=1\tReason=GOOD\tNode=node-a"
-        "\tSendNo=0\tWaitTime=90000", "END")
+        "SYNC\tT=1000000",
+        START,
+        PAGE,
+        LIST,
+        "END",
+        "SYNC\tT=1005000",
+        ORDER,
+        "WHATEVER\tI=gateway-0",
+        "END",
+        "SYNC\tT=1100000",
+        "OUTCOME\tI=gateway-0\tRequestId=00000000000000aa\tSettled=1\tReason=GOOD\tNode=node-a"
+        "\tSendNo=0\tWaitTime=90000",
+        "END",
+    )
     assert code == 0 and err == ""
     assert out.count("END") == 3
     assert "TRY\tI=gateway-0\tRequestId=00000000000000aa\tNode=node-a" in out
@@ -59,8 +77,16 @@
 
 def test_one_bad_instance_leaves_the_others_alone():
     other = [line.replace("gateway-0", "gateway-1") for line in (START, LIST)]
-    out, _, _ = talk("SYNC\tT=1000000", START, PAGE, LIST, *other, ORDER.replace("\tCls=lookup", ""),
-                     ORDER.replace("gateway-0", "gateway-1"), "END")
+    out, _, _ = talk(
+        "SYNC\tT=1000000",
+        START,
+        PAGE,
+        LIST,
+        *other,
+        ORDER.replace("\tCls=lookup", ""),
+        ORDER.replace("gateway-0", "gateway-1"),
+        "END",
+    )
     assert any(line.startswith("TRY\tI=gateway-1") for line in out)
 
 
@@ -70,14 +96,28 @@
 
 
 def test_memory_of_machines_is_told_and_words_go_between_peers():
-    told = START.replace("Instances=1", "Instances=2").replace("\tNew.Thing=x", (
-        "\tPermissions.Peers=true\tPermissions.Probes=true\tFamilyInfo.RamOfKindMb=32768.0\tReport.Source=silent"))
-    probes = [line for wait in (1000, 1000, 9000) for line in (
-        "SYNC\tT=1005000", f"SAMPLED\tI=gateway-0\tNode=node-a\tReason=GOOD\tWaitTime={wait}", "END")]
+    told = START.replace("Instances=1", "Instances=2").replace(
+        "\tNew.Thing=x",
+        ("\tPermissions.Peers=true\tPermissions.Probes=true\tFamilyInfo.RamOfKindMb=32768.0\tReport.Source=silent"),
+    )
+    probes = [
+        line
+        for wait in (1000, 1000, 9000)
+        for line in ("SYNC\tT=1005000", f"SAMPLED\tI=gateway-0\tNode=node-a\tReason=GOOD\tWaitTime={wait}", "END")
+    ]
     words = set()
     for seed in range(7, 13):  # a drawn peer may be the gateway itself, to which nothing is sent
-        out, err, code = talk("SYNC\tT=1000000", told.replace("RngSeed=7", f"RngSeed={seed}"), PAGE, LIST, "END",
-                              *probes, "SYNC\tT=1006000", "MAIL\tI=gateway-0\tOriginPeer=1\tContents=0102030405", "END")
+        out, err, code = talk(
+            "SYNC\tT=1000000",
+            told.replace("RngSeed=7", f"RngSeed={seed}"),
+            PAGE,
+            LIST,
+            "END",
+            *probes,
+            "SYNC\tT=1006000",
+            "MAIL\tI=gateway-0\tOriginPeer=1\tContents=0102030405",
+            "END",
+        )
         assert code == 0 and err == ""
         words |= {line.split("Contents=")[0] for line in out if line.startswith("ANNOUNCE")}
     assert words == {"ANNOUNCE\tI=gateway-0\tWhom=1\t"}
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -16,8 +16,15 @@
 from rackhub.trials.virtual import cold
 
 S = 1_000_000
-TRIALS = [("kigali", 3, 4), ("kigali", 5, 4), ("kigali", 20, 2), ("kigali", 30, 1), ("kigali", 200, 1),
-          ("banqiao", 3, 1), ("banqiao", 30, 1)]
+TRIALS = [
+    ("kigali", 3, 4),
+    ("kigali", 5, 4),
+    ("kigali", 20, 2),
+    ("kigali", 30, 1),
+    ("kigali", 200, 1),
+    ("banqiao", 3, 1),
+    ("banqiao", 30, 1),
+]
 
 
 @pytest.mark.parametrize("site, gateways, trials", TRIALS)
@@ -34,6 +41,7 @@
     def alone(self, event):
         plain(self, event)
         self.cold = 1
+
     patch.setattr(Control, "on_fleet", alone)
 
 
@@ -48,6 +56,7 @@
 
     def drawn(self, query, cold):
         return self.random.choice(cold) if query.tries and cold else plain(self, query, cold)
+
     patch.setattr(Control, "drawn", drawn)
 
 
@@ -64,21 +73,33 @@
 def flooded(gateways):
     """Lookups of one moment at every gateway, 11 s of quiet after an engine's start; what it gets, and N."""
     work, cores, sent = 150_000, 8.0, 0
-    told = t.Settings(classes=cold.CLASSES, kind_cores={"std": cores}, gateways=gateways, cold_from=0.32,
-                      ramp_time=13 * S, fall=3 * S, fall_multiple=2.0)
+    told = t.Settings(
+        classes=cold.CLASSES,
+        kind_cores={"std": cores},
+        gateways=gateways,
+        cold_from=0.32,
+        ramp_time=13 * S,
+        fall=3 * S,
+        fall_multiple=2.0,
+    )
     for me in range(gateways):
         control = Control(replace(told, me=me), me)
         for _ in range(60):
             control.classes["lookup"].learn(work, 1.0)
         for at, came_up in ((90 * S, 0), (100 * S + me % 15 * 100_000, 100 * S)):
-            control.handle(at, t.EngineList("Complete", (
-                t.EngineEntry("warm", kind="std"), t.EngineEntry("cold", kind="std", came_up=came_up))))
+            control.handle(
+                at,
+                t.EngineList(
+                    "Complete", (t.EngineEntry("warm", kind="std"), t.EngineEntry("cold", kind="std", came_up=came_up))
+                ),
+            )
         for turn in range(max(2_000 // gateways, 30)):
             for send in control.handle(111 * S, t.QueryArrived(f"q{turn}", "lookup", 120 * S)):
                 if isinstance(send, t.Send):
                     sent += send.engine == "cold"
-                    control.handle(111 * S, t.AttemptEnded(send.query, 0, "GOOD", settled=True, engine=send.engine,
-                                                           elapsed=work))
+                    control.handle(
+                        111 * S, t.AttemptEnded(send.query, 0, "GOOD", settled=True, engine=send.engine, elapsed=work)
+                    )
     return sent * work, 2.0 * (0.32 + 0.68 * 11 / 13) * cores * 3 * S
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -19,14 +19,26 @@
 SETTINGS = {
     "Services": [{"Name": "lookup", "Deadline": 3_000_000, "Effect": "retryable", "Worth": 1.0}],
     "FamilyInfo": {"Dop": [2], "HoldsTables": [True], "KindCores": [8, 16], "RanksHeeded": True},
-    "HostTypes": ["std-8", "std-16"], "Permissions": {"DialTimeout": 250_000, "MaxAttempts": 3, "Cancel": True},
-    "Tenants": [{"Name": "acme", "Fraction": 0.5}], "Obligations": {"Fall": 3_000_000.0},
-    "Instances": 3, "Period": 5000}
+    "HostTypes": ["std-8", "std-16"],
+    "Permissions": {"DialTimeout": 250_000, "MaxAttempts": 3, "Cancel": True},
+    "Tenants": [{"Name": "acme", "Fraction": 0.5}],
+    "Obligations": {"Fall": 3_000_000.0},
+    "Instances": 3,
+    "Period": 5000,
+}
 
 
 def endpoint(name, **more):
-    return {"name": name, "address": "127.0.0.1:5050", "zone": "east", "type": "std-8", "group": 2, "status": "ready",
-            "weight": 4, "since_ms": 0} | more
+    return {
+        "name": name,
+        "address": "127.0.0.1:5050",
+        "zone": "east",
+        "type": "std-8",
+        "group": 2,
+        "status": "ready",
+        "weight": 4,
+        "since_ms": 0,
+    } | more
 
 
 def notice(rev, *endpoints, snapshot=False):
@@ -34,9 +46,15 @@
 
 
 def told(**more):
-    return {"name": "n3", "listen": "127.0.0.1:5050", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "nameserver": "127.0.0.2:5300",
-            "known": {"rev": 3, "notices": [notice(3, endpoint("a"))]}, "settings": SETTINGS} | more
+    return {
+        "name": "n3",
+        "listen": "127.0.0.1:5050",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "nameserver": "127.0.0.2:5300",
+        "known": {"rev": 3, "notices": [notice(3, endpoint("a"))]},
+        "settings": SETTINGS,
+    } | more
 
 
 def test_the_nested_form_reads_like_the_pairs_of_start():
@@ -68,25 +86,42 @@
 
 
 def test_the_events_of_the_start_come_to_one_list():
-    known = {"rev": 5, "notices": [
-        notice(3, endpoint("a"), endpoint("b"), endpoint("c")), notice(4, endpoint("a", status="gone")),
-        notice(5, endpoint("b", status="draining"), endpoint("d", since_ms=12))]}
+    known = {
+        "rev": 5,
+        "notices": [
+            notice(3, endpoint("a"), endpoint("b"), endpoint("c")),
+            notice(4, endpoint("a", status="gone")),
+            notice(5, endpoint("b", status="draining"), endpoint("d", since_ms=12)),
+        ],
+    }
     engines = config.read(json.dumps(told(known=known)).encode()).engines
     assert [(e.engine, e.state, e.came_up) for e in engines.entries] == [
-        ("b", "Terminating", 0), ("c", "Ready", 0), ("d", "Ready", 12_000)]
+        ("b", "Terminating", 0),
+        ("c", "Ready", 0),
+        ("d", "Ready", 12_000),
+    ]
     assert engines.rev == 5 and set(engines.addresses) == {"b", "c", "d"}
 
 
-@pytest.mark.parametrize("change, key", [
-    ({"listen": 5}, "$.listen"), ({"listen": "nowhere"}, "listen"), ({"nameserver": "127.0.0.1:99999"}, "nameserver"),
-    ({"seed": "xyz"}, "seed"), ({"known": {"rev": 1}}, "notices"), ({"limits": {"sockets": 10}}, "limits.sockets"),
-    ({"limits": {"sockets": 1024, "memory_mb": 8}}, "limits.memory_mb"), ({"settings": {}}, "settings.Services"),
-    ({"known": {"rev": 1, "notices": [notice(1, endpoint("a", status="odd"))]}}, "endpoints[0].status"),
-    ({"known": {"rev": 1, "notices": [notice(1, endpoint("a", address="a"))]}}, "endpoints[0].address"),
-    ({"settings": SETTINGS | {"Permissions": {"MaxAttempts": "many"}}}, "Permissions.MaxAttempts"),
-    ({"settings": SETTINGS | {"Permissions": {"MaxAttempts": 0}}}, "max_attempts"),
-    ({"settings": SETTINGS | {"Permissions": {"DialTimeout": "soon"}}}, "settings.Permissions.DialTimeout"),
-    ({"settings": SETTINGS | {"Services": [{"Deadline": 5}]}}, "Services.0.Name")])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"listen": 5}, "$.listen"),
+        ({"listen": "nowhere"}, "listen"),
+        ({"nameserver": "127.0.0.1:99999"}, "nameserver"),
+        ({"seed": "xyz"}, "seed"),
+        ({"known": {"rev": 1}}, "notices"),
+        ({"limits": {"sockets": 10}}, "limits.sockets"),
+        ({"limits": {"sockets": 1024, "memory_mb": 8}}, "limits.memory_mb"),
+        ({"settings": {}}, "settings.Services"),
+        ({"known": {"rev": 1, "notices": [notice(1, endpoint("a", status="odd"))]}}, "endpoints[0].status"),
+        ({"known": {"rev": 1, "notices": [notice(1, endpoint("a", address="a"))]}}, "endpoints[0].address"),
+        ({"settings": SETTINGS | {"Permissions": {"MaxAttempts": "many"}}}, "Permissions.MaxAttempts"),
+        ({"settings": SETTINGS | {"Permissions": {"MaxAttempts": 0}}}, "max_attempts"),
+        ({"settings": SETTINGS | {"Permissions": {"DialTimeout": "soon"}}}, "settings.Permissions.DialTimeout"),
+        ({"settings": SETTINGS | {"Services": [{"Deadline": 5}]}}, "Services.0.Name"),
+    ],
+)
 def test_a_bad_file_ends_in_one_line_that_names_the_key(change, key, tmp_path, capsys):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told(**change)))
@@ -115,11 +150,19 @@
 '''
 
 
-@pytest.mark.parametrize("old, new, key", [
-    ("", "", ""), ('"lookup"', '"other"', "login[0].class"), ('"acme"', '"nobody"', "login[0].tenants"),
-    ('["acme"]', "[]", "login[0].tenants"),
-    ("scrypt:", "plain:", "password"), ("127.0.0.1:1433", "desk", "tds_front.listen"), ("user", "usr", "usr"),
-    ("database", "data", "data")])
+@pytest.mark.parametrize(
+    "old, new, key",
+    [
+        ("", "", ""),
+        ('"lookup"', '"other"', "login[0].class"),
+        ('"acme"', '"nobody"', "login[0].tenants"),
+        ('["acme"]', "[]", "login[0].tenants"),
+        ("scrypt:", "plain:", "password"),
+        ("127.0.0.1:1433", "desk", "tds_front.listen"),
+        ("user", "usr", "usr"),
+        ("database", "data", "data"),
+    ],
+)
 def test_the_operators_file_is_checked_against_the_site(old, new, key, tmp_path, capsys):
     (tmp_path / "c.json").write_text(json.dumps(told()))
     (tmp_path / "o.toml").write_text(OPERATOR.replace(old, new) if old else OPERATOR)
@@ -142,8 +185,12 @@
         port = free.getsockname()[1]
     known = {"rev": 3, "notices": [notice(3, endpoint("a", address=f"127.0.0.1:{silent.getsockname()[1]}"))]}
     (tmp_path / "c.json").write_text(json.dumps(told(listen=f"127.0.0.1:{port}", known=known)))
-    process = subprocess.Popen([sys.executable, "-m", "rackhub", "serve"], stderr=subprocess.PIPE, text=True,
-                               env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "c.json")})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "rackhub", "serve"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "c.json")},
+    )
     try:
         assert f"serves on 127.0.0.1:{port}" in process.stderr.readline()
         with socket.create_connection(("127.0.0.1", port)) as client:
@@ -155,10 +202,22 @@
                 return json.loads(lines.readline())
 
             assert ask(b'{"jsonrpc":"2.0","id":1,"method":"alive"}') == {
-                "jsonrpc": "2.0", "id": 1, "result": {"pass": True}}
+                "jsonrpc": "2.0",
+                "id": 1,
+                "result": {"pass": True},
+            }
             for turn in range(100):  # a loop that is behind its time refuses, as it is to: then it is asked anew
-                request = {"jsonrpc": "2.0", "id": 7, "method": "lookup", "params": {
-                    "rid": f"9b1f03aa5c7e2d{turn:02x}", "budget": 1200, "acct": "acme", "body": "U0VMRUNUIDE="}}
+                request = {
+                    "jsonrpc": "2.0",
+                    "id": 7,
+                    "method": "lookup",
+                    "params": {
+                        "rid": f"9b1f03aa5c7e2d{turn:02x}",
+                        "budget": 1200,
+                        "acct": "acme",
+                        "body": "U0VMRUNUIDE=",
+                    },
+                }
                 lines.write(json.dumps(request).encode() + b"\n")
                 lines.flush()
                 ready = select.select([silent, client], [], [], 60)[0]
@@ -173,8 +232,11 @@
             name_server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             name_server.bind(("127.0.0.1", 0))
             moved = f"127.0.0.1:{name_server.getsockname()[1]}"
-            for text, said in (("{", "the file: not JSON"), (json.dumps(told(nameserver="nowhere")), "nameserver: "),
-                               (json.dumps(told(listen=f"127.0.0.1:{port}", known=known, nameserver=moved)), moved)):
+            for text, said in (
+                ("{", "the file: not JSON"),
+                (json.dumps(told(nameserver="nowhere")), "nameserver: "),
+                (json.dumps(told(listen=f"127.0.0.1:{port}", known=known, nameserver=moved)), moved),
+            ):
                 (tmp_path / "c.json").write_text(text)
                 process.send_signal(signal.SIGHUP)
                 assert said in process.stderr.readline()
@@ -202,6 +264,10 @@
         taken.listen()
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
         (tmp_path / "c.json").write_text(json.dumps(told(listen=listen)))
-        done = subprocess.run([sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "c.json")],
-                              capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "c.json")],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
     assert done.returncode == 2 and listen in done.stderr and "Traceback" not in done.stderr
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,8 +13,14 @@
     """One `Control` with a clock, its actions collected."""
 
     def __init__(self, classes=(LOOKUP,), engines=2, listed=None, **told):
-        told = {"kind_cores": {"std": 16}, "max_attempts": 4, "max_retry_after": 2 * S, "cancel": True,
-                "tenants": (t.TenantSettings("firm"), t.TenantSettings("other")), **told}
+        told = {
+            "kind_cores": {"std": 16},
+            "max_attempts": 4,
+            "max_retry_after": 2 * S,
+            "cancel": True,
+            "tenants": (t.TenantSettings("firm"), t.TenantSettings("other")),
+            **told,
+        }
         self.control = Control(t.Settings(classes=classes, **told), seed=5)
         self.now, self.timers, self.asked = 100 * S, [], 0
         self.do(t.Started())
@@ -47,8 +53,11 @@
         return self.do(t.QueryArrived(f"q{self.asked}", cls, self.now + within, tenant=tenant, **more))
 
     def end(self, send, reason="GOOD", number=0, elapsed=100 * MS, **more):
-        return self.do(t.AttemptEnded(send.query, number, reason, settled=reason == "GOOD", engine=send.engine,
-                                      elapsed=elapsed, **more))
+        return self.do(
+            t.AttemptEnded(
+                send.query, number, reason, settled=reason == "GOOD", engine=send.engine, elapsed=elapsed, **more
+            )
+        )
 
     def teach(self, count=60, elapsed=100 * MS, **ask):
         for _ in range(count):
@@ -78,8 +87,10 @@
 
 
 def test_rotation_follows_told_cores():
-    gateway = Gateway(kind_cores={"big": 12, "small": 4}, listed=[
-        t.EngineEntry("big", kind="big"), t.EngineEntry("small", kind="small")])
+    gateway = Gateway(
+        kind_cores={"big": 12, "small": 4},
+        listed=[t.EngineEntry("big", kind="big"), t.EngineEntry("small", kind="small")],
+    )
     sent = []
     for _ in range(40):
         sent.append(only(gateway.ask(), t.Send).engine)
@@ -89,6 +100,7 @@
 
 def test_told_load_is_pressure_from_the_threads_a_core_that_the_share_has():
     """The mark was 2.2: on real days work piled up to it, and a quarter of the lookups came after their wanted time."""
+
     def refused(told):
         gateway = Gateway(engines=2)
         gateway.teach(60)
@@ -232,9 +244,14 @@
 # ---- rule 3: drains
 
 
-@pytest.mark.parametrize("scope, entries", [
-    ("Partial", [Gateway.entry("e0", state="Terminating")]), ("Partial", [Gateway.entry("e0", state="Gone")]),
-    ("Complete", [Gateway.entry("e1")])])
+@pytest.mark.parametrize(
+    "scope, entries",
+    [
+        ("Partial", [Gateway.entry("e0", state="Terminating")]),
+        ("Partial", [Gateway.entry("e0", state="Gone")]),
+        ("Complete", [Gateway.entry("e1")]),
+    ],
+)
 def test_nothing_new_goes_to_an_engine_that_drains_or_is_gone(scope, entries):
     gateway = Gateway()
     gateway.list(entries, scope)
@@ -251,8 +268,14 @@
 
 
 def cold_gateway(**more):
-    return Gateway(listed=[Gateway.entry("e0"), Gateway.entry("e1", came_up=99 * S)], ramp_time=14 * S,
-                   cold_from=0.3, fall=3 * S, fall_multiple=4, **more)
+    return Gateway(
+        listed=[Gateway.entry("e0"), Gateway.entry("e1", came_up=99 * S)],
+        ramp_time=14 * S,
+        cold_from=0.3,
+        fall=3 * S,
+        fall_multiple=4,
+        **more,
+    )
 
 
 def test_a_cold_engine_gets_part_of_what_would_push_it_over():
@@ -620,8 +643,9 @@
         sends, number = of(gateway.ask(), t.Send), 0
         while sends:
             sent.append(sends[0].engine)
-            sends = of(gateway.end(sends[0], "NOCONN" if sent[-1] == "e0" else "LATE", number=number,
-                                   elapsed=S), t.Send)
+            sends = of(
+                gateway.end(sends[0], "NOCONN" if sent[-1] == "e0" else "LATE", number=number, elapsed=S), t.Send
+            )
             number += 1
         gateway.wait(30 * MS)
     assert 2 <= sent.count("e0") <= 4
@@ -635,7 +659,7 @@
         first = only(gateway.ask(), t.Send)
         second = only(gateway.end(first, "BAD"), t.Send)
         assert second.engine != first.engine
-        refused, = finals(gateway.end(second, "BAD", number=1))  # a third would say the same
+        (refused,) = finals(gateway.end(second, "BAD", number=1))  # a third would say the same
         assert isinstance(refused, t.Refuse) and refused.retry_after > 0
         gateway.wait(30 * MS)
     sent = [only(gateway.ask(), t.Send) for _ in range(12)]
@@ -794,8 +818,15 @@
     assert len(crowd(gateway, 20)) == 20
 
 
-@pytest.mark.parametrize("told, passes", [({"pending": 0.0, "x1": 0.6}, True), ({"pending": 0.0, "x1": 1.0}, False),
-                                          ({"pending": 6.0, "x1": 0.6}, False), ({"pending": 1.0}, True)])
+@pytest.mark.parametrize(
+    "told, passes",
+    [
+        ({"pending": 0.0, "x1": 0.6}, True),
+        ({"pending": 0.0, "x1": 1.0}, False),
+        ({"pending": 6.0, "x1": 0.6}, False),
+        ({"pending": 1.0}, True),
+    ],
+)
 def test_disks_and_the_line_for_memory_told_by_probes_are_pressure(told, passes):
     gateway = Gateway(engines=4, gateways=64, probes=True)
     gateway.teach()
@@ -1212,8 +1243,9 @@
     assert share("times") < share("nothing")
 
 
-@pytest.mark.parametrize("effect, window, copies", [
-    ("fragile", 0, 0), ("dedup", 25 * S, 1), ("dedup", S // 10, 0), ("retryable", 0, 1)])
+@pytest.mark.parametrize(
+    "effect, window, copies", [("fragile", 0, 0), ("dedup", 25 * S, 1), ("dedup", S // 10, 0), ("retryable", 0, 1)]
+)
 def test_a_copy_of_a_lost_answer_keeps_to_what_its_class_allows(effect, window, copies):
     job = cls(effect, deadline=30 * S, window=window, dedup_scope="all", serial_by_key=True)
     gateway = Gateway(classes=(LOOKUP, job), engines=3, probes=True, second_copies=True, max_attempts=3)
@@ -1345,8 +1377,9 @@
             work = (3_000 if of_class == "report" else 150) * MS * estimates
             for act in control.handle(now, t.QueryArrived(f"q{turn}", of_class, now + 9 * S, estimate=work)):
                 if isinstance(act, t.Send):
-                    control.handle(now, t.AttemptEnded(act.query, 0, "GOOD", settled=True, elapsed=MS * 600,
-                                                       engine=act.engine))
+                    control.handle(
+                        now, t.AttemptEnded(act.query, 0, "GOOD", settled=True, elapsed=MS * 600, engine=act.engine)
+                    )
                     if of_class == name and turn > 80:
                         sends.append(int(act.engine[1:]) % 2)
     return sum(sends) / len(sends)
@@ -1389,6 +1422,7 @@
 
 def test_a_cold_engine_that_is_full_for_its_age_is_not_taken_for_idle():
     """Its load against all of its cores looked calm until its start was over: then 40 gateways turned to it at once."""
+
     def refused(new):
         gateway = Gateway(engines=8, gateways=40, ramp_time=13 * S, cold_from=0.3, fall=3 * S, fall_multiple=2)
         gateway.teach(60)
@@ -1405,6 +1439,7 @@
 
 def test_calm_answers_do_not_hide_that_most_of_the_fleet_is_full():
     """Most answers came from newcomers, which took short queries alone; what was left of the fleet was buried."""
+
     def refused(busy):
         gateway = Gateway(engines=16, gateways=40)
         gateway.teach(60)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -72,7 +72,7 @@
 def test_a_served_request_has_one_answer_and_nothing_is_left():
     here = Core()
     here.ask()
-    attempt, = here.port.sent
+    (attempt,) = here.port.sent
     here.core.ended(attempt, "GOOD", {"busy_reqs": 3.0}, (b"a", b"b"))
     here.core.ended(attempt, "RST")  # a second end crosses: it counts for nothing
     here.clock.advance(30 * S)
@@ -84,7 +84,7 @@
     here = Core()
     here.ask(budget=900 * MS)
     here.clock.advance(900 * MS)
-    (kind, _, back_off), = here.port.answers
+    ((kind, _, back_off),) = here.port.answers
     assert kind == "refused" and back_off > 0 and here.port.given_up == here.port.sent
     assert here.counters["backstop_answers"] == 0
 
@@ -94,7 +94,7 @@
     here = Core()
     here.core.listed([], 2)
     here.ask()
-    (kind, _, back_off), = here.port.answers
+    ((kind, _, back_off),) = here.port.answers
     assert kind == "refused" and 0 < back_off <= SETTINGS.max_retry_after
 
 
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -61,7 +61,7 @@
         self.socket = socket.create_connection(("127.0.0.1", site.ports[0].getHost().port))
         self.socket.setblocking(False)
         spin(lambda: self.front.connections - before)
-        self.served_by, = self.front.connections - before
+        (self.served_by,) = self.front.connections - before
         self.got, self.end = b"", ""
 
     def send(self, *messages):
@@ -181,7 +181,7 @@
     spin(lambda: stand.wants())
     client.send(ask(3), ask(4))
     spin(lambda: here.counters["lines_dropped"] == 3)
-    id, = (words[1] for words in stand.wants())
+    (id,) = (words[1] for words in stand.wants())
     stand.connections[0].say(id, b"200", b"chunks=1", ROWS)
     spin(lambda: client.served_by.closed_at)
     client.send(ask(5))
@@ -375,8 +375,7 @@
 def test_a_client_that_is_taken_for_open_after_its_close_is_missed(site, monkeypatch):
     """The mistake planted that the test above must find."""
     monkeypatch.setattr(JsonRpcConnection, "readConnectionLost", lambda self: None, raising=False)
-    monkeypatch.setattr(JsonRpcConnection, "connectionLost",
-                        lambda self, reason=None: self.front.lost(self))
+    monkeypatch.setattr(JsonRpcConnection, "connectionLost", lambda self, reason=None: self.front.lost(self))
     with pytest.raises(AssertionError, match="it did not come about"):
         test_a_client_that_closes_with_a_request_open_has_gone(site, "closes")
 
@@ -411,7 +410,7 @@
     held = []
     while left:
         with contextlib.suppress(BlockingIOError):
-            left = left[client.socket.send(left):]
+            left = left[client.socket.send(left) :]
         reactor.iterate(0)
         here.clock.advance(100 * MS)
         held.append(len(client.served_by._buffer))
@@ -456,11 +455,10 @@
     here = site()
     assert here.client().served_by.transport.getTcpNoDelay()
     assert here.tds_client().transport.connected
-    served_by, = here.fronts[1].connections
+    (served_by,) = here.fronts[1].connections
     assert served_by.transport.getTcpNoDelay()
 
 
-
 # ---- the end of the process
 
 
@@ -544,17 +542,29 @@
         self.write(**more)
         (self.said, say), (hear, self.let) = os.pipe(), os.pipe()
         program = GATED.format(say=say, hear=hear, plant=plant, config=str(place / "c.json"))
-        self.child = subprocess.Popen([sys.executable, "-c", program], stderr=subprocess.PIPE, pass_fds=(say, hear),
-                                      cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
-                                      env=os.environ | {"TMPDIR": str(place)}, text=True)
+        self.child = subprocess.Popen(
+            [sys.executable, "-c", program],
+            stderr=subprocess.PIPE,
+            pass_fds=(say, hear),
+            cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))),
+            env=os.environ | {"TMPDIR": str(place)},
+            text=True,
+        )
         os.close(say)
         os.close(hear)
 
     def write(self, **more):
         entry = endpoint("a") | {"address": "{}:{}".format(*self.engine)}
-        (self.place / "c.json").write_text(json.dumps(told(
-            listen=f"127.0.0.1:{self.port}", known={"rev": 3, "notices": [notice(3, entry)]},
-            nameserver=f"127.0.0.1:{self.nameserver.getsockname()[1]}") | more))
+        (self.place / "c.json").write_text(
+            json.dumps(
+                told(
+                    listen=f"127.0.0.1:{self.port}",
+                    known={"rev": 3, "notices": [notice(3, entry)]},
+                    nameserver=f"127.0.0.1:{self.nameserver.getsockname()[1]}",
+                )
+                | more
+            )
+        )
 
     def at(self, name):
         assert os.read(self.said, 64).decode().strip() == name, self.child.communicate(timeout=60)[1]
@@ -627,9 +637,16 @@
 
 
 @pytest.mark.parametrize("where, plant", [("importing", IMPORTING), ("listening", LISTENING), ("running", RUNNING)])
-@pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGTERM, signal.SIGTERM),
-                                     (signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP)],
-                         ids=["once", "twice", "after SIGHUP", "before SIGHUP"])
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        (signal.SIGTERM,),
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP),
+    ],
+    ids=["once", "twice", "after SIGHUP", "before SIGHUP"],
+)
 def test_sigterm_before_ready_ends_the_process_in_order(gated, where, plant, numbers):
     process = gated(plant)
     process.at(where)
@@ -824,8 +841,11 @@
 
 def test_idle_clients_fill_the_descriptors_while_discovery_is_down(gated, unreachable, planted=""):
     """A newcomer's `alive` comes through, its request reaches an engine, and the resolver is asked still."""
-    process = gated(PATIENT + FEW.format(files=96) + planted, engine=unreachable.address,
-                    limits={"cores": 1.0, "memory_mb": 192, "sockets": 96})
+    process = gated(
+        PATIENT + FEW.format(files=96) + planted,
+        engine=unreachable.address,
+        limits={"cores": 1.0, "memory_mb": 192, "sockets": 96},
+    )
     process.until("serves on")
     idle, heard = crowd(process, 60)  # over twice of what there is room for
     try:
@@ -961,8 +981,7 @@
         call.settimeout(60)
         call.sendall(b"DUMP\n")
         said = b"".join(iter(lambda: call.recv(1 << 16), b""))
-    found, = (text.split() for text in said.decode().splitlines()
-              if text.startswith("balancer_pool_ejected "))
+    (found,) = (text.split() for text in said.decode().splitlines() if text.startswith("balancer_pool_ejected "))
     return int(float(found[-1]))
 
 
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -53,23 +53,33 @@
 
     def ask(self, cls="lookup", budget=3 * S, statement=b"select 1"):
         self.asked += 1
-        query = Query(f"{self.asked:016x}", cls, statement, self.clock.now() + budget, Answers(), tenant="acme",
-                      token=TOKEN if cls == "depot-load" else "")
+        query = Query(
+            f"{self.asked:016x}",
+            cls,
+            statement,
+            self.clock.now() + budget,
+            Answers(),
+            tenant="acme",
+            token=TOKEN if cls == "depot-load" else "",
+        )
         self.core.submit(query)
         return query
 
     def wants(self, query=None):
         """The `want` of each attempt that reached an engine."""
-        return [words for stand in self.stands for words in stand.wants()
-                if query is None or words[1] == query.id.encode()]
+        return [
+            words for stand in self.stands for words in stand.wants() if query is None or words[1] == query.id.encode()
+        ]
 
     def told(self, *states):
         """A list with the engines in these states; None: gone."""
         entries = [t.EngineEntry(f"e{i}", "z", "std", state=state) for i, state in enumerate(states) if state]
         self.rev += 1
         self.core.listed(entries, self.rev)  # the order of `Daemon._tell_list`
-        self.pools.listed({f"e{i}": ("127.0.0.1", stand.port.getHost().port) for i, stand in enumerate(self.stands)
-                           if states[i]}, entries)
+        self.pools.listed(
+            {f"e{i}": ("127.0.0.1", stand.port.getHost().port) for i, stand in enumerate(self.stands) if states[i]},
+            entries,
+        )
 
     def links(self):
         return [link for pool in (*self.pools.pools.values(), *self.pools.retired) for link in pool.links]
@@ -80,8 +90,9 @@
     made = []
 
     def build(count=2, *, tds=False, act=None, **more):
-        made.append(Here(*(Stand(TdsEngine if tds else RespEngine, act) for _ in range(count)), tds_engines=tds,
-                         **more))
+        made.append(
+            Here(*(Stand(TdsEngine if tds else RespEngine, act) for _ in range(count)), tds_engines=tds, **more)
+        )
         return made[-1]
 
     yield build
@@ -103,11 +114,11 @@
     here = make(tds=tds, settings=KEYED)
     query = here.ask("depot-load", 20 * S)
     spin(lambda: len(here.wants()) == 1)
-    first, = query.out.values()
+    (first,) = query.out.values()
     here.clock.time += 800 * MS
     here.core.ended(first, "RST")  # within the window: the second one begins to dial
     here.clock.advance(0)  # the loop had stood still: only once it has turned
-    second, = query.out.values()
+    (second,) = query.out.values()
     assert second.engine != first.engine
     here.clock.time += 200 * MS  # and is through when the window is over
     spin(lambda: query.closed)
@@ -118,13 +129,13 @@
     """One that surely never ran is no start of it."""
     here = make(3, settings=KEYED)
     query = here.ask("depot-load", 20 * S)
-    first, = query.out.values()
+    (first,) = query.out.values()
     here.clock.time += 900 * MS
     here.core.ended(first, "NOCONN")
-    second, = query.out.values()
+    (second,) = query.out.values()
     assert not second.send_by
     here.core.ended(second, "RST")
-    third, = query.out.values()
+    (third,) = query.out.values()
     assert second.sent < third.send_by < second.sent + S
 
 
@@ -135,12 +146,13 @@
     from rackhub.timings.table import Table
 
     here = make(3, settings=KEYED)
-    here.core.desk = Desk(Table([Route(cls="depot-load", repeat_within_ms=terms / MS)], KEYED),
-                          {"depot-load": 25 * S}, 3)
+    here.core.desk = Desk(
+        Table([Route(cls="depot-load", repeat_within_ms=terms / MS)], KEYED), {"depot-load": 25 * S}, 3
+    )
     query = here.ask("depot-load", 20 * S)
-    first, = query.out.values()
+    (first,) = query.out.values()
     here.core.ended(first, "RST")
-    second, = query.out.values()
+    (second,) = query.out.values()
     assert second.send_by == min(first.sent + terms, first.sent + S - S // 20)
 
 
@@ -170,7 +182,7 @@
     first = here.ask("report")
     spin(lambda: first.closed)
     here.stands[0].act = lambda *_: None
-    link, = here.links()
+    (link,) = here.links()
     assert link.up and not link.open
     return link
 
@@ -201,7 +213,7 @@
     here.stands[1].act = answer
     spin(lambda: query.closed)
     assert query.reply.came == [("served", ROWS)]  # of a class that is tried again only on proof
-    assert here.wants(query) == here.stands[1].wants()[-len(here.wants(query)):]
+    assert here.wants(query) == here.stands[1].wants()[-len(here.wants(query)) :]
 
 
 def test_of_the_attempts_on_a_lost_connection_each_is_told_by_what_has_left_of_it(make):
@@ -228,7 +240,7 @@
     link.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
     whole, ends, told = [], [], here.core.ended
     here.core.ended = lambda attempt, how, *more: (ends.append((attempt.query, how)), told(attempt, how, *more))
-    while not link.transport.dataBuffer[link.transport.offset:]:
+    while not link.transport.dataBuffer[link.transport.offset :]:
         whole.append(here.ask(statement=b"x" * 40_000))
         before = link.transport._tempDataLen
         spin(lambda before=before: link.transport._tempDataLen < before)
@@ -248,7 +260,7 @@
     here = make(1, settings=replace(FRAGILE, kind_cores={"std": 64.0}))
     here.pools._limits = limits_with(LIMITS, spread=1)
     link = rest(here)
-    engine, = here.stands[0].connections
+    (engine,) = here.stands[0].connections
     queries = [here.ask() for _ in range(count)]
     assert {attempt.link for query in queries for attempt in query.out.values()} == {link}
     spin(lambda: all(here.wants(query) for query in queries))
@@ -264,8 +276,9 @@
     if planted:  # a reader that takes the reset first
         link.transport.doRead = lambda: CONNECTION_LOST
     spin(lambda: all(query.closed for query in queries))
-    assert [query.reply.came for query in queries] == [[("failed" if planted else "served", body * (not planted))]] \
-        * len(queries)
+    assert [query.reply.came for query in queries] == [
+        [("failed" if planted else "served", body * (not planted))]
+    ] * len(queries)
 
 
 # ---- dials, drains and new starts
@@ -277,7 +290,7 @@
 
 
 def one_out(query):
-    attempt, = query.out.values()
+    (attempt,) = query.out.values()
     return attempt
 
 
@@ -327,7 +340,7 @@
     query = here.ask()
     spin(lambda: here.wants(query))
     here.told("Terminating")
-    engine, = here.stands[0].connections
+    (engine,) = here.stands[0].connections
     engine.say(query.id.encode(), b"200", b"chunks=2", ROWS)
     spin(lambda: here.stands[0].heard[-1][0] == b"turn")
     engine.say(query.id.encode(), b"chunk", b"at=1", ROWS)
@@ -402,7 +415,7 @@
     link = rest(here)
     here.stands[0].connections[0].transport.pauseProducing()
     link.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-    while not link.transport.dataBuffer[link.transport.offset:]:
+    while not link.transport.dataBuffer[link.transport.offset :]:
         query = here.ask("report", statement=b"x" * 200_000)
         spin(lambda: not link.transport._tempDataLen)
         here.core.leave(query)
@@ -473,7 +486,7 @@
     """The connection is lost, or nothing more comes on it; what came whole before it is passed on."""
     here = make(1, settings=FRAGILE)
     queries = shared(here)
-    engine, = here.stands[0].connections
+    (engine,) = here.stands[0].connections
     engine.transport.socket.sendall(GOOD + said)
     if lost:
         reset(engine)
@@ -484,11 +497,11 @@
     assert [query.reply.came for query in queries] == [[("failed", b"")], [("served", ROWS)], [("failed", b"")]]
 
 
-@pytest.mark.parametrize("count", [LIMITS.pages + 1, 50_000_000, 10 ** 17])
+@pytest.mark.parametrize("count", [LIMITS.pages + 1, 50_000_000, 10**17])
 def test_a_result_of_more_pages_than_one_may_have_costs_nothing_and_ends_one_attempt(make, count):
     here = make(1, settings=FRAGILE)
     queries = shared(here)
-    engine, = here.stands[0].connections
+    (engine,) = here.stands[0].connections
     tracemalloc.start()
     engine.say(queries[0].id.encode(), b"200", b"chunks=%d" % count, ROWS)
     spin(lambda: queries[0].closed)
@@ -512,7 +525,7 @@
     query = here.ask()
     spin(lambda: here.wants(query))
     first, id = one_out(query), query.id.encode()
-    engine, = here.stands[0].connections
+    (engine,) = here.stands[0].connections
     engine.transport.socket.sendall(b"".join(command(id, b"200", b"chunks=1", b"old\told\told\n")))
     here.core._cancel(t.Cancel(query.id, 0))
     if planted:
@@ -557,7 +570,7 @@
     """It comes under an id that is over, beside one of a request that is open."""
     here = make(1)
     queries = shared(here, 2)
-    engine, = here.stands[0].connections
+    (engine,) = here.stands[0].connections
     for _ in range(2):
         engine.say(queries[0].id.encode(), b"200", b"chunks=1", ROWS)
     spin(lambda: here.counters["engine_strays"])
--- a/tests/test_crossings_model.py
+++ b/tests/test_crossings_model.py
@@ -33,16 +33,32 @@
 from rackhub.policy import further
 
 WINDOW = 300 * MS
-CLASSES = (t.ClassSettings("lookup", deadline=3 * S, objective=S, effect="retryable"),
-           t.ClassSettings("load", deadline=3 * S, objective=S, effect="dedup", dedup_scope="all", window=WINDOW),
-           t.ClassSettings("once", deadline=3 * S, objective=S))
-SETTINGS = t.Settings(classes=CLASSES, tenants=(t.TenantSettings("acme"),), kind_cores={"std": 8.0}, period=5 * MS,
-                      priorities=True, cancel=True, max_attempts=3, max_retry_after=500 * MS)
+CLASSES = (
+    t.ClassSettings("lookup", deadline=3 * S, objective=S, effect="retryable"),
+    t.ClassSettings("load", deadline=3 * S, objective=S, effect="dedup", dedup_scope="all", window=WINDOW),
+    t.ClassSettings("once", deadline=3 * S, objective=S),
+)
+SETTINGS = t.Settings(
+    classes=CLASSES,
+    tenants=(t.TenantSettings("acme"),),
+    kind_cores={"std": 8.0},
+    period=5 * MS,
+    priorities=True,
+    cancel=True,
+    max_attempts=3,
+    max_retry_after=500 * MS,
+)
 GONE_FOR = 100 * MS  # after its client's end no attempt may begin
 SLACK = LIMITS.backstop + 2 * LIMITS.sweep  # after a deadline, with a loop in time
 NEVER_RAN = (b"503", b"504")
-STEPS = settings(derandomize=True, max_examples=150, stateful_step_count=30, deadline=None, database=None,
-                 suppress_health_check=list(HealthCheck))
+STEPS = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=30,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
 ROWS = b"a\tb\tc\n"
 
 
@@ -71,7 +87,7 @@
         if not self.kernel:
             return None
         got = b"".join(bytes_) if bytes_ else b""
-        del self.kernel[:max(len(bytes_), 1)]
+        del self.kernel[: max(len(bytes_), 1)]
         return got
 
     def read(self):
@@ -177,8 +193,11 @@
     @initialize(cancel=st.booleans(), eager=st.sampled_from([None, *range(8)]), prompt=st.sampled_from([1, 1, 0]))
     def begin(self, cancel, eager, prompt):
         self.prompt = prompt  # dials come up in the next turn
-        told = SETTINGS if cancel else t.Settings(**{
-            name: getattr(SETTINGS, name) for name in SETTINGS.__slots__ if name != "cancel"})
+        told = (
+            SETTINGS
+            if cancel
+            else t.Settings(**{name: getattr(SETTINGS, name) for name in SETTINGS.__slots__ if name != "cancel"})
+        )
         self.core = Coordinator(told, 7, self.clock, Timers(self.clock, self.clock), LIMITS, self.counters)
         if eager is not None:
             self.core._control = Eager(eager, self.states)
@@ -312,8 +331,11 @@
 
     # ---- the client
 
-    @rule(cls=st.sampled_from([told.name for told in CLASSES]), budget=st.sampled_from([300, 900, 900]),
-          goes=st.sampled_from(["", "", "", "", "cancel", "close"]))
+    @rule(
+        cls=st.sampled_from([told.name for told in CLASSES]),
+        budget=st.sampled_from([300, 900, 900]),
+        goes=st.sampled_from(["", "", "", "", "cancel", "close"]),
+    )
     def asks(self, cls, budget, goes):
         if self.client.over:
             self.connect()
@@ -326,8 +348,14 @@
         number = next(self.numbers)
         asked = self.asked[f"{number:016x}"] = self.mine[number] = Asked(number, cls, budget, self.clock.time)
         body = base64.b64encode(b"SELECT 1 FROM a_3.b").decode()
-        self.say({"jsonrpc": "2.0", "id": number, "method": cls, "params": {
-            "rid": asked.rid, "budget": budget, "acct": "acme", "body": body, "token": f"k{number}"}})
+        self.say(
+            {
+                "jsonrpc": "2.0",
+                "id": number,
+                "method": cls,
+                "params": {"rid": asked.rid, "budget": budget, "acct": "acme", "body": body, "token": f"k{number}"},
+            }
+        )
 
     def say(self, message):
         self.client.send(json.dumps(message).encode() + b"\n")
@@ -412,8 +440,11 @@
         link.pool.dial_failed(link)
 
     @precondition(lambda self: any(asked.out for asked in self.asked.values()))
-    @rule(which=st.integers(0, 5), word=st.sampled_from([b"200", b"200", b"503", b"503", b"504", b"500", b"spoilt"]),
-          twice=st.booleans())
+    @rule(
+        which=st.integers(0, 5),
+        word=st.sampled_from([b"200", b"200", b"503", b"503", b"504", b"500", b"spoilt"]),
+        twice=st.booleans(),
+    )
     def answers(self, which, word, twice):
         out = [asked for asked in self.asked.values() if asked.out]
         asked = out[which % len(out)]
@@ -491,8 +522,8 @@
         words = []
         for _ in range(int(head[1:])):
             size, _, said = said.partition(b"\r\n")
-            words.append(said[:int(size[1:])])
-            said = said[int(size[1:]) + 2:]
+            words.append(said[: int(size[1:])])
+            said = said[int(size[1:]) + 2 :]
         found.append(words)
     return found
 
@@ -517,6 +548,7 @@
             return real(self, query, how, *said)
         finally:
             query.out = out
+
     patch.setattr(Coordinator, "_end", end)
 
 
@@ -538,6 +570,7 @@
             attempt.state = State.LEAVING
             self.engines.give_up(attempt)
             self._over(attempt, reason)
+
     patch.setattr(Coordinator, "_give_up", give_up)
 
 
@@ -547,6 +580,7 @@
     def end(self, query, how, *said):
         query.closed = False
         return real(self, query, how, *said)
+
     patch.setattr(Coordinator, "_end", end)
 
 
@@ -567,8 +601,19 @@
     patch.setattr(Coordinator, "_over", lambda self, one, *said: real(self, one, *said) if one.number else None)
 
 
-PLANTS = (in_any_turn, left_to_the_module, sent_to_the_deaf, old_bytes_as_new, out_of_the_window, no_hand_over,
-          a_second_end, a_drain_unheeded, late_is_proof, a_lost_client_stays, an_answer_forgotten)
+PLANTS = (
+    in_any_turn,
+    left_to_the_module,
+    sent_to_the_deaf,
+    old_bytes_as_new,
+    out_of_the_window,
+    no_hand_over,
+    a_second_end,
+    a_drain_unheeded,
+    late_is_proof,
+    a_lost_client_stays,
+    an_answer_forgotten,
+)
 SEARCH = settings(STEPS, max_examples=300, phases=[Phase.generate], report_multiple_bugs=False)
 
 
--- a/tests/test_crossings_requests.py
+++ b/tests/test_crossings_requests.py
@@ -34,12 +34,18 @@
         self.socket = socket.create_connection(("127.0.0.1", site.ports[0].getHost().port))
         site.raw.append(self)
         spin(lambda: len(front.connections) > len(known))
-        self.served_by, = front.connections - known
+        (self.served_by,) = front.connections - known
 
     def ask(self, number, budget=2_000, cls="lookup"):
         body = base64.b64encode(b"SELECT 1 FROM a_3.b").decode()
-        self.say({"jsonrpc": "2.0", "id": number, "method": cls, "params": {
-            "rid": f"{number:016x}", "budget": budget, "acct": "acme", "body": body, "token": "k"}})
+        self.say(
+            {
+                "jsonrpc": "2.0",
+                "id": number,
+                "method": cls,
+                "params": {"rid": f"{number:016x}", "budget": budget, "acct": "acme", "body": body, "token": "k"},
+            }
+        )
         return f"{number:016x}"
 
     def cancel(self, number):
@@ -133,8 +139,12 @@
 def empty(site):
     """Nothing of any request is left anywhere."""
     links = [link for pool in site.pools.pools.values() for link in pool.links]
-    return not (site.core.queries or site.core.out or any(link.open for link in links)
-                or any(connection.open for connection in site.fronts[0].connections))
+    return not (
+        site.core.queries
+        or site.core.out
+        or any(link.open for link in links)
+        or any(connection.open for connection in site.fronts[0].connections)
+    )
 
 
 def warm(site):
@@ -142,7 +152,7 @@
     site.stands[0].act = answers
     client = Raw(site)
     script(site, lambda event: [t.Send(event.query, "e0")])
-    client.ask(0xfff)
+    client.ask(0xFFF)
     spin(lambda: empty(site) and wants(site))
     site.stands[0].act = lambda *_: None
     site.stands[0].heard.clear()
@@ -164,8 +174,12 @@
 def test_a_back_off_that_ends_in_a_late_turn_begins_nothing_for_a_client_that_has_gone(site, how):
     """The loop makes its calls before it reads: the further attempt began for a client that had gone long before."""
     client = Raw(site)
-    module = script(site, lambda event: [t.Send(event.query, "e0")], AttemptEnded=[t.Timer(100 * MS, 1)],
-                    TimerFired=lambda event: [t.Send(f"{1:016x}", "e1")])
+    module = script(
+        site,
+        lambda event: [t.Send(event.query, "e0")],
+        AttemptEnded=[t.Timer(100 * MS, 1)],
+        TimerFired=lambda event: [t.Send(f"{1:016x}", "e1")],
+    )
     client.ask(1)
     spin(lambda: wants(site))
     site.stands[0].connections[0].say(f"{1:016x}".encode(), b"503")
@@ -198,8 +212,11 @@
     """An engine that is full sends the request elsewhere: not if its client's end lies unread since the loop stood."""
     warm(site)
     client = Raw(site)
-    script(site, lambda event: [t.Send(event.query, "e0")],
-           AttemptEnded=lambda event: [] if event.settled else [t.Send(event.query, "e1")])
+    script(
+        site,
+        lambda event: [t.Send(event.query, "e0")],
+        AttemptEnded=lambda event: [] if event.settled else [t.Send(event.query, "e1")],
+    )
     client.ask(1)
     spin(lambda: wants(site))
     client.served_by.transport.stopReading()  # the turn's events were fetched before the client's end came
@@ -268,8 +285,11 @@
 def test_a_time_out_before_the_dial_has_ended_proves_that_nothing_ran(site):
     """It was told as late, which a class that is unsafe to repeat has to take for one that may have run."""
     held, client = Held(site.pools), Raw(site)
-    module = script(site, lambda event: [t.Send(event.query, "e0", 200 * MS)],
-                    AttemptEnded=lambda event: [t.Send(event.query, "e1")])
+    module = script(
+        site,
+        lambda event: [t.Send(event.query, "e0", 200 * MS)],
+        AttemptEnded=lambda event: [t.Send(event.query, "e1")],
+    )
     client.ask(1)
     spin(lambda: held.waiting)
     site.clock.advance(200 * MS + LIMITS.sweep)
@@ -308,7 +328,7 @@
     late(site)
     reactor.iterate(0)
     spin(lambda: site.core.queries)
-    query, = site.core.queries.values()
+    (query,) = site.core.queries.values()
     assert [attempt.state for attempt in query.out.values()] == [State.HELD]
     drains(site)
     turns(site)
@@ -336,7 +356,7 @@
     held, client = Held(site.pools), Raw(site)
     client.ask(1)
     spin(lambda: held.waiting)
-    query, = site.core.queries.values()
+    (query,) = site.core.queries.values()
     query.reply = Deaf(query.reply)
     link = held.release()
     spin(lambda: link.up)
@@ -402,7 +422,7 @@
     module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0", 200 * MS)]
     module.acts[t.AttemptEnded] = lambda event: [] if event.settled else [t.Send(event.query, "e1")]
     query = here.ask(budget=2 * S)
-    attempt, = here.port.sent
+    (attempt,) = here.port.sent
     here.clock.advance(200 * MS + LIMITS.sweep)
     assert attempt.state is State.LEAVING
     return query, attempt
@@ -444,8 +464,11 @@
 def test_an_answer_and_a_time_out_in_one_turn_give_one_answer(site, first):
     warm(site)
     client = Raw(site)
-    script(site, lambda event: [t.Send(event.query, "e0", 200 * MS)],
-           AttemptEnded=lambda event: [] if event.settled else [t.Refuse(event.query, 5)])
+    script(
+        site,
+        lambda event: [t.Send(event.query, "e0", 200 * MS)],
+        AttemptEnded=lambda event: [] if event.settled else [t.Refuse(event.query, 5)],
+    )
     id = client.ask(1).encode()
     spin(lambda: wants(site))
     answer = site.stands[0].connections[0].say
@@ -472,7 +495,8 @@
     "served": lambda here, query: here.core.ended(next(iter(query.out.values())), "GOOD", {}, (ROWS,)),
     "refused": lambda here, query: here.core._refuse(t.Refuse(query.id, 5)),
     "failed": lambda here, query: here.core._fail(t.Fail(query.id)),
-    "left": lambda here, query: here.core.leave(query)}
+    "left": lambda here, query: here.core.leave(query),
+}
 
 
 @pytest.mark.parametrize("second", ENDS)
@@ -482,7 +506,7 @@
     module.acts[t.QueryArrived] = lambda event: [t.Send(event.query, "e0")]
     here = Core(module)
     query = here.ask()
-    attempt, = here.port.sent
+    (attempt,) = here.port.sent
     ENDS[first](here, query)
     ENDS[second](here, query) if query.out else here.core.ended(attempt, "GOOD", {}, (ROWS,))
     here.clock.advance(3 * S)
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -69,8 +69,9 @@
     def __init__(self, desk, start=None, told=None):
         self.time, self.counters, self.lists = Timed(), Counters(), []
         self.moved = desk.address
-        self.platform = Platform(self.time, SETTINGS, start or Listing(3, (), {}), desk.address, LIMITS, self.counters,
-                                 lambda: self.moved)
+        self.platform = Platform(
+            self.time, SETTINGS, start or Listing(3, (), {}), desk.address, LIMITS, self.counters, lambda: self.moved
+        )
         self.platform.follow(told or self.lists.append)
 
     def heard(self):
@@ -268,9 +269,18 @@
     watch.pass_by(LIMITS.poll_again_most + 20 * MS, desk, step=20 * MS)
     spin(lambda: core.counters["lists_told"] == 1)
     from rackhub.core.request import Query
+
     for number in range(20):
-        core.submit(Query(f"{number:016x}", "lookup", b"x", clock.now() + 3_000 * MS,
-                          SimpleNamespace(deaf=False, stale=False, refused=lambda *_: None), tenant="acme"))
+        core.submit(
+            Query(
+                f"{number:016x}",
+                "lookup",
+                b"x",
+                clock.now() + 3_000 * MS,
+                SimpleNamespace(deaf=False, stale=False, refused=lambda *_: None),
+                tenant="acme",
+            )
+        )
     assert {attempt.engine for attempt in sent} == {"a"} and len(sent) == 20
 
 
@@ -283,7 +293,8 @@
         while not asking.silent():
             spent, calls = spent + asking.asked(), calls + 1
         assert calls == polls and spent == limits.poll + sum(
-            min(limits.poll_again << turn, limits.poll_again_most) for turn in range(polls))
+            min(limits.poll_again << turn, limits.poll_again_most) for turn in range(polls)
+        )
     assert LIMITS.poll + 7 * LIMITS.poll_again < 700 * MS
 
 
@@ -304,7 +315,10 @@
 
 def test_a_planted_module_that_is_not_told_of_drains_is_seen(desk, watches, monkeypatch):
     inner = Coordinator.listed
-    monkeypatch.setattr(Coordinator, "listed", lambda self, entries, rev: inner(
-        self, [replace(entry, state="Ready") for entry in entries], rev))
+    monkeypatch.setattr(
+        Coordinator,
+        "listed",
+        lambda self, entries, rev: inner(self, [replace(entry, state="Ready") for entry in entries], rev),
+    )
     with pytest.raises(AssertionError):
         test_the_first_list_after_a_silence_may_tell_of_a_drain_and_nothing_more_is_sent_there(desk, watches)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -47,8 +47,14 @@
 
 def test_an_engine_that_came_back_is_weighed_anew():
     """What was reckoned of the process before it must not outlive it, however lately that was."""
-    settings = t.Settings(classes=(t.ClassSettings("lookup", deadline=3 * S, effect="retryable"),),
-                          kind_cores={"std": 8}, ramp_time=13 * S, cold_from=0.3, fall=3 * S, fall_multiple=2)
+    settings = t.Settings(
+        classes=(t.ClassSettings("lookup", deadline=3 * S, effect="retryable"),),
+        kind_cores={"std": 8},
+        ramp_time=13 * S,
+        cold_from=0.3,
+        fall=3 * S,
+        fall_multiple=2,
+    )
     control = Control(settings, 1)
     control.handle(100 * S, t.EngineList("Complete", (t.EngineEntry("a", kind="std"), t.EngineEntry("b", kind="std"))))
     control.handle(100 * S, t.QueryArrived("q", "lookup", 103 * S))
@@ -86,15 +92,18 @@
     "dials that dead engines refuse": lambda p: p.setattr(Control, "ail", lambda control, engine, sure=False: None),
     "further attempts at the loss": lambda p: p.setattr(Control, "ail", lambda control, engine, sure=False: None),
     "work sent to a cold engine": lambda p: p.setattr(
-        Control, "drawn", lambda control, query, cold: control.random.choice(cold)),
+        Control, "drawn", lambda control, query, cold: control.random.choice(cold)
+    ),
     "new work to engines that are told gone": lambda p: p.setattr(Control, "on_list", keep_all(Control.on_list)),
 }
 
 
 def keep_all(on_list):
     """A list that only ever adds."""
+
     def call(control, event):
         on_list(control, t.EngineList("Partial", event.entries, event.rev))
+
     return call
 
 
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -26,8 +26,9 @@
     """Routes in the book turn the timings on, in a gateway that starts as well: that one ended at its start once."""
     with Rig(Plan(gateways=3, engines=2, seed=4, fleet=True, keepers=3), reactor) as rig:
         rig.up()
-        assert comes_about(rig, lambda: "error" not in (ask_all(rig, edit(), whom=("g0",), patience=10.0)["g0"] or
-                                                        {"error": 1}), 20)
+        assert comes_about(
+            rig, lambda: "error" not in (ask_all(rig, edit(), whom=("g0",), patience=10.0)["g0"] or {"error": 1}), 20
+        )
         assert comes_about(rig, lambda: held(rig, 1), 20)
         process = rig.processes.by_name["g2"]
         process.kill()
@@ -40,8 +41,14 @@
 
 
 def edit():
-    return {"call": "rules.edit", "on": 0, "author": "ada", "reason": "one attempt", "id": "e1",
-            "parts": {"timings": ONE}}
+    return {
+        "call": "rules.edit",
+        "on": 0,
+        "author": "ada",
+        "reason": "one attempt",
+        "id": "e1",
+        "parts": {"timings": ONE},
+    }
 
 
 def test_the_command_line_s_client_names_an_address_where_nobody_answers():
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -17,10 +17,18 @@
 
 LONG, HOST, BIG = "n" * 63, "255.255.255.255", (1 << 53)
 FRAMES = [
-    f.Claim(LONG, HOST, 65_535, BIG, BIG, f.LEFT, LONG, HOST, 65_535, LONG), f.Ping(BIG, LONG), f.Ack(BIG, True),
-    f.Ask(BIG, LONG, BIG), f.Nack(BIG), f.Hello(), f.Note(LONG, "k" * 32, BIG, BIG, BIG, bytes(RECORD)),
-    f.Digest(LONG, LONG, [f.Line(LONG, BIG, BIG, f.GONE, {"k" * 32: BIG})]), f.Want({LONG: ["k" * 32]}),
-    f.Page(BIG, BIG, 300, 300, "k" * 32, bytes(Limits().chunk)), f.Got(BIG, bytes(64), True)]
+    f.Claim(LONG, HOST, 65_535, BIG, BIG, f.LEFT, LONG, HOST, 65_535, LONG),
+    f.Ping(BIG, LONG),
+    f.Ack(BIG, True),
+    f.Ask(BIG, LONG, BIG),
+    f.Nack(BIG),
+    f.Hello(),
+    f.Note(LONG, "k" * 32, BIG, BIG, BIG, bytes(RECORD)),
+    f.Digest(LONG, LONG, [f.Line(LONG, BIG, BIG, f.GONE, {"k" * 32: BIG})]),
+    f.Want({LONG: ["k" * 32]}),
+    f.Page(BIG, BIG, 300, 300, "k" * 32, bytes(Limits().chunk)),
+    f.Got(BIG, bytes(64), True),
+]
 
 
 def packed(*frames):
@@ -66,9 +74,17 @@
     return msgspec.Raw(msgspec.msgpack.encode(value))
 
 
-@pytest.mark.parametrize("value, wrong", [
-    ([99, "new"], "unknown_kind"), ([2, "no number"], "bad_frame"), ([], "bad_frame"), (7, "bad_frame"),
-    ([1, "x" * 64, "", 0, 0, 0, 0], "bad_frame"), ([7, "a", "k", 0, 0, -1, b""], "bad_frame")])
+@pytest.mark.parametrize(
+    "value, wrong",
+    [
+        ([99, "new"], "unknown_kind"),
+        ([2, "no number"], "bad_frame"),
+        ([], "bad_frame"),
+        (7, "bad_frame"),
+        ([1, "x" * 64, "", 0, 0, 0, 0], "bad_frame"),
+        ([7, "a", "k", 0, 0, -1, b""], "bad_frame"),
+    ],
+)
 def test_frames_that_cannot_be_used_are_named(value, wrong):
     with pytest.raises(f.Damaged, match=wrong):
         f.frame(raw(value))
@@ -94,8 +110,10 @@
     def __init__(self, seed, lose, double=0.0, limits=None):
         self.random, self.lose, self.double, self.now = random.Random(seed), lose, double, 0
         self.counts = []
-        self.out, self.into = Outbox(limits or Limits(), self.counts.append), Inbox(limits or Limits(),
-                                                                                  self.counts.append)
+        self.out, self.into = (
+            Outbox(limits or Limits(), self.counts.append),
+            Inbox(limits or Limits(), self.counts.append),
+        )
         self.queue, self.taken = [], []
 
     def put(self, frames):
@@ -111,8 +129,10 @@
         end = self.now + span
         while self.now < end and (self.queue or self.out.due() is not None):
             self.queue.sort(key=lambda entry: entry[:2])
-            self.now = max(self.now, min([entry[0] for entry in self.queue[:1]]
-                                         + [due for due in [self.out.due()] if due is not None]))
+            self.now = max(
+                self.now,
+                min([entry[0] for entry in self.queue[:1]] + [due for due in [self.out.due()] if due is not None]),
+            )
             if self.queue and self.queue[0][0] <= self.now:
                 frame = self.queue.pop(0)[2]
                 if isinstance(frame, f.Page):
@@ -164,6 +184,11 @@
     for _ in range(4):
         way.send(b"z")
     assert way.counts.count("mail_over") == 2
-    for wrong in (f.Page(20, 1, 2, 2, "k", b""), f.Page(20, 1, 0, 0, "k", b""), f.Page(20, 1, 0, 1 << 20, "k", b""),
-                  f.Page(20, 1, 0, 1, "k", bytes(limits.chunk + 1)), f.Page(8, 1, 0, 5, "k", b"")):
+    for wrong in (
+        f.Page(20, 1, 2, 2, "k", b""),
+        f.Page(20, 1, 0, 0, "k", b""),
+        f.Page(20, 1, 0, 1 << 20, "k", b""),
+        f.Page(20, 1, 0, 1, "k", bytes(limits.chunk + 1)),
+        f.Page(8, 1, 0, 5, "k", b""),
+    ):
         assert way.into.page(wrong) == (None, None)
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -54,8 +54,10 @@
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.lists(st.tuples(st.integers(1, 3), st.integers(0, 3), st.integers(0, 3)), min_size=1, max_size=8),
-       st.randoms(use_true_random=False))
+@given(
+    st.lists(st.tuples(st.integers(1, 3), st.integers(0, 3), st.integers(0, 3)), min_size=1, max_size=8),
+    st.randoms(use_true_random=False),
+)
 def test_views_agree_in_whatever_order_claims_come(told, chance):
     """The model: the latest claim holds, and a suspicion that nobody refutes ends as gone."""
     ends = []
@@ -117,8 +119,9 @@
     assert [effect.what for effect in one.here.effects if isinstance(effect, Named)] == ["clash", "clash"]
 
 
-@pytest.mark.parametrize("wrong", [claim(boot=1 << 44), claim(incarnation=1 << 30), claim("me", 1 << 53, port=1),
-                                   claim("new", 1 << 44)])
+@pytest.mark.parametrize(
+    "wrong", [claim(boot=1 << 44), claim(incarnation=1 << 30), claim("me", 1 << 53, port=1), claim("new", 1 << 44)]
+)
 def test_nonsense_changes_nothing_and_is_named_with_who_said_it(wrong):
     one = core()
     one.table.merge(claim(), "b")
@@ -128,8 +131,10 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.lists(st.tuples(st.integers(1, 5), st.integers(0, 900), st.integers(0, 900)), min_size=1, max_size=8),
-       st.randoms(use_true_random=False))
+@given(
+    st.lists(st.tuples(st.integers(1, 5), st.integers(0, 900), st.integers(0, 900)), min_size=1, max_size=8),
+    st.randoms(use_true_random=False),
+)
 def test_the_newest_number_stands_whatever_the_order_and_never_younger_than_told(notes, chance):
     for _ in range(2):
         one, taken = core(), []
@@ -227,6 +232,7 @@
         wire.time.later(500 * MS, post)
         for gateway in wire.running():
             watch.post(gateway, "demand", 100)
+
     post()
     wire.time.run(5 * SECOND)
     gateways[2].pause()
@@ -274,6 +280,7 @@
         torture = Torture(4, 5)
         torture.cycle()
         return torture.told() | {"bytes": [gateway.bytes for gateway in torture.wire.gateways.values()]}
+
     assert run() == run()
 
 
@@ -299,8 +306,8 @@
 def test_the_boot_number_grows_whatever_the_clock_says(tmp_path):
     state = str(tmp_path / "kept")
     first = boots.first(state)
-    boots.keep(state, first + 10 ** 9)
-    assert boots.first(state) == first + 10 ** 9 + 1
+    boots.keep(state, first + 10**9)
+    assert boots.first(state) == first + 10**9 + 1
     (tmp_path / "kept" / boots.FILE).write_text("no number")
     assert boots.first(state) >= first
 
@@ -319,14 +326,29 @@
     desk.on("odd", lambda words, answer: answer({"x": object()}))
     with pytest.raises(ValueError, match="taken"):
         desk.on("twice", twice)
-    for line in (b'{"call":"twice","n":1}', b'{"call":"fails"}', b'{"call":"long"}', b'{"call":"odd"}', b"{", b"[1]",
-                 b'{"call":"nothing"}', b'{"call":[]}', b"\xff"):
+    for line in (
+        b'{"call":"twice","n":1}',
+        b'{"call":"fails"}',
+        b'{"call":"long"}',
+        b'{"call":"odd"}',
+        b"{",
+        b"[1]",
+        b'{"call":"nothing"}',
+        b'{"call":[]}',
+        b"\xff",
+    ):
         desk.answer(line, said.append)
     told = [json.loads(line) for line in said]
     assert told[0] == {"n": 1} and all("error" in words for words in told[1:]) and len(told) == 9
     assert "ZeroDivisionError" in told[1]["error"] and "fails, long, odd, twice" in told[6]["error"]
-    assert counts == {"control_calls": 4, "control_twice": 1, "control_faults": 2, "control_long": 1,
-                      "control_bad": 3, "control_unknown": 2}
+    assert counts == {
+        "control_calls": 4,
+        "control_twice": 1,
+        "control_faults": 2,
+        "control_long": 1,
+        "control_bad": 3,
+        "control_unknown": 2,
+    }
 
 
 FLEET = """
--- a/tests/test_fleet_overload.py
+++ b/tests/test_fleet_overload.py
@@ -40,12 +40,19 @@
 
 # ---- records
 
+
 @fixed
 @given(st.lists(st.tuples(figure, figure, figure), max_size=60), figure, st.integers(0, records.PART))
 def test_a_record_fits_whatever_it_holds_and_its_cells_sum_up(cells, other, part):
-    load = records.Load(tuple(records.Cell(*cell) for cell in cells), 0, (records.Work(other, other, other),) * 20,
-                        other, other, share=records.Lent(0, part, 0, part),
-                        trials=(records.Trial(other, 1, other),) * 20)
+    load = records.Load(
+        tuple(records.Cell(*cell) for cell in cells),
+        0,
+        (records.Work(other, other, other),) * 20,
+        other,
+        other,
+        share=records.Lent(0, part, 0, part),
+        trials=(records.Trial(other, 1, other),) * 20,
+    )
     body = records.pack(load)
     told = records.unpack(body)
     assert len(body) <= RECORD
@@ -54,7 +61,7 @@
 
 
 @fixed
-@given(st.binary(max_size=60) | st.lists(st.integers(-2**63, 2**63 - 1), max_size=20).map(msgspec.msgpack.encode))
+@given(st.binary(max_size=60) | st.lists(st.integers(-(2**63), 2**63 - 1), max_size=20).map(msgspec.msgpack.encode))
 def test_nonsense_is_no_record(body):
     told = records.unpack(body)
     again = told and records.unpack(msgspec.msgpack.encode(told))
@@ -64,15 +71,25 @@
 def test_no_figure_of_a_record_is_below_nothing_or_beyond_what_a_gateway_can_tell():
     sane = msgspec.to_builtins(records.Load(cells=(records.Cell(1, 2, 3),)))
     assert records.unpack(msgspec.msgpack.encode(sane)) is not None
-    for at, value in [(1, -1), (3, 2**41), (0, [[1, -2, 3]]), (0, [[1, 2, 3]] * 33), (10, [5, 4, 0, 0]),
-                      (10, [0, 2**17, 0, 0]), (9, 1.5)]:
-        assert records.unpack(msgspec.msgpack.encode([*sane[:at], value, *sane[at + 1:]])) is None, (at, value)
+    for at, value in [
+        (1, -1),
+        (3, 2**41),
+        (0, [[1, -2, 3]]),
+        (0, [[1, 2, 3]] * 33),
+        (10, [5, 4, 0, 0]),
+        (10, [0, 2**17, 0, 0]),
+        (9, 1.5),
+    ]:
+        assert records.unpack(msgspec.msgpack.encode([*sane[:at], value, *sane[at + 1 :]])) is None, (at, value)
 
 
 # ---- level
 
-demands = st.dictionaries(st.tuples(st.sampled_from("abc"), st.sampled_from("xyz")),
-                          st.builds(Demand, st.floats(0.01, 1e4), st.floats(1e-3, 1e3)), min_size=1)
+demands = st.dictionaries(
+    st.tuples(st.sampled_from("abc"), st.sampled_from("xyz")),
+    st.builds(Demand, st.floats(0.01, 1e4), st.floats(1e-3, 1e3)),
+    min_size=1,
+)
 
 
 @fixed
@@ -113,14 +130,16 @@
     one, two = Level(), Level()
     for _ in range(4):
         for level in (one, two):
-            seen = {key: Demand(cell.threads * draw.uniform(1 - off, 1 + off), cell.density)
-                    for key, cell in demand.items()}
+            seen = {
+                key: Demand(cell.threads * draw.uniform(1 - off, 1 + off), cell.density) for key, cell in demand.items()
+            }
             level.see(seen, {}, capacity, 0.0)
     if not (one.on and two.on):
         return
     total = sum(cell.threads for cell in demand.values())
-    apart = sum(abs(one.marks.get(key, ALL) - two.marks.get(key, ALL)) / ALL * cell.threads
-                for key, cell in demand.items())
+    apart = sum(
+        abs(one.marks.get(key, ALL) - two.marks.get(key, ALL)) / ALL * cell.threads for key, cell in demand.items()
+    )
     overs = len({tenant for _, tenant in demand}) > 1  # then the order too may differ where tenants are over
     step = max(cell.threads for cell in demand.values()) * 1.5 / 64 * len(demand)
     assert overs or apart <= 4 * off * total + 2 * step
@@ -155,6 +174,7 @@
 
 # ---- share
 
+
 class Sharer:
     """One gateway that posts what it leaves and wants, and applies its part, on the twin."""
 
@@ -171,8 +191,10 @@
         self.lending.need(now, self.need(), self.who.even, self.who.digest)
         self.node.post(records.LOAD, records.pack(records.Load(share=self.lending.told(), counted=self.who.digest)))
         held = {name: records.unpack(record.body) for name, record in self.node.read(records.LOAD).items()}
-        others = [held[name].share if name not in self.who.silent and held[name].counted == self.who.digest else None
-                  for name in self.who.counted - {self.node.me}]
+        others = [
+            held[name].share if name not in self.who.silent and held[name].counted == self.who.digest else None
+            for name in self.who.counted - {self.node.me}
+        ]
         self.part = self.lending.part(self.who.even, others)
         self.was.append((now, self.part))
         self.node.later(TICK, self.tick)
@@ -196,6 +218,7 @@
         for one in names:
             for other in [name for name in names if name != one]:
                 net.time.later(draw.randrange(SECOND, LEARNT), lambda one=one, other=other: look(one, other))
+
     net.time.run(12 * SECOND)
     for fault in faults:
         victim = draw.choice(names)
@@ -233,8 +256,7 @@
         for _ in range(draw.randrange(1, 60)):
             net.time.run(100 * MS)
             now = net.time.now()
-            running = [part.part for name, part in parts.items()
-                       if net.nodes[name].up and not net.nodes[name].paused]
+            running = [part.part for name, part in parts.items() if net.nodes[name].up and not net.nodes[name].paused]
             running += [part for at, part in (*dead.values(), *ghosts) if now - at < KEEP]
             total = sum(running)
             # whom the larger side took over, as long as they are apart or it has not learnt that they are back
@@ -284,6 +306,7 @@
 
 # ---- the level of a whole fleet, with the real core and module
 
+
 def disagreement(world):
     """Of repeats at another gateway, the part that hears something else than at the first."""
     levels = [gateway.part.reckoning.level for gateway in world.gateways]
@@ -319,8 +342,17 @@
 
 # ---- further attempts
 
-SITE = t.Settings(classes=CLASSES, tenants=TENANTS, gateways=6, peers=True, probes=True, repeat_ratio=0.1,
-                  free_resends=3, counted_over=10 * SECOND, max_retry_after=5 * SECOND)
+SITE = t.Settings(
+    classes=CLASSES,
+    tenants=TENANTS,
+    gateways=6,
+    peers=True,
+    probes=True,
+    repeat_ratio=0.1,
+    free_resends=3,
+    counted_over=10 * SECOND,
+    max_retry_after=5 * SECOND,
+)
 
 
 def spent(wanting, own=False, seconds=60, served=20.0):
@@ -359,6 +391,7 @@
 
 # ---- probes
 
+
 def probers(names, dead=()):
     all_of = {name: Probing(name) for name in names}
     for probing in all_of.values():
@@ -372,7 +405,7 @@
     for count in (2, 4, 16, 50):
         names = [f"g{i}" for i in range(count)]
         assert set(probers(names).values()) == {2}
-        assert set(probers(names, names[:count // 3]).values()) == {2}
+        assert set(probers(names, names[: count // 3]).values()) == {2}
     assert set(probers(["g0"]).values()) == {1}
 
 
@@ -410,6 +443,7 @@
 
 # ---- trials
 
+
 def tried(names, listed_at, dead=(), answers=300 * MS, sound=True, until=8 * SECOND, deaf=()):
     """(when, who) of each attempt at an engine that came up anew, when every gateway has work for it all the time, and
     words take 100 to 700 ms."""
@@ -457,6 +491,7 @@
 
 # ---- coming back, and the operator's order
 
+
 def test_what_was_refused_is_told_to_come_back_as_the_fleet_can_serve_it():
     back, waits = Back(5 * SECOND, 1), []
     for tick in range(40):
@@ -469,12 +504,18 @@
     assert back.away == 0 and back.told == 0
 
 
-@pytest.mark.parametrize("part, named", [
-    ({"order": [{"class": "x", "worth": 1.0}]}, r"order\[0\]\.class: 'x'"),
-    ({"order": [{"class": "lookup", "worth": 1.0}, {"tenant": "y", "worth": 1.0}]}, r"order\[1\]\.tenant: 'y'"),
-    ({"order": [{"tenant": "night", "worth": -1.0}]}, r"order\[0\]\.worth: -1"),
-    ({"order": [{"worth": 1.0}]}, r"order\[0\]: neither"), ({"order": [{"class": "lookup"}]}, "worth"),
-    ({"order": 3}, "order"), ({"rank": []}, "rank")])
+@pytest.mark.parametrize(
+    "part, named",
+    [
+        ({"order": [{"class": "x", "worth": 1.0}]}, r"order\[0\]\.class: 'x'"),
+        ({"order": [{"class": "lookup", "worth": 1.0}, {"tenant": "y", "worth": 1.0}]}, r"order\[1\]\.tenant: 'y'"),
+        ({"order": [{"tenant": "night", "worth": -1.0}]}, r"order\[0\]\.worth: -1"),
+        ({"order": [{"worth": 1.0}]}, r"order\[0\]: neither"),
+        ({"order": [{"class": "lookup"}]}, "worth"),
+        ({"order": 3}, "order"),
+        ({"rank": []}, "rank"),
+    ],
+)
 def test_a_bad_order_of_shedding_is_named_and_what_held_goes_on(part, named):
     shed = Shed(SITE)
     shed.hold({"order": [{"tenant": "night", "worth": 0.5}, {"class": "report", "worth": 4.0}]}, 7)
@@ -513,6 +554,7 @@
 
 # ---- the probe on the wire
 
+
 def test_a_probe_is_asked_on_one_kept_connection_and_each_end_is_told_once():
     reactor, told = MemoryReactorClock(), []
     clock = type("C", (), {"now": staticmethod(lambda: int(reactor.seconds() * SECOND))})
@@ -544,6 +586,7 @@
 
 # ---- the trial in virtual time
 
+
 def test_probes_of_an_engine_do_not_grow_with_the_gateways():
     few, many, alone = (run(count, 3, led, 0.4, 1, 0.0)[-1] for count, led in ((2, True), (6, True), (6, False)))
     assert abs(many / few - 1) <= 0.2 and alone > 1.5 * many
@@ -559,7 +602,7 @@
 def test_an_engine_that_comes_back_gets_one_request_first_from_all_gateways_together(led):
     world = World(5, 4, led, lambda at: 1.0, 3)
     took, back = [], []
-    engine, whole = world.engines["e0"], [t.EngineEntry(name, kind="e", came_up=-10**9) for name in world.engines]
+    engine, whole = world.engines["e0"], [t.EngineEntry(name, kind="e", came_up=-(10**9)) for name in world.engines]
 
     def tell(entries, rev):
         listing = Listing(rev, tuple(entries), {})
@@ -567,6 +610,7 @@
             world.time.later(i * 70 * MS, lambda gateway=gateway: gateway.core.listed(listing.entries, rev))
             if led:
                 world.time.later(i * 70 * MS, lambda gateway=gateway: gateway.part.listed(listing))
+
     world.run(3)
     engine.up = False
     for attempt, (_, _, gateway) in list(engine.jobs.items()):
@@ -580,6 +624,7 @@
         took.append(attempt)
         back.append(took[0].over)
         take(gateway, attempt, threads)
+
     engine.take = taken
     tell([t.EngineEntry("e0", kind="e", came_up=world.time.now()), *whole[1:]], 3)
     world.run(8)
@@ -605,8 +650,12 @@
         elif what == 2:
             trials.ended(now, engine, draw.choice(["GOOD", "RST", "NOCONN", "LATE", "CXL", "FULL"]))
         elif what == 3:  # also of members that lie
-            trials.heard_of(now, draw.choice(names), draw.randrange(5 * SECOND),
-                            [records.Trial(records.code(engine), draw.randrange(5), draw.randrange(4_000))])
+            trials.heard_of(
+                now,
+                draw.choice(names),
+                draw.randrange(5 * SECOND),
+                [records.Trial(records.code(engine), draw.randrange(5), draw.randrange(4_000))],
+            )
         elif what == 4:
             trials.out(now, engine)
         held = trials.see(now, frozenset(draw.sample(names[1:], 2)) | {"a"})
@@ -623,6 +672,7 @@
         def __getattr__(self, name):
             def fails(*words):
                 raise RuntimeError(name)
+
             return fails
 
     counted = []
@@ -640,8 +690,9 @@
     """2**40 threads held, and asked for, were taken as told: the fleet then counted a quarter of its capacity."""
     codes, kinds = Codes(SITE), {told.name: Kind(told) for told in SITE.classes}
     cell, work = next(iter(codes.cells)), next(iter(codes.classes))
-    honest = records.Load(cells=(records.Cell(cell, 5_000, 5_000),), hand=4_000,
-                          work=(records.Work(work, 20_000, 4_000),))
+    honest = records.Load(
+        cells=(records.Cell(cell, 5_000, 5_000),), hand=4_000, work=(records.Work(work, 20_000, 4_000),)
+    )
     lies = records.Load(hand=2**40), records.Load(cells=(records.Cell(cell, 2**40, 0),), rest=2**40)
     calm = view([honest] * 5, codes, kinds, {}, 24.0)
     for lie in lies:
--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -19,13 +19,24 @@
             check_operator(operator, alone)
 
 
-@pytest.mark.parametrize("change, named", [
-    ({"cluster": "a b"}, "cluster: 'a b'"), ({"listen": "7001"}, "listen: '7001'"), ({"join": ["x:1"]}, r"join\[0\]"),
-    ({"keepers": ["a", "b"]}, "keepers: "), ({"keepers": ["n1", "b", "c"]}, "state: not set"),
-    ({"keepers": ["a", "a", "b"]}, "keepers: "), ({"state": "here"}, "state: 'here'"),
-    ({"timeout_ms": 900}, "timeout_ms: 900"), ({"probe_ms": 1}, "probe_ms: 1"), ({"worth_guard": 2.0}, "worth_guard"),
-    ({"speed": 3}, "speed"), ({"control": "x"}, "control: 'x'"),
-    ({"advertise": "y"}, "advertise: 'y'")])
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"cluster": "a b"}, "cluster: 'a b'"),
+        ({"listen": "7001"}, "listen: '7001'"),
+        ({"join": ["x:1"]}, r"join\[0\]"),
+        ({"keepers": ["a", "b"]}, "keepers: "),
+        ({"keepers": ["n1", "b", "c"]}, "state: not set"),
+        ({"keepers": ["a", "a", "b"]}, "keepers: "),
+        ({"state": "here"}, "state: 'here'"),
+        ({"timeout_ms": 900}, "timeout_ms: 900"),
+        ({"probe_ms": 1}, "probe_ms: 1"),
+        ({"worth_guard": 2.0}, "worth_guard"),
+        ({"speed": 3}, "speed"),
+        ({"control": "x"}, "control: 'x'"),
+        ({"advertise": "y"}, "advertise: 'y'"),
+    ],
+)
 def test_a_bad_key_is_named_with_its_value(change, named):
     with pytest.raises(BadConfig, match="operator file: fleet: .*" + named):
         fleet_settings(PART | change, PEERS, "n1")
--- a/tests/test_fleet_register.py
+++ b/tests/test_fleet_register.py
@@ -25,8 +25,11 @@
     assert told.complete and not told.violations and told.chosen > 100
 
 
-@pytest.mark.parametrize("bounds", [Bounds((1, 1), crashes=1, unsynced=True), Bounds((1, 1), wipes=1, empty=True)],
-                         ids=["promise not synced", "keeper answers with an empty disk"])
+@pytest.mark.parametrize(
+    "bounds",
+    [Bounds((1, 1), crashes=1, unsynced=True), Bounds((1, 1), wipes=1, empty=True)],
+    ids=["promise not synced", "keeper answers with an empty disk"],
+)
 def test_planted_mistakes_of_keepers_are_found(bounds):
     assert "chosen" in Explorer(bounds).walk(1, 4_000).violations[0]
     right = bounds._replace(unsynced=False, empty=False)
@@ -36,6 +39,7 @@
 def test_planted_a_majority_of_replies_that_contradict_one_another_is_found(monkeypatch):
     def many(replies, most):
         return replies[:most] if len(replies) >= most else ()
+
     for module in (rounds, voters):
         monkeypatch.setattr(module, "agreed", many)
     assert Explorer(Bounds((2, 1), wipes=1)).walk(2, 2_000).violations
@@ -54,8 +58,14 @@
     """Else: a's old life and b's new one accept one value with e, and a's new life, c and d choose another."""
     names = ("a", "b", "c", "d", "e")
     lives = {name: Life(1, name) for name in names}
-    old = {me: msgspec.structs.replace(born(names, me, lives[me]), voting=True, views=tuple(
-        View(name, lives[name]) for name in names if name != me)) for me in names}
+    old = {
+        me: msgspec.structs.replace(
+            born(names, me, lives[me]),
+            voting=True,
+            views=tuple(View(name, lives[name]) for name in names if name != me),
+        )
+        for me in names
+    }
     new_a, new_b = born(names, "a", Life(2, "a")), born(names, "b", Life(2, "b"))
     early = step(old["b"], Enter("a", Life(2, "a")))[1][0]  # and then b loses its disk, too
     for name in ("c", "d", "e"):
@@ -111,6 +121,7 @@
         def change(value):
             value = value or b""
             return (value, "there") if word in value.split() else (value + word + b" ", "done")
+
         self.proposers[name].change(change, done, within)
 
     def now(self, name, word, within=3 * SECOND):
@@ -160,8 +171,9 @@
     stand.again("a")
     node, boot = stand.net.nodes["a"], 9
     all_of = node.all
-    node.all = lambda: {name: one if name != "a" else msgspec.structs.replace(one, boot=boot)
-                        for name, one in all_of().items()}
+    node.all = lambda: {
+        name: one if name != "a" else msgspec.structs.replace(one, boot=boot) for name, one in all_of().items()
+    }
     stand.net.time.run(9 * SECOND)
     assert stand.keepers["a"].state.voting and stand.keepers["a"].state.life.boot == 9
 
@@ -229,6 +241,7 @@
                 return True
             reactor.iterate(0.01)
         return False
+
     disk, done = StoreDisk(reactor, tmp_path / "state"), []
     for number in range(40):
         disk.put("key", b"%d" % number, lambda number=number: done.append(number))
--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -44,8 +44,9 @@
 
 
 def test_history_only_grows_and_undo_of_undo_is_redo():
-    book = made(ask(level=1), ask(on=1, id="2", level=2), ask("undo", 2, "3"), ask("undo", 3, "4"),
-                ask("undo", 4, "5", to=0))
+    book = made(
+        ask(level=1), ask(on=1, id="2", level=2), ask("undo", 2, "3"), ask("undo", 3, "4"), ask("undo", 4, "5", to=0)
+    )
     assert levels(book) == [1, 2, 1, 2, None] and [one.number for one in book.versions] == [1, 2, 3, 4, 5]
     assert [one.of for one in book.versions] == [0, 0, 1, 2, 0]
 
@@ -60,10 +61,17 @@
         books.apply(book, ask(on=2, id="2", level=5))
 
 
-@pytest.mark.parametrize("on, words, why", [
-    (9, {"level": 2}, "no version 9"), (1, {"level": 1}, "changes nothing"), (1, {"kind": "confirm"}, "not on trial"),
-    (1, {"kind": "undo", "to": 7}, "version 7 is not kept"), (1, {"level": 2, "author": ""}, "author: ''"),
-    (1, {"level": "x" * 100_000}, "more than")])
+@pytest.mark.parametrize(
+    "on, words, why",
+    [
+        (9, {"level": 2}, "no version 9"),
+        (1, {"level": 1}, "changes nothing"),
+        (1, {"kind": "confirm"}, "not on trial"),
+        (1, {"kind": "undo", "to": 7}, "version 7 is not kept"),
+        (1, {"level": 2, "author": ""}, "author: ''"),
+        (1, {"level": "x" * 100_000}, "more than"),
+    ],
+)
 def test_what_can_t_be_done_is_refused_in_words(on, words, why):
     with pytest.raises(Refused, match=why):
         books.apply(made(ask(level=1)), ask(**{"on": on, "id": "2", **words}))
@@ -88,13 +96,27 @@
 
 
 @settings(derandomize=True, max_examples=150, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(["edit", "undo", "confirm", "lapse", "trial"]), st.integers(0, 3),
-                          st.integers(0, 2), st.integers(0, 30)), max_size=25))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["edit", "undo", "confirm", "lapse", "trial"]),
+            st.integers(0, 3),
+            st.integers(0, 2),
+            st.integers(0, 30),
+        ),
+        max_size=25,
+    )
+)
 def test_whatever_is_asked_numbers_only_grow_and_no_version_ever_changes(asked):
     book, seen = Book(), {}
     for kind, level, back, id in asked:
-        one = ask("edit" if kind == "trial" else kind, max(book.newest - back, 0), str(id),
-                  level if kind in ("edit", "trial") else None, trial=Trial(1, ()) if kind == "trial" else None)
+        one = ask(
+            "edit" if kind == "trial" else kind,
+            max(book.newest - back, 0),
+            str(id),
+            level if kind in ("edit", "trial") else None,
+            trial=Trial(1, ()) if kind == "trial" else None,
+        )
         before = book
         try:
             book, found = books.apply(book, one)
@@ -112,10 +134,17 @@
 # ---- the guard
 
 
-@pytest.mark.parametrize("on, off, found", [
-    (Side(500, 50, 0), Side(4_000, 40, 0), "refused"), (Side(500, 5, 60), Side(4_000, 40, 40), "late"),
-    (Side(40, 40, 0), Side(4_000, 0, 0), ""), (Side(500, 12, 0), Side(4_000, 60, 0), ""),
-    (Side(500, 0, 0), Side(4_000, 400, 0), ""), (Side(90_000, 950, 0), Side(90_000, 450, 0), "")])
+@pytest.mark.parametrize(
+    "on, off, found",
+    [
+        (Side(500, 50, 0), Side(4_000, 40, 0), "refused"),
+        (Side(500, 5, 60), Side(4_000, 40, 40), "late"),
+        (Side(40, 40, 0), Side(4_000, 0, 0), ""),
+        (Side(500, 12, 0), Side(4_000, 60, 0), ""),
+        (Side(500, 0, 0), Side(4_000, 400, 0), ""),
+        (Side(90_000, 950, 0), Side(90_000, 450, 0), ""),
+    ],
+)
 def test_the_guard_tells_worse_from_chance_from_too_few_and_from_too_little(on, off, found):
     assert verdict(on, off).partition(":")[0] == found
 
@@ -147,12 +176,18 @@
     def picky(part):
         if part and part["level"] > 5:
             raise ValueError("shed.level = 9: too high here")
+
     stand.books["g03"].parts["shed"].check = picky
     refused = stand.edit("g00", 9, 0, "a")
     assert refused["exit"] == 2 and "g03 can't take it: shed.level = 9: too high here" in refused["error"]
-    for words, named in (({"parts": {"shed": {"level": "x"}}}, "shed.level = 'x'"),
-                         ({"parts": {"speed": {}}}, "speed: is not known"), ({"trial_ms": 5}, "trial: 5 ms"),
-                         ({"first": 2}, "first: 2"), ({"wait_ms": -1}, "wait_ms: -1"), ({"on": "x"}, "on")):
+    for words, named in (
+        ({"parts": {"shed": {"level": "x"}}}, "shed.level = 'x'"),
+        ({"parts": {"speed": {}}}, "speed: is not known"),
+        ({"trial_ms": 5}, "trial: 5 ms"),
+        ({"first": 2}, "first: 2"),
+        ({"wait_ms": -1}, "wait_ms: -1"),
+        ({"on": "x"}, "on"),
+    ):
         told = stand.ask("g00", "edit", **{"on": 0, "id": "b", **words})
         assert told["exit"] == 2 and named in told["error"]
     stand.net.nodes["g02"].pause()
@@ -217,8 +252,9 @@
     for gap in range(2, 26, 2):
         stand = Stand(seed=gap)
         stand.run(SECOND)
-        stand.call("g04", "edit", lambda told: None, parts={"shed": {"level": 1}}, on=0, id="a", author="ann",
-                   reason="a try")
+        stand.call(
+            "g04", "edit", lambda told: None, parts={"shed": {"level": 1}}, on=0, id="a", author="ann", reason="a try"
+        )
         stand.net.time.run(gap * MS)
         stand.down("g04")
         stand.run(8 * SECOND)
@@ -231,8 +267,21 @@
 def test_a_book_of_a_later_program_is_held_and_not_written_by_an_earlier_one():
     stand = Stand()
     stand.run(SECOND)
-    later = {"format": 2, "versions": [{"number": 1, "content": {"shed": {"level": 4}}, "author": "a", "reason": "r",
-                                        "told": 0, "gateway": "g00", "id": "i", "colour": "new"}]}
+    later = {
+        "format": 2,
+        "versions": [
+            {
+                "number": 1,
+                "content": {"shed": {"level": 4}},
+                "author": "a",
+                "reason": "r",
+                "told": 0,
+                "gateway": "g00",
+                "id": "i",
+                "colour": "new",
+            }
+        ],
+    }
     stand.books["g01"].proposer.change(lambda value: (value or encode(later), None), lambda outcome: None, SECOND)
     stand.run(5 * SECOND)  # nobody tells of it: a keeper looks
     assert [stand.held[name] for name in stand.names] == [({"level": 4}, 1)] * 5
@@ -338,8 +387,14 @@
 # ---- the checkers, and what they must find
 
 
-GOOD = [Op(0, 10, "a", 0, "done", 1), Op(5, 20, "b", 1, "done", 2), Op(6, 30, "c", 1, "conflict"),
-        Op(7, 9, "d", 2, "unknown"), Op(40, 50, "e", 3, "done", 4), Op(60, 70, "r", -1, "done", 4)]
+GOOD = [
+    Op(0, 10, "a", 0, "done", 1),
+    Op(5, 20, "b", 1, "done", 2),
+    Op(6, 30, "c", 1, "conflict"),
+    Op(7, 9, "d", 2, "unknown"),
+    Op(40, 50, "e", 3, "done", 4),
+    Op(60, 70, "r", -1, "done", 4),
+]
 
 
 def test_a_good_history_is_found_linearizable():
@@ -347,15 +402,19 @@
     assert linearizable([*GOOD, Op(80, 90, "b", 1, "done", 2)])[0]
 
 
-@pytest.mark.parametrize("bad", [
-    [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "b", 0, "done", 1)],  # two under one number
-    [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "r", -1, "done", 0)],  # an acknowledged edit is lost
-    [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "b", 2, "done", 3)],  # on a version that nobody made
-    [Op(0, 1, "b", 1, "done", 2), Op(2, 3, "a", 0, "done", 1)],  # before what it builds on was begun
-    [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "a", 0, "done", 2)],  # said again, and done twice
-    [Op(0, 1, "a", 0, "conflict")],  # refused for a later one that was not there
-    [Op(0, 9, "a", 0, "unknown"), Op(1, 2, "r", -1, "done", 1), Op(3, 4, "r", -1, "done", 0)],
-], ids=str)
+@pytest.mark.parametrize(
+    "bad",
+    [
+        [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "b", 0, "done", 1)],  # two under one number
+        [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "r", -1, "done", 0)],  # an acknowledged edit is lost
+        [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "b", 2, "done", 3)],  # on a version that nobody made
+        [Op(0, 1, "b", 1, "done", 2), Op(2, 3, "a", 0, "done", 1)],  # before what it builds on was begun
+        [Op(0, 1, "a", 0, "done", 1), Op(2, 3, "a", 0, "done", 2)],  # said again, and done twice
+        [Op(0, 1, "a", 0, "conflict")],  # refused for a later one that was not there
+        [Op(0, 9, "a", 0, "unknown"), Op(1, 2, "r", -1, "done", 1), Op(3, 4, "r", -1, "done", 0)],
+    ],
+    ids=str,
+)
 def test_bad_histories_are_found(bad):
     assert not linearizable(bad)[0]
 
@@ -385,6 +444,7 @@
             return apply(book, one)
         back: Version = book.versions[-2] if len(book.versions) > 1 else book.versions[-1]
         return Book(book.versions[:-1]), back
+
     monkeypatch.setattr(books, "apply", by_content)
     report = Torture(1, 40, undos=0).run()
     assert report.violations > 0 and report.lost + report.still_held + (not report.linearizable) > 0
@@ -408,6 +468,7 @@
         assert at == ("127.0.0.1", 7101)
         words = dict(words)
         return dict(stand.ask("g01", words.pop("call").removeprefix("rules."), **words))
+
     monkeypatch.setattr(rules_cli, "ask", asked)
     rules = tmp_path / "rules.toml"
     rules.write_text("[shed]\nlevel = 3\n")
@@ -415,6 +476,7 @@
     def call(*words):
         who = ["--author", "ann", "--reason", "a try"] if words[0] in ("edit", "undo", "confirm") else []
         return main(["rules", *words, *who, "--at", "127.0.0.1:7101"])
+
     return call, stand, str(rules), tmp_path
 
 
@@ -424,8 +486,12 @@
     assert "version 1 is made" in capsys.readouterr().out and stand.held["g04"] == ({"level": 3}, 1)
     assert call("undo", "--wait", "3s", "--json") == 0
     assert msgspec.json.decode(capsys.readouterr().out)["held"] == stand.names and stand.held["g04"] == (None, 2)
-    for words, shown in ((["history"], "undo to 0  ann"), (["show", "1"], '"level": 3'), (["diff"], "the files hold"),
-                         (["status"], "g02  alive  holds 2, keeper: votes")):
+    for words, shown in (
+        (["history"], "undo to 0  ann"),
+        (["show", "1"], '"level": 3'),
+        (["diff"], "the files hold"),
+        (["status"], "g02  alive  holds 2, keeper: votes"),
+    ):
         assert call(*words) == 0 and shown in capsys.readouterr().out
     stand.net.nodes["g03"].pause()
     stand.run(SECOND)
@@ -433,12 +499,20 @@
     assert "not held by g03" in capsys.readouterr().err
 
 
-@pytest.mark.parametrize("words, status, why", [
-    (["edit", "{rules}", "--on", "7"], 1, "no version 7 yet"), (["edit", "{none}", "--on", "0"], 2, "No such file"),
-    (["edit", "{bad}", "--on", "0"], 2, "speed = 1: the book has tables"), (["show", "9"], 1, "version 9 is not kept"),
-    (["edit", "{rules}", "--on", "0", "--trial", "30"], 2, "--trial: '30' is no time"),
-    (["edit", "{wrong}", "--on", "0"], 2, "shed.level = 'x'"), (["undo"], 1, "no version to undo"),
-    (["edit", "{rules}", "--on", "x"], 2, "--on: 'x' is not a number"), (["confirm"], 1, "not on trial")])
+@pytest.mark.parametrize(
+    "words, status, why",
+    [
+        (["edit", "{rules}", "--on", "7"], 1, "no version 7 yet"),
+        (["edit", "{none}", "--on", "0"], 2, "No such file"),
+        (["edit", "{bad}", "--on", "0"], 2, "speed = 1: the book has tables"),
+        (["show", "9"], 1, "version 9 is not kept"),
+        (["edit", "{rules}", "--on", "0", "--trial", "30"], 2, "--trial: '30' is no time"),
+        (["edit", "{wrong}", "--on", "0"], 2, "shed.level = 'x'"),
+        (["undo"], 1, "no version to undo"),
+        (["edit", "{rules}", "--on", "x"], 2, "--on: 'x' is not a number"),
+        (["confirm"], 1, "not on trial"),
+    ],
+)
 def test_what_the_command_line_refuses_is_named_and_changes_nothing(desk, capsys, words, status, why):
     call, stand, rules, path = desk
     (path / "bad.toml").write_text("speed = 1")
@@ -451,6 +525,7 @@
 def test_without_an_answer_the_id_is_told_to_say_it_again(capsys, monkeypatch):
     def silent(at, words, timeout):
         raise TimeoutError("no answer")
+
     monkeypatch.setattr(rules_cli, "ask", silent)
     assert main(["rules", "undo", "--author", "a", "--reason", "b", "--id", "x1", "--at", "127.0.0.1:1"]) == 2
     assert "--id x1" in capsys.readouterr().err
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -26,12 +26,24 @@
 from rackhub.limits import Limits
 
 SETTINGS = t.Settings(
-    classes=(t.ClassSettings("report", deadline=4 * S, effect="retryable"),
-             t.ClassSettings("depot-load", effect="dedup", dedup_scope="all", window=S), t.ClassSettings("odd")),
-    tenants=(t.TenantSettings("acme"),), kind_cores={"std": 8.0}, period=5 * MS, peers=True, cancel=True,
-    max_attempts=2, max_retry_after=2 * S)
-SITES = [{"name": "a", "zones": ["za"]}, {"name": "b", "zones": ["zb"], "weight": 2.0},
-         {"name": "c", "gateways": ["127.0.0.1:7001", "127.0.0.2:7001"]}]
+    classes=(
+        t.ClassSettings("report", deadline=4 * S, effect="retryable"),
+        t.ClassSettings("depot-load", effect="dedup", dedup_scope="all", window=S),
+        t.ClassSettings("odd"),
+    ),
+    tenants=(t.TenantSettings("acme"),),
+    kind_cores={"std": 8.0},
+    period=5 * MS,
+    peers=True,
+    cancel=True,
+    max_attempts=2,
+    max_retry_after=2 * S,
+)
+SITES = [
+    {"name": "a", "zones": ["za"]},
+    {"name": "b", "zones": ["zb"], "weight": 2.0},
+    {"name": "c", "gateways": ["127.0.0.1:7001", "127.0.0.2:7001"]},
+]
 RULE = {"class": "report", "sites": ["a", "b"]}
 PARTIAL = RULE | {"sites": ["a", "b", "c"], "partial": True, "needs": ["a"]}
 
@@ -39,26 +51,40 @@
 # ---- rules
 
 
-@pytest.mark.parametrize("change, named", [
-    ({"class": "depot-load"}, r'gather.rule\[0\].class: "depot-load": may not simply be repeated'),
-    ({"class": "odd"}, r'gather.rule\[0\].class: "odd": may not'),
-    ({"class": "none"}, r'gather.rule\[0\].class: "none": the site has no such class'),
-    ({"tenant": "x"}, r'gather.rule\[0\].tenant: "x"'), ({"sites": ["a"]}, r"gather.rule\[0\].sites"),
-    ({"sites": ["a", "z"]}, r'gather.rule\[0\].sites: "z"'), ({"needs": ["a"]}, r"gather.rule\[0\].needs: .*partial"),
-    ({"spare": ["b"]}, r"gather.rule\[0\].spare: .*partial"), ({"wait": "need"}, r"gather.rule\[0\].wait: .*partial"),
-    ({"partial": True, "needs": ["c"]}, r'gather.rule\[0\].needs: "c"'),
-    ({"partial": True, "needs": ["a"], "spare": ["a"]}, r'gather.rule\[0\].spare: "a": needed'),
-    ({"wait": "long"}, r"rule\[0\].wait"), ({"speed": 1}, "speed"), ({"fill_ms": -1}, "fill_ms")])
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"class": "depot-load"}, r'gather.rule\[0\].class: "depot-load": may not simply be repeated'),
+        ({"class": "odd"}, r'gather.rule\[0\].class: "odd": may not'),
+        ({"class": "none"}, r'gather.rule\[0\].class: "none": the site has no such class'),
+        ({"tenant": "x"}, r'gather.rule\[0\].tenant: "x"'),
+        ({"sites": ["a"]}, r"gather.rule\[0\].sites"),
+        ({"sites": ["a", "z"]}, r'gather.rule\[0\].sites: "z"'),
+        ({"needs": ["a"]}, r"gather.rule\[0\].needs: .*partial"),
+        ({"spare": ["b"]}, r"gather.rule\[0\].spare: .*partial"),
+        ({"wait": "need"}, r"gather.rule\[0\].wait: .*partial"),
+        ({"partial": True, "needs": ["c"]}, r'gather.rule\[0\].needs: "c"'),
+        ({"partial": True, "needs": ["a"], "spare": ["a"]}, r'gather.rule\[0\].spare: "a": needed'),
+        ({"wait": "long"}, r"rule\[0\].wait"),
+        ({"speed": 1}, "speed"),
+        ({"fill_ms": -1}, "fill_ms"),
+    ],
+)
 def test_each_bad_key_of_a_rule_is_named_with_its_value(change, named):
     with pytest.raises(ValueError, match=named):
         gather_rules({"site": SITES, "rule": [RULE | change]}, SETTINGS)
 
 
-@pytest.mark.parametrize("site, named", [
-    ({"name": "a"}, r"gather.site\[3\].name: .*already"), ({"name": "d"}, r"gather.site\[3\].zones"),
-    ({"name": "d", "zones": ["z"], "gateways": ["127.0.0.1:1"]}, r"gather.site\[3\].zones"),
-    ({"name": "d", "gateways": ["home"]}, r'gather.site\[3\].gateways\[0\]: "home"'), ({"name": "a b", "zones": ["z"]},
-                                                                                       r"gather.site\[3\].name")])
+@pytest.mark.parametrize(
+    "site, named",
+    [
+        ({"name": "a"}, r"gather.site\[3\].name: .*already"),
+        ({"name": "d"}, r"gather.site\[3\].zones"),
+        ({"name": "d", "zones": ["z"], "gateways": ["127.0.0.1:1"]}, r"gather.site\[3\].zones"),
+        ({"name": "d", "gateways": ["home"]}, r'gather.site\[3\].gateways\[0\]: "home"'),
+        ({"name": "a b", "zones": ["z"]}, r"gather.site\[3\].name"),
+    ],
+)
 def test_each_bad_key_of_a_site_is_named(site, named):
     with pytest.raises(ValueError, match=named):
         gather_rules({"site": [*SITES, site], "rule": [RULE]}, SETTINGS)
@@ -81,9 +107,20 @@
     def token():
         left[0] -= 1
         return left[0] >= 0
+
     weights = {"a": 1.0, "b": 2.0, "c": 1.0}
-    return Gather(told, weights, 0, 1_000 * MS, most, (learned or {}).get if learned else lambda site: 0,
-                  (kept or {}).get, token, 200 * MS, marks)
+    return Gather(
+        told,
+        weights,
+        0,
+        1_000 * MS,
+        most,
+        (learned or {}).get if learned else lambda site: 0,
+        (kept or {}).get,
+        token,
+        200 * MS,
+        marks,
+    )
 
 
 def begin(machine, cut=(), over=False, now=0):
@@ -126,8 +163,9 @@
     begin(machine, cut=("c",))
     machine.came(10, "a", 0, rows("a"))
     answer = only(machine.failed(20, "b", 0, "failed"), Answer)
-    assert answer.pages == [b"a"] and answer.told == Told(whole=False, sites=[
-        SiteTold(site="a"), SiteTold(site="b", missing="failed"), SiteTold(site="c", missing="cut")])
+    assert answer.pages == [b"a"] and answer.told == Told(
+        whole=False, sites=[SiteTold(site="a"), SiteTold(site="b", missing="failed"), SiteTold(site="c", missing="cut")]
+    )
 
 
 def test_what_a_class_or_a_front_does_not_allow_is_never_partial():
@@ -257,13 +295,31 @@
             assert set(inside) >= set(rule.sites if rule.needs == "all" else rule.needs)
 
 
-RULES = st.fixed_dictionaries({
-    "wait": st.sampled_from(["budget", "need", "learned"]), "fill_ms": st.sampled_from([0.0, 50.0, 10_000.0]),
-    "spare": st.sampled_from([(), ("c",), ("b", "c")]), "tries": st.integers(1, 3)})
-NEEDS = st.sampled_from([{"needs": "all"}, {"needs": ("a",)}, {"needs": "all", "weight": 0.5}, {"needs": ("a", "b")},
-                         {"needs": "all", "partial": False, "wait": "budget", "fill_ms": 0.0, "spare": ()}])
-STEPS = st.lists(st.tuples(st.sampled_from(["came", "failed", "again", "cut", "woke", "twice"]),
-                           st.sampled_from("abc"), st.integers(0, 400)), max_size=14)
+RULES = st.fixed_dictionaries(
+    {
+        "wait": st.sampled_from(["budget", "need", "learned"]),
+        "fill_ms": st.sampled_from([0.0, 50.0, 10_000.0]),
+        "spare": st.sampled_from([(), ("c",), ("b", "c")]),
+        "tries": st.integers(1, 3),
+    }
+)
+NEEDS = st.sampled_from(
+    [
+        {"needs": "all"},
+        {"needs": ("a",)},
+        {"needs": "all", "weight": 0.5},
+        {"needs": ("a", "b")},
+        {"needs": "all", "partial": False, "wait": "budget", "fill_ms": 0.0, "spare": ()},
+    ]
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["came", "failed", "again", "cut", "woke", "twice"]),
+        st.sampled_from("abc"),
+        st.integers(0, 400),
+    ),
+    max_size=14,
+)
 
 
 def follow(rule, need, steps, cut, over, make=Gather):
@@ -317,8 +373,12 @@
     """Planted: a partial answer is told as whole."""
 
     def _end(self, now):
-        return [effect._replace(told=Told(whole=True, sites=effect.told.sites))
-                if isinstance(effect, Answer) and effect.told else effect for effect in super()._end(now)]
+        return [
+            effect._replace(told=Told(whole=True, sites=effect.told.sites))
+            if isinstance(effect, Answer) and effect.told
+            else effect
+            for effect in super()._end(now)
+        ]
 
 
 class Twice(Gather):
@@ -387,6 +447,7 @@
 
 def test_hops_are_told_in_the_id_and_a_client_s_own_has_none():
     import random
+
     draw = random.Random(3)
     for told in range(1, hops.MOST + 1):
         id = hops.part_id(draw, told)
@@ -436,8 +497,7 @@
         self.reactor = reactor or MemoryReactorClock()
         self.core = Coordinator(SETTINGS, 1, self.clock, Timers(self.clock, self.clock), Limits(), Counters())
         rules = gather_rules({"site": SITES, "rule": [PARTIAL | rule]}, SETTINGS)
-        self.desk = GatherDesk(self.core, rules, Remotes(self.reactor, 250 * MS, 48_000, lambda name: None), 1,
-                               level)
+        self.desk = GatherDesk(self.core, rules, Remotes(self.reactor, 250 * MS, 48_000, lambda name: None), 1, level)
         self.core.gathers = self.desk
         self.list("za", "zb")
 
@@ -470,8 +530,9 @@
     gateway.end("zb", text=b"b\t1\t2\n")
     assert not client.said
     gateway.end("za", text=b"a\t1\t2\n")
-    assert client.said == [("served", b"a\t1\t2\nb\t1\t2\n", Told(whole=True, sites=[SiteTold(site="a"),
-                                                                                  SiteTold(site="b")]))]
+    assert client.said == [
+        ("served", b"a\t1\t2\nb\t1\t2\n", Told(whole=True, sites=[SiteTold(site="a"), SiteTold(site="b")]))
+    ]
     assert not gateway.core.queries and not gateway.desk.open
 
 
@@ -515,6 +576,7 @@
 
 def test_a_part_from_another_gateway_is_gathered_no_further():
     import random
+
     gateway = Gateway(sites=["a", "b"])
     gateway.ask(id=hops.part_id(random.Random(1), 1))
     assert len(gateway.engines.out) == 1 and gateway.desk.counts["gather_hops_ended"] == 1
@@ -593,10 +655,17 @@
     assert len(client.said) == 1
 
 
-@pytest.mark.parametrize("answer", [
-    {"result": {"body": "%%%"}}, {"result": {"body": b64encode(b"no columns\n").decode()}}, {"result": {}},
-    {"result": {"body": b64encode(b"a\tb\tc").decode()}}, {"error": {"code": -32000, "message": "x"}},
-    {"result": {**body(b"c\t1\t2\n"), "gather": {"whole": False, "sites": []}}}])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"result": {"body": "%%%"}},
+        {"result": {"body": b64encode(b"no columns\n").decode()}},
+        {"result": {}},
+        {"result": {"body": b64encode(b"a\tb\tc").decode()}},
+        {"error": {"code": -32000, "message": "x"}},
+        {"result": {**body(b"c\t1\t2\n"), "gather": {"whole": False, "sites": []}}},
+    ],
+)
 def test_what_is_no_whole_answer_is_none(answer):
     gateway, client, reactor, remote = remote_gather(tries=1)
     remote.say(id=remote.heard()[0]["id"], **answer)
--- a/tests/test_gather_processes.py
+++ b/tests/test_gather_processes.py
@@ -51,8 +51,13 @@
         addresses = {name: json.dumps(text(each.listen)) for name, each in rig.gateways.items()}
         rig.plan = msgspec.structs.replace(rig.plan, operator_more=sites.format(**addresses) + rules)
         rig.up()
-        trial = Trial(rig, [Load(rate=8.0, end=seconds * SECOND, kinds=("report", "lookup"))], 3,
-                      steps=Schedule(step=tuple(steps)), judge=audit(partial, seen)).run()
+        trial = Trial(
+            rig,
+            [Load(rate=8.0, end=seconds * SECOND, kinds=("report", "lookup"))],
+            3,
+            steps=Schedule(step=tuple(steps)),
+            judge=audit(partial, seen),
+        ).run()
         verdict = trial.verdict("gather")
         verdict.figures["seen"] = seen
         trial.close()
@@ -61,8 +66,14 @@
 
 
 def test_one_silent_site_leaves_partial_answers_that_say_so_and_whole_ones_before_and_after():
-    verdict = play(NEED, [Step(at_ms=1_500, do="mood", whom=("e1",), more={"silent": True}),
-                          Step(at_ms=3_500, do="mood", whom=("e1",), more={"silent": False})], True)
+    verdict = play(
+        NEED,
+        [
+            Step(at_ms=1_500, do="mood", whom=("e1",), more={"silent": True}),
+            Step(at_ms=3_500, do="mood", whom=("e1",), more={"silent": False}),
+        ],
+        True,
+    )
     assert verdict.figures["seen"].whole and verdict.figures["seen"].partial
 
 
@@ -78,6 +89,7 @@
 
 def one_hop(partial, seen):
     """The first part is of this list's zone, the second a whole answer of a gateway that gathers no further."""
+
     def wrong(request, result):
         body, made = base64.b64decode(result["body"]), None
         if request.arrival.kind.name != "report":
@@ -85,6 +97,7 @@
         made = rows.makers(body, request.arrival.statement)
         seen.whole += 1
         return None if made and len(made) == 2 and made[0][1] == "s0" else f"rows of {made}"
+
     return wrong
 
 
@@ -93,8 +106,10 @@
     assert verdict.figures["seen"].whole > 2
 
 
-@pytest.mark.parametrize("deed", [Step(at_ms=2_000, do="term", whom=("g0",)),
-                                  Step(at_ms=2_000, do="mood", whom=("e1",), more={"resets": 1.0})])
+@pytest.mark.parametrize(
+    "deed",
+    [Step(at_ms=2_000, do="term", whom=("g0",)), Step(at_ms=2_000, do="mood", whom=("e1",), more={"resets": 1.0})],
+)
 def test_where_all_is_needed_nothing_partial_is_given_whatever_ends(deed):
     verdict = play(ALL, [deed], False)
     assert verdict.figures["seen"].whole and not verdict.figures["seen"].partial
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -73,10 +73,18 @@
     assert [p.name for p in tmp_path.iterdir()] == [statefile.NAME]  # nothing left beside it
 
 
-@pytest.mark.parametrize("data", [b"", b'{"format": "rackhub-ops-state", "ver', b"\xff\xfe",
-                                  b'{"format": "other", "version": 1}',
-                                  b'{"format": "rackhub-ops-state", "version": 9}',
-                                  b'{"format": "rackhub-ops-state", "version": 1, "out": "b"}', b"[1, 2]"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b'{"format": "rackhub-ops-state", "ver',
+        b"\xff\xfe",
+        b'{"format": "other", "version": 1}',
+        b'{"format": "rackhub-ops-state", "version": 9}',
+        b'{"format": "rackhub-ops-state", "version": 1, "out": "b"}',
+        b"[1, 2]",
+    ],
+)
 def test_a_damaged_or_foreign_state_file_is_refused_with_its_reason(tmp_path, data):
     path = tmp_path / statefile.NAME
     path.write_bytes(data)
@@ -169,7 +177,6 @@
     assert all(wire.value().startswith(b"NO") for wire in wires)
 
 
-
 def test_a_ban_outlives_the_process_and_a_damaged_file_is_counted_and_ignored(tmp_path):
     path = statefile.place({"TMPDIR": str(tmp_path)})
     counters = Counters()
@@ -195,8 +202,10 @@
     import subprocess
     import sys
 
-    probe = "import sys, rackhub.daemon, rackhub.cli.serve; print(sorted(m for m in sys.modules " \
-            "if m.startswith(('rackhub.ops', 'prometheus_client'))))"
+    probe = (
+        "import sys, rackhub.daemon, rackhub.cli.serve; print(sorted(m for m in sys.modules "
+        "if m.startswith(('rackhub.ops', 'prometheus_client'))))"
+    )
     out = subprocess.run([sys.executable, "-c", probe], capture_output=True, text=True, check=True).stdout
     assert out.strip() == "[]"
 
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -78,9 +78,15 @@
     whole(tmp_path)
 
 
-@pytest.mark.parametrize("planted, missed", [(NO_SHARING, "Couldn't listen"), (NO_DRAIN, "taken up and never answered"),
-                                             (NO_STATE, "sent to an engine that is out")],
-                         ids=["no sharing", "no drain", "no state file"])
+@pytest.mark.parametrize(
+    "planted, missed",
+    [
+        (NO_SHARING, "Couldn't listen"),
+        (NO_DRAIN, "taken up and never answered"),
+        (NO_STATE, "sent to an engine that is out"),
+    ],
+    ids=["no sharing", "no drain", "no state file"],
+)
 def test_what_a_replacement_rests_on_is_missed_when_it_is_taken_out(tmp_path, planted, missed):
     with pytest.raises(AssertionError, match=missed):
         whole(tmp_path, planted)
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -24,7 +24,8 @@
         message.answers.append(dns.RRHeader(SERVICE, dns.SRV, dns.IN, 0, dns.Record_SRV(priority, 40, 5050, host)))
         message.additional += [
             dns.RRHeader(host, dns.A, dns.IN, 0, dns.Record_A(address)),
-            dns.RRHeader(host, dns.TXT, dns.IN, 0, dns.Record_TXT(b"kind=std", b"cell=2", b"started=%d" % started))]
+            dns.RRHeader(host, dns.TXT, dns.IN, 0, dns.Record_TXT(b"kind=std", b"cell=2", b"started=%d" % started)),
+        ]
     message.authority = [dns.RRHeader(b"cluster.lan", dns.SOA, dns.IN, 0, dns.Record_SOA(b"a", b"b", serial))]
     for section in ("answers", "authority", "additional"):
         setattr(message, section, [record for record in getattr(message, section) if record.type not in drop])
@@ -39,8 +40,9 @@
 
     def __init__(self, seed=1):
         self.clock, self.counters, self.lists, self.sent = Clock(), Counters(), [], []
-        self.resolver = Resolver(self.clock, ("127.0.0.9", 53), Listing(3, (), {}), self.lists.append, LIMITS,
-                                 self.counters)
+        self.resolver = Resolver(
+            self.clock, ("127.0.0.9", 53), Listing(3, (), {}), self.lists.append, LIMITS, self.counters
+        )
         self.resolver._asking = Asking(LIMITS, random.Random(seed).random)
         self.transport, self.resolver.transport = self, self
         self.resolver.startProtocol()
@@ -69,7 +71,14 @@
     listing = listing_of(answer(1, 41, A, B))
     first, second = listing.entries
     assert (first.engine, first.zone, first.kind, first.cell, first.state, first.size, first.came_up) == (
-        "a", "east", "std", 2, "Ready", 4.0, 0)
+        "a",
+        "east",
+        "std",
+        2,
+        "Ready",
+        4.0,
+        0,
+    )
     assert (second.state, second.came_up) == ("Terminating", 1_700_000_000_123_000)
     assert listing.rev == 41 and listing.addresses == {"a": ("127.0.0.1", 5050), "b": ("127.0.0.2", 5050)}
 
@@ -78,9 +87,19 @@
     assert listing_of(answer(1, 41)).entries == ()
 
 
-@pytest.mark.parametrize("packet", [
-    answer(1, 41, A, rcode=2), answer(1, 41, A, drop=(dns.SOA,)), answer(1, 41, A, drop=(dns.A,)),
-    answer(1, 41, A, drop=(dns.TXT,)), answer(1, 41, ("a", "127.0.0.1", 7, 0)), question(1), b"", b"\0" * 12])
+@pytest.mark.parametrize(
+    "packet",
+    [
+        answer(1, 41, A, rcode=2),
+        answer(1, 41, A, drop=(dns.SOA,)),
+        answer(1, 41, A, drop=(dns.A,)),
+        answer(1, 41, A, drop=(dns.TXT,)),
+        answer(1, 41, ("a", "127.0.0.1", 7, 0)),
+        question(1),
+        b"",
+        b"\0" * 12,
+    ],
+)
 def test_half_an_answer_is_none(packet):
     with pytest.raises(BadAnswer):
         listing_of(packet)
@@ -93,7 +112,7 @@
     for _ in range(data.draw(st.integers(0, 4))):
         packet[data.draw(st.integers(0, len(packet) - 1))] = data.draw(st.integers(0, 255))
     try:
-        listing_of(bytes(packet[:data.draw(st.integers(0, len(packet)))]))
+        listing_of(bytes(packet[: data.draw(st.integers(0, len(packet)))]))
     except BadAnswer:
         pass
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -44,8 +44,14 @@
 
 
 def rackhub(*words, place, **more):
-    return subprocess.run([sys.executable, "-m", "rackhub", "rig", *words], capture_output=True, text=True, timeout=60,
-                          env=os.environ | {"TMPDIR": str(place)}, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "rackhub", "rig", *words],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env=os.environ | {"TMPDIR": str(place)},
+        **more,
+    )
 
 
 def said(path):
@@ -64,8 +70,11 @@
 
 
 def test_the_first_commands_of_the_readme_give_rows_and_end_all_that_they_started(tmp_path):
-    up = subprocess.Popen([sys.executable, "-m", "rackhub", "rig", "up", "--gateways", "2", "--for", "60", "--json"],
-                          stdout=subprocess.PIPE, env=os.environ | {"TMPDIR": str(tmp_path)})
+    up = subprocess.Popen(
+        [sys.executable, "-m", "rackhub", "rig", "up", "--gateways", "2", "--for", "60", "--json"],
+        stdout=subprocess.PIPE,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+    )
     try:
         told = json.loads(up.stdout.readline())
         asked = rackhub("query", "--class", "lookup", "--statement", STATEMENT, place=tmp_path)
@@ -73,8 +82,9 @@
         assert asked.returncode == 0 and len(made) == 300
         engine, site, _ = made[0]
         assert told["engines"][engine] == site and rows.fault(asked.stdout.encode(), STATEMENT.encode()) is None
-        keyed = rackhub("query", "--class", "depot-load", "--statement", "x", "--gateway", "g1", "--json",
-                        place=tmp_path)
+        keyed = rackhub(
+            "query", "--class", "depot-load", "--statement", "x", "--gateway", "g1", "--json", place=tmp_path
+        )
         answer = json.loads(keyed.stdout)
         assert keyed.returncode == 0 and answer["how"] == "served" and answer["at"] == told["gateways"][1]["clients"]
         bad = rackhub("query", "--class", "none", "--statement", "x", place=tmp_path)
@@ -88,8 +98,10 @@
     assert rackhub("query", "--class", "lookup", "--statement", "x", place=tmp_path).returncode == 2
 
 
-@pytest.mark.parametrize("change, named", [({"gateways": 17}, "gateways: 17"), ({"engines": 0}, "engines: 0"),
-                                           ({"keepers": 5}, "keepers: 5")])
+@pytest.mark.parametrize(
+    "change, named",
+    [({"gateways": 17}, "gateways: 17"), ({"engines": 0}, "engines: 0"), ({"keepers": 5}, "keepers: 5")],
+)
 def test_a_plan_that_no_rig_can_be_is_named(change, named):
     with pytest.raises(ValueError, match=named):
         Plan(**change)
@@ -144,8 +156,15 @@
         found = trial_of(rig, 0.9, 1.5, through={"g0": door.address}).verdict("spoilt").faults
     finally:
         door.close()
-    assert set(found) == {"answered_twice", "lost", "wrong_rows", "never_ran", "unreadable", "stray_answer",
-                          "bad_served"}
+    assert set(found) == {
+        "answered_twice",
+        "lost",
+        "wrong_rows",
+        "never_ran",
+        "unreadable",
+        "stray_answer",
+        "bad_served",
+    }
 
 
 def sent(at, id="aa", engine="e0"):
@@ -170,8 +189,14 @@
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.integers(1_000, 400_000), st.sampled_from((1, 2, 3)), st.integers(0, 200_000)),
-                min_size=1, max_size=20), st.integers(1, 8))
+@given(
+    st.lists(
+        st.tuples(st.integers(1_000, 400_000), st.sampled_from((1, 2, 3)), st.integers(0, 200_000)),
+        min_size=1,
+        max_size=20,
+    ),
+    st.integers(1, 8),
+)
 def test_cores_do_all_the_work_that_they_are_given_and_no_more_than_they_can(jobs, cores):
     """Cores warm and unhurried: nothing ends sooner than its work needs, all ends, and none is done faster than by all
     cores without rest."""
@@ -223,8 +248,10 @@
     assert counts["out"] == 40 - counts["cut"] - counts["dropped"] + counts["doubled"]
     for out in runs[0]:
         assert len(out) <= 2 and all(5 <= each.after < 8 for each in out)
-    assert sum(each.packet != packet for packet, out in zip(packets, runs[0], strict=True) for each in out) \
+    assert (
+        sum(each.packet != packet for packet, out in zip(packets, runs[0], strict=True) for each in out)
         == counts["damaged"]
+    )
 
 
 class Gateway(DatagramProtocol):
@@ -263,10 +290,15 @@
             port.stopListening()
 
 
-@pytest.mark.parametrize("text, named", [
-    ('[[step]]\nat_ms = 5\ndo = "explode"', r"step\[0\].do: 'explode'"),
-    ('[[step]]\nat_ms = 5\ndo = "kill"\nwhom = ["g9"]', r"step\[0\].whom: .*'g9'"),
-    ('[[step]]\nat_ms = -5\ndo = "heal"', r"step\[0\].at_ms: -5"), ('[[step]]\ndo = "heal"', "at_ms")])
+@pytest.mark.parametrize(
+    "text, named",
+    [
+        ('[[step]]\nat_ms = 5\ndo = "explode"', r"step\[0\].do: 'explode'"),
+        ('[[step]]\nat_ms = 5\ndo = "kill"\nwhom = ["g9"]', r"step\[0\].whom: .*'g9'"),
+        ('[[step]]\nat_ms = -5\ndo = "heal"', r"step\[0\].at_ms: -5"),
+        ('[[step]]\ndo = "heal"', "at_ms"),
+    ],
+)
 def test_a_schedule_that_can_t_be_run_is_named(text, named, rig, tmp_path):
     path = tmp_path / "faults.toml"
     path.write_text(text)
@@ -277,8 +309,9 @@
 def test_a_drawn_schedule_is_the_same_from_one_seed_and_mends_all_that_it_broke(rig):
     steps = schedule.drawn(rig, 7, 10_000).step
     assert steps == schedule.drawn(rig, 7, 10_000).step != schedule.drawn(rig, 8, 10_000).step
-    assert steps[-1].do == "heal" and sum(step.do in ("pause", "kill") for step in steps) \
-        == sum(step.do in ("go_on", "start") for step in steps)
+    assert steps[-1].do == "heal" and sum(step.do in ("pause", "kill") for step in steps) == sum(
+        step.do in ("go_on", "start") for step in steps
+    )
 
 
 def test_a_hard_case_in_brief_is_safe_and_settles(tmp_path):
@@ -336,13 +369,18 @@
 
 @pytest.mark.parametrize("count", [1, 8, 40])
 def test_the_resolver_s_answer_is_whole_for_many_engines_and_the_program_reads_it(count):
-    engines = [Engine(f"e{number}", f"s{number % 3}", ("127.0.0.9", 6_000 + number),
-                      "draining" if number % 2 else "ready", number) for number in range(count)]
+    engines = [
+        Engine(
+            f"e{number}", f"s{number % 3}", ("127.0.0.9", 6_000 + number), "draining" if number % 2 else "ready", number
+        )
+        for number in range(count)
+    ]
     told = listing_of(answer(question(7), 41, engines))
     assert told.rev == 41 and told.addresses == {each.name: each.address for each in engines}
     assert {entry.engine: (entry.zone, entry.state, entry.came_up) for entry in told.entries} == {
         each.name: (each.site, "Terminating" if each.status == "draining" else "Ready", each.since_ms * 1_000)
-        for each in engines}
+        for each in engines
+    }
     assert answer(question(7)[:20], 41, engines) is None
 
 
@@ -368,31 +406,55 @@
     assert said(True, ["s0", "s1"], [{"site": "s0"}, {"site": "s1", "age_ms": 900}], ran=["e0"]) is None
 
 
-GOOD_OPS = [Op("a", "edit", "g0", 0, 10, 1), Op("b", "undo", "g1", 5, 30, 2), Op("c", "edit", "g0", 40, 50, 3),
-            Op("d", "edit", "g1", 41, 60, 0, "refused"), Op("e", "edit", "g1", 70, 80, None)]
+GOOD_OPS = [
+    Op("a", "edit", "g0", 0, 10, 1),
+    Op("b", "undo", "g1", 5, 30, 2),
+    Op("c", "edit", "g0", 40, 50, 3),
+    Op("d", "edit", "g1", 41, 60, 0, "refused"),
+    Op("e", "edit", "g1", 70, 80, None),
+]
 BOOK = [Entry(1, "a", "x"), Entry(2, "b", "y"), Entry(3, "c", "z")]
 WATCH = [Held(20, "g0", 1, 1), Held(55, "g0", 3, 3), Held(56, "g1", 1, 2)]
 
 
-@pytest.mark.parametrize("ops, watch, books, kinds", [
-    (GOOD_OPS, WATCH, {"g0": BOOK, "g1": BOOK}, set()),
-    (GOOD_OPS, WATCH, {"g0": [*BOOK, Entry(4, "e", "w")], "g1": BOOK[1:]}, set()),  # e came about; g1 keeps fewer
-    (GOOD_OPS, WATCH, {"g0": BOOK, "g1": BOOK[:2]}, {"acknowledged_lost"}),
-    (GOOD_OPS, WATCH, {"g0": BOOK, "g1": [*BOOK[:2], Entry(3, "d", "z")]}, {"acknowledged_lost", "two_contents"}),
-    (GOOD_OPS, WATCH, {"g0": BOOK, "g1": [*BOOK[:2], Entry(3, "c", "other")]}, {"two_contents"}),
-    ([*GOOD_OPS, Op("f", "edit", "g1", 42, 60, 3)], WATCH, {"g0": BOOK}, {"acknowledged_lost", "two_contents"}),
-    ([Op("a", "edit", "g0", 20, 30, 1), Op("b", "edit", "g0", 0, 10, 2)], WATCH, {"g0": BOOK[:2]}, {"order_broken"}),
-    (GOOD_OPS, [*WATCH, Held(90, "g0", 2, 2)], {"g0": BOOK, "g1": BOOK}, {"version_back"}),
-    (GOOD_OPS, [*WATCH, Held(90, "g0", 2, 2, disk=1)], {"g0": BOOK, "g1": BOOK}, set())])
+@pytest.mark.parametrize(
+    "ops, watch, books, kinds",
+    [
+        (GOOD_OPS, WATCH, {"g0": BOOK, "g1": BOOK}, set()),
+        (GOOD_OPS, WATCH, {"g0": [*BOOK, Entry(4, "e", "w")], "g1": BOOK[1:]}, set()),  # e came about; g1 keeps fewer
+        (GOOD_OPS, WATCH, {"g0": BOOK, "g1": BOOK[:2]}, {"acknowledged_lost"}),
+        (GOOD_OPS, WATCH, {"g0": BOOK, "g1": [*BOOK[:2], Entry(3, "d", "z")]}, {"acknowledged_lost", "two_contents"}),
+        (GOOD_OPS, WATCH, {"g0": BOOK, "g1": [*BOOK[:2], Entry(3, "c", "other")]}, {"two_contents"}),
+        ([*GOOD_OPS, Op("f", "edit", "g1", 42, 60, 3)], WATCH, {"g0": BOOK}, {"acknowledged_lost", "two_contents"}),
+        (
+            [Op("a", "edit", "g0", 20, 30, 1), Op("b", "edit", "g0", 0, 10, 2)],
+            WATCH,
+            {"g0": BOOK[:2]},
+            {"order_broken"},
+        ),
+        (GOOD_OPS, [*WATCH, Held(90, "g0", 2, 2)], {"g0": BOOK, "g1": BOOK}, {"version_back"}),
+        (GOOD_OPS, [*WATCH, Held(90, "g0", 2, 2, disk=1)], {"g0": BOOK, "g1": BOOK}, set()),
+    ],
+)
 def test_the_checker_of_rule_histories_finds_bad_ones_and_takes_good_ones(ops, watch, books, kinds):
     assert {kind for kind, _ in check(ops, watch, books)} == kinds
 
 
-@pytest.mark.parametrize("begun, now, sites, wrong", [
-    (500, 900, "old", False), (500, 900, "new", True),  # before the change was asked for
-    (500, 2_500, "old", False), (500, 2_500, "new", True),  # open across all of it
-    (1_300, 2_500, "old", False), (1_300, 2_500, "new", False), (1_300, 2_500, "other", True),  # meanwhile
-    (2_500, 2_600, "new", False), (2_500, 2_600, "old", True), (4_500, 4_600, "old", False)])
+@pytest.mark.parametrize(
+    "begun, now, sites, wrong",
+    [
+        (500, 900, "old", False),
+        (500, 900, "new", True),  # before the change was asked for
+        (500, 2_500, "old", False),
+        (500, 2_500, "new", True),  # open across all of it
+        (1_300, 2_500, "old", False),
+        (1_300, 2_500, "new", False),
+        (1_300, 2_500, "other", True),  # meanwhile
+        (2_500, 2_600, "new", False),
+        (2_500, 2_600, "old", True),
+        (4_500, 4_600, "old", False),
+    ],
+)
 def test_an_answer_that_changes_its_rules_on_the_way_is_found(begun, now, sites, wrong):
     changes = Changes(("old",))
     changes.asked(1_000_000, ("new",))
@@ -402,8 +464,11 @@
         changes.held(4_000_000)
     assert bool(changes.wrong(begun * 1_000, now * 1_000, (sites,))) is wrong
     if not wrong:
-        assert (changes.across, changes.between, changes.after) == (begun < 1_000 and now > 2_000, begun == 1_300,
-                                                                    begun > 2_000)
+        assert (changes.across, changes.between, changes.after) == (
+            begun < 1_000 and now > 2_000,
+            begun == 1_300,
+            begun > 2_000,
+        )
 
 
 def test_more_threads_than_the_bound_at_any_time_are_a_fault():
@@ -418,15 +483,19 @@
 
 
 def packet(*told):
-    return frames.datagram(frames.Packet(frames.VERSION, "rig", "g0", 1, "g1", 0, 0, 0,
-                                         [msgspec.Raw(frames.encode(each)) for each in told]))
+    return frames.datagram(
+        frames.Packet(
+            frames.VERSION, "rig", "g0", 1, "g1", 0, 0, 0, [msgspec.Raw(frames.encode(each)) for each in told]
+        )
+    )
 
 
 def test_the_forger_changes_its_own_members_records_alone_and_they_can_be_read():
     forge, read = forger.Forger("g0", ["e0"], 1), []
     for number in range(20):
-        told = packet(*(frames.Note(owner, records.LOAD, 1, number, 0, records.pack(records.Load()))
-                        for owner in ("g0", "g1")))
+        told = packet(
+            *(frames.Note(owner, records.LOAD, 1, number, 0, records.pack(records.Load())) for owner in ("g0", "g1"))
+        )
         made = forge("g0", "g1", told)
         assert forge("g1", "g0", told) == told and forge("g0", "g2", told) == made
         own, other = [records.unpack(frames.frame(raw).body) for raw in frames.read(made).frames]
@@ -439,9 +508,13 @@
 
 def test_a_keeper_is_killed_at_its_answer_and_the_answer_is_gone():
     killed, ballot = [], words.Ballot(1, "g1", 1)
-    said = {kind: packet(frames.Page(1, 1, 0, 1, "register.told", words.encode(reply))) for kind, reply in (
-        ("accepted", words.Accepted(ballot, "g0", words.UNBORN, ())),
-        ("refused", words.Refused(ballot, "g0", ballot)))}
+    said = {
+        kind: packet(frames.Page(1, 1, 0, 1, "register.told", words.encode(reply)))
+        for kind, reply in (
+            ("accepted", words.Accepted(ballot, "g0", words.UNBORN, ())),
+            ("refused", words.Refused(ballot, "g0", ballot)),
+        )
+    }
     tap = forger.AtAnswer("g0", lambda: killed.append(1), 1)
     assert tap("g1", "g0", said["accepted"]) and tap("g0", "g1", said["refused"]) and not killed
     assert tap("g0", "g1", said["accepted"]) is None and killed == [1]
@@ -466,8 +539,12 @@
 
 
 def test_torture_that_is_told_to_stop_ends_all_that_it_started(tmp_path):
-    run = subprocess.Popen([sys.executable, "-m", "rackhub", "rig", "torture", "--case", "paused", "--processes", "2"],
-                           env=os.environ | {"TMPDIR": str(tmp_path)}, stderr=subprocess.PIPE, text=True)
+    run = subprocess.Popen(
+        [sys.executable, "-m", "rackhub", "rig", "torture", "--case", "paused", "--processes", "2"],
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     try:
         until(reactor, lambda: list(tmp_path.glob("rackhub-rig-*/g1.log")), 30, "its processes")
         pass_time(reactor, 1.0)
--- a/tests/test_site_shapes.py
+++ b/tests/test_site_shapes.py
@@ -11,9 +11,12 @@
 
 EFFECTS = ("retryable", "dedup", "fragile")
 MAY_HAVE_RUN = ("BAD", "LATE", "RST", "CXL")
-SHAPES = [{"source": source, "grants": grants, "zones": zones, "load": load, "max_attempts": attempts}
-          for source, grants, zones, load, attempts in itertools.product(
-              ("piggyback", "pull", "silent"), (False, True), (1, 3), EFFECTS, (3, 4))]
+SHAPES = [
+    {"source": source, "grants": grants, "zones": zones, "load": load, "max_attempts": attempts}
+    for source, grants, zones, load, attempts in itertools.product(
+        ("piggyback", "pull", "silent"), (False, True), (1, 3), EFFECTS, (3, 4)
+    )
+]
 CALM = {"piggyback": {"pending": 0.0, "busy_reqs": 1.0}, "pull": {"pending": 0.0, "x1": 0.2}, "silent": {}}
 
 
@@ -22,18 +25,40 @@
 
     def __init__(self, shape, gateways=4):
         self.shape, self.calm = shape, CALM[shape["source"]]
-        classes = (t.ClassSettings("lookup", 5 * S, S, 2.0, 1.0, "retryable", blocked_by_loads=True),
-                   t.ClassSettings("report", 25 * S, 3 * S, 2.5, 5.0, "retryable", threads=4),
-                   t.ClassSettings("load", 25 * S, 4 * S, 3.0, 4.0, shape["load"], dedup_scope="all", window=25 * S,
-                                   threads=2, holds_tables=True))
-        told = dict(classes=classes, tenants=(t.TenantSettings("a", 0.6), t.TenantSettings("b", 0.4)),
-                    gateways=gateways, zone="z0", kind_memory={"std": 32_768.0}, grants=shape["grants"],
-                    priorities=True, note_period=S // 2, max_attempts=shape["max_attempts"],
-                    probes=shape["source"] == "pull", report_source=shape["source"])
+        classes = (
+            t.ClassSettings("lookup", 5 * S, S, 2.0, 1.0, "retryable", blocked_by_loads=True),
+            t.ClassSettings("report", 25 * S, 3 * S, 2.5, 5.0, "retryable", threads=4),
+            t.ClassSettings(
+                "load",
+                25 * S,
+                4 * S,
+                3.0,
+                4.0,
+                shape["load"],
+                dedup_scope="all",
+                window=25 * S,
+                threads=2,
+                holds_tables=True,
+            ),
+        )
+        told = dict(
+            classes=classes,
+            tenants=(t.TenantSettings("a", 0.6), t.TenantSettings("b", 0.4)),
+            gateways=gateways,
+            zone="z0",
+            kind_memory={"std": 32_768.0},
+            grants=shape["grants"],
+            priorities=True,
+            note_period=S // 2,
+            max_attempts=shape["max_attempts"],
+            probes=shape["source"] == "pull",
+            report_source=shape["source"],
+        )
         self.effects = {told.name: told.effect for told in classes}
         self.open, self.out, self.ran, self.tries, self.refused = {}, {}, {}, {}, 0
-        super().__init__(**told, listed=[self.entry(f"e{i}", zone=f"z{i % shape['zones']}", cell=i % 2)
-                                         for i in range(6)])
+        super().__init__(
+            **told, listed=[self.entry(f"e{i}", zone=f"z{i % shape['zones']}", cell=i % 2) for i in range(6)]
+        )
 
     def do(self, event):
         for act in super().do(event):
@@ -64,8 +89,11 @@
         self.asked += 1
         name, drop_dead = f"q{self.asked}", self.now + (5 if cls == "lookup" else 25) * S
         self.open[name] = cls, drop_dead
-        self.do(t.QueryArrived(name, cls, drop_dead, tenant, estimate=200_000, key=self.asked, memory_mb=200.0,
-                               tables=self.asked % 7))
+        self.do(
+            t.QueryArrived(
+                name, cls, drop_dead, tenant, estimate=200_000, key=self.asked, memory_mb=200.0, tables=self.asked % 7
+            )
+        )
 
     def end(self, query, reason):
         number, engine, sent = self.out.pop(query)
@@ -74,16 +102,28 @@
         if good := reason == "GOOD":
             self.open.pop(query, None)
         settled = good or query not in self.open
-        self.do(t.AttemptEnded(query, number, reason, settled, engine, max(self.now - sent, 1), report=self.calm
-                               if self.shape["source"] == "piggyback" else {}))
+        self.do(
+            t.AttemptEnded(
+                query,
+                number,
+                reason,
+                settled,
+                engine,
+                max(self.now - sent, 1),
+                report=self.calm if self.shape["source"] == "piggyback" else {},
+            )
+        )
 
     def note(self, query, topic, value):
         number, engine, _ = self.out[query]
         self.do(t.Note(query, number, topic, value, engine))
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(("ask", "ask", "ask", "end", "end", "note", "wait", "probe")),
-                           st.integers(0, 999)), min_size=20, max_size=120)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(("ask", "ask", "ask", "end", "end", "note", "wait", "probe")), st.integers(0, 999)),
+    min_size=20,
+    max_size=120,
+)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True, database=None)
@@ -99,8 +139,10 @@
         elif step == "probe" and shape["source"] == "pull":
             site.do(t.ProbeEnded(f"e{draw % 6}", ("GOOD", "GOOD", "LATE")[draw % 3], 500 + draw * 5, site.calm))
         elif step == "end" and outs:
-            site.end(outs[draw % len(outs)],
-                     ("GOOD", "GOOD", "GOOD", "FULL", "LATE", "RST", "BAD", "NOCONN", "CXL")[draw % 9])
+            site.end(
+                outs[draw % len(outs)],
+                ("GOOD", "GOOD", "GOOD", "FULL", "LATE", "RST", "BAD", "NOCONN", "CXL")[draw % 9],
+            )
         elif step == "note" and outs:
             topic = draw % 3 + 1
             site.note(outs[draw % len(outs)], topic, (draw % 100) / 100 if topic == 1 else 1.0 + draw % 2)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -32,9 +32,11 @@
 from rackhub.store.pace import Pace
 
 TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
-LIST = Listing(41, (t.EngineEntry("e0", "z", "std", 1, "Ready", 4.0, 5 * S),
-                    t.EngineEntry("e1", "z", "std", 1, "Terminating")),
-               {"e0": ("127.0.0.1", 1), "e1": ("127.0.0.1", 2)})
+LIST = Listing(
+    41,
+    (t.EngineEntry("e0", "z", "std", 1, "Ready", 4.0, 5 * S), t.EngineEntry("e1", "z", "std", 1, "Terminating")),
+    {"e0": ("127.0.0.1", 1), "e1": ("127.0.0.1", 2)},
+)
 
 
 class Engines:
@@ -92,7 +94,7 @@
     here.turn()
     here.ask(1)
     here.turn()
-    one, = here.keyed()
+    (one,) = here.keyed()
     assert (one.token, one.cls, one.state, one.attempts) == (TOKEN, "depot-load", "out", 1)
     assert one.engine == here.port.sent[0].engine and one.until == here.clock.now() + 25 * S
     here.core.ended(here.port.sent[0], "GOOD", {}, (b"a\tb\tc\n",))
@@ -127,11 +129,11 @@
     here.ask(1)
     here.turn()
     again = Kept(here.files.after_power_cut(3))
-    left, = again.keeper.left_open
+    (left,) = again.keeper.left_open
     assert (left.state, left.engine, left.attempts) == ("out", here.port.sent[0].engine, 1)
     again.ask(2)  # the client comes again with its key
     again.turn()
-    one, = again.keyed()
+    (one,) = again.keyed()
     assert one.tries == 2 and one.attempts == 2 and one.until == left.until  # the window runs from the first attempt
     again.core.ended(again.port.sent[0], "GOOD", {}, (b"",))
     again.clock.advance(30 * S)
@@ -227,8 +229,9 @@
     """The reactor with threads of the test's own: its pool begins with its `run`, which no test calls."""
     pool = ThreadPool(1, 1)
     pool.start()
-    yield SimpleNamespace(callLater=reactor.callLater, callFromThread=reactor.callFromThread,
-                          getThreadPool=lambda: pool)
+    yield SimpleNamespace(
+        callLater=reactor.callLater, callFromThread=reactor.callFromThread, getThreadPool=lambda: pool
+    )
     pool.stop()
 
 
@@ -300,21 +303,36 @@
     assert main(["store", "changes", path, "400", "--json"]) == 0
     assert [(one["revision"], one["now"]["key"]) for one in out(capsys)] == [(400, "key39"), (401, r"\xff\\odd")]
     assert main(["store", "compact", path, "390", "--json"]) == 0 and out(capsys)["compacted"] == 390
-    for words in (["info", path], ["range", path, "--limit", "2"], ["changes", path, "400"], ["keyed", path],
-                  ["verify", path]):
+    for words in (
+        ["info", path],
+        ["range", path, "--limit", "2"],
+        ["changes", path, "400"],
+        ["keyed", path],
+        ["verify", path],
+    ):
         assert main(["store", *words]) == 0
     capsys.readouterr()
     assert main(["store", "get", path, "none"]) == 1 and "'none' is not there" in capsys.readouterr().err
 
 
-@pytest.mark.parametrize("words, told_", [
-    (["get", "DIR", "key07", "--at", "99999"], "revision 99999 is not there yet"),
-    (["get", "DIR", "key07", "--at", "x"], "--at: 'x' is not a number"), (["get", "DIR", r"\q"], "backslash"),
-    (["changes", "DIR", "-5"], "SINCE: '-5'"), (["compact", "DIR", "0"], "REVISION: '0' is not a number"),
-    (["info", "/nowhere"], "no store is there"), (["dance"], "Usage"), (["torture", "--modes", "x"], "'x' is none of"),
-    (["torture", "--bytes", "5"], "--bytes"), (["salvage", "DIR", "DIR"], "not empty"),
-    (["bench", "--dir", "DIR"], "not empty"), (["bench", "--scale", "7"], "--scale"),
-    (["kill", "--kills", "0"], "--kills")])
+@pytest.mark.parametrize(
+    "words, told_",
+    [
+        (["get", "DIR", "key07", "--at", "99999"], "revision 99999 is not there yet"),
+        (["get", "DIR", "key07", "--at", "x"], "--at: 'x' is not a number"),
+        (["get", "DIR", r"\q"], "backslash"),
+        (["changes", "DIR", "-5"], "SINCE: '-5'"),
+        (["compact", "DIR", "0"], "REVISION: '0' is not a number"),
+        (["info", "/nowhere"], "no store is there"),
+        (["dance"], "Usage"),
+        (["torture", "--modes", "x"], "'x' is none of"),
+        (["torture", "--bytes", "5"], "--bytes"),
+        (["salvage", "DIR", "DIR"], "not empty"),
+        (["bench", "--dir", "DIR"], "not empty"),
+        (["bench", "--scale", "7"], "--scale"),
+        (["kill", "--kills", "0"], "--kills"),
+    ],
+)
 def test_bad_usage_is_one_line_and_status_2(filled, capsys, words, told_, tmp_path, monkeypatch):
     monkeypatch.chdir(tmp_path)
     assert main(["store", *(str(filled) if word == "DIR" else word for word in words)]) == 2
@@ -357,11 +375,19 @@
 # ---- the operator's file and the daemon
 
 
-@pytest.mark.parametrize("part, key", [
-    ({}, "path"), ({"path": ""}, "path is empty"), ({"path": "x", "contract": "maybe"}, "contract"),
-    ({"path": "x", "memtable_bytes": 1}, "memtable_bytes is 1"), ({"path": "x", "colour": 1}, "colour"),
-    ({"path": "x", "engines_for_s": 0}, "engines_for_s is 0"), ({"path": 7}, "path"),
-    ({"path": "x", "runs": "many"}, "runs")])
+@pytest.mark.parametrize(
+    "part, key",
+    [
+        ({}, "path"),
+        ({"path": ""}, "path is empty"),
+        ({"path": "x", "contract": "maybe"}, "contract"),
+        ({"path": "x", "memtable_bytes": 1}, "memtable_bytes is 1"),
+        ({"path": "x", "colour": 1}, "colour"),
+        ({"path": "x", "engines_for_s": 0}, "engines_for_s is 0"),
+        ({"path": 7}, "path"),
+        ({"path": "x", "runs": "many"}, "runs"),
+    ],
+)
 def test_a_bad_store_part_is_refused_by_its_key(part, key, tmp_path, capsys):
     (tmp_path / "c.json").write_text(json.dumps(told()))
     lines = "".join(f"{name} = {json.dumps(value)}\n" for name, value in part.items())
@@ -371,8 +397,10 @@
 
 
 def test_a_store_that_is_off_loads_nothing_of_it():
-    code = ("import sys, rackhub.cli.serve, rackhub.daemon; bad = [m for m in sys.modules if m.startswith("
-            "('rackhub.store', 'rackhub.state.', 'crc32c', 'rbloom', 'xxhash', 'sortedcontainers'))]; print(bad)")
+    code = (
+        "import sys, rackhub.cli.serve, rackhub.daemon; bad = [m for m in sys.modules if m.startswith("
+        "('rackhub.store', 'rackhub.state.', 'crc32c', 'rbloom', 'xxhash', 'sortedcontainers'))]; print(bad)"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
 
@@ -389,8 +417,21 @@
         def start(**more):
             more |= {"listen": f"127.0.0.1:{listen}", "nameserver": f"127.0.0.1:{nameserver}"}
             config.write_text(json.dumps(told(**more)))
-            return subprocess.Popen([sys.executable, "-m", "rackhub", "serve", "--config", str(config), "--operator",
-                                     str(tmp_path / "o.toml")], stderr=subprocess.PIPE, text=True, env=dict(os.environ))
+            return subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "rackhub",
+                    "serve",
+                    "--config",
+                    str(config),
+                    "--operator",
+                    str(tmp_path / "o.toml"),
+                ],
+                stderr=subprocess.PIPE,
+                text=True,
+                env=dict(os.environ),
+            )
 
         def until(process, what):
             heard = []
@@ -400,8 +441,16 @@
                     return line
             raise AssertionError(f"it never said {what!r} but {heard}")
 
-        entry = {"name": "a", "address": "127.0.0.1:9", "zone": "east", "type": "std-8", "group": 2, "status": "ready",
-                 "weight": 4, "since_ms": 0}
+        entry = {
+            "name": "a",
+            "address": "127.0.0.1:9",
+            "zone": "east",
+            "type": "std-8",
+            "group": 2,
+            "status": "ready",
+            "weight": 4,
+            "since_ms": 0,
+        }
         first = start(known={"rev": 3, "notices": [notice(3, entry)]})
         until(first, "serves on")
         first.send_signal(signal.SIGUSR1)
@@ -433,6 +482,19 @@
     (state / "MANIFEST").write_bytes(b"")
     (tmp_path / "o.toml").write_text(f'[store]\npath = "{state}"\n')
     (tmp_path / "c.json").write_text(json.dumps(told()))
-    done = subprocess.run([sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "c.json"), "--operator",
-                           str(tmp_path / "o.toml")], capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "rackhub",
+            "serve",
+            "--config",
+            str(tmp_path / "c.json"),
+            "--operator",
+            str(tmp_path / "o.toml"),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 2 and "[store]: MANIFEST: at byte 0" in done.stderr
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -82,14 +82,25 @@
     assert here.store.commit(Batch().delete(b"x").delete_range(b"p", b"q")).revision == 1
     assert here.store.commit(Batch().delete_range(b"a", None)).revision == 2
     assert [(c.revision, c.key, c.now is None) for c in here.store.changes(1)] == [
-        (1, b"a", False), (1, b"b", False), (2, b"a", True), (2, b"b", True)]
-
-
-@pytest.mark.parametrize("batch", [
-    lambda: Batch().put(b"a", b"1").put(b"a", b"2"), lambda: Batch().put(b"a", b"1").delete(b"a"),
-    lambda: Batch().delete_range(b"a", b"c").put(b"b", b"1"), lambda: Batch().put(b"", b"1"),
-    lambda: Batch().put("a", b"1"), lambda: Batch().put(b"a" * 65_536, b"1"),
-    lambda: Batch().put(b"a", b"1" * 70_000_000)])
+        (1, b"a", False),
+        (1, b"b", False),
+        (2, b"a", True),
+        (2, b"b", True),
+    ]
+
+
+@pytest.mark.parametrize(
+    "batch",
+    [
+        lambda: Batch().put(b"a", b"1").put(b"a", b"2"),
+        lambda: Batch().put(b"a", b"1").delete(b"a"),
+        lambda: Batch().delete_range(b"a", b"c").put(b"b", b"1"),
+        lambda: Batch().put(b"", b"1"),
+        lambda: Batch().put("a", b"1"),
+        lambda: Batch().put(b"a" * 65_536, b"1"),
+        lambda: Batch().put(b"a", b"1" * 70_000_000),
+    ],
+)
 def test_a_batch_that_means_two_things_or_is_no_batch_changes_nothing(batch):
     here = Here()
     with pytest.raises(BadBatch):
@@ -104,9 +115,14 @@
     refused = here.store.commit(Batch().put(b"a", b"2"), [absent])
     assert not refused.applied and refused.revision == 1 and here.store.get(b"a").value == b"1"
     for what, compare, to, holds in (
-            ("value", "=", b"1", True), ("value", "<", b"2", True), ("value", ">", b"2", False),
-            ("value", "!=", None, True), ("mod_revision", "=", 1, True), ("create_revision", ">", 1, False),
-            ("lease", "=", 0, True)):
+        ("value", "=", b"1", True),
+        ("value", "<", b"2", True),
+        ("value", ">", b"2", False),
+        ("value", "!=", None, True),
+        ("mod_revision", "=", 1, True),
+        ("create_revision", ">", 1, False),
+        ("lease", "=", 0, True),
+    ):
         assert When(b"a", what, compare, to).holds(here.store.get(b"a")) is holds
     assert When(b"none", "value", "=", None).holds(None) and not When(b"none", "value", "<", b"x").holds(None)
     with pytest.raises(BadBatch):
@@ -323,7 +339,7 @@
         here.store.flush()
         ends.append(len(here.files.inodes[name].now))
     data = bytearray(here.files.inodes[name].now)
-    data[ends[0]:ends[1]] = bytes(ends[1] - ends[0])  # the second never came, the third and fourth did
+    data[ends[0] : ends[1]] = bytes(ends[1] - ends[0])  # the second never came, the third and fourth did
     store = Here(files=MemoryFiles.of({**{n: bytes(i.now) for n, i in here.files.inodes.items()}, name: bytes(data)}))
     assert store.store.revision == 1 and store.store.recovered.torn_whole == 2
 
@@ -337,8 +353,12 @@
         with pytest.raises(Corrupt) as told:
             Here(files=MemoryFiles.of({name: data for name, data in contents.items() if name != gone}))
         assert told.value.file == gone
-    more = contents | {"table-0000009999": b"half", "MANIFEST.new": b"half", "notes.txt": b"mine",
-                       "log-0000009999": b""}
+    more = contents | {
+        "table-0000009999": b"half",
+        "MANIFEST.new": b"half",
+        "notes.txt": b"mine",
+        "log-0000009999": b"",
+    }
     opened = Here(files=MemoryFiles.of(more))
     assert opened.store.recovered.strange == ("notes.txt",) and "notes.txt" in opened.files.names()
     assert set(opened.store.recovered.removed) == {"table-0000009999", "MANIFEST.new", "log-0000009999"}
@@ -473,8 +493,9 @@
 
 def test_a_segment_goes_only_when_nothing_needs_it():
     segments = (SegmentInfo(1, 1, 10, 0, 10, 100), SegmentInfo(2, 11, 20, 10, 20, 100))
-    fresh = Manifest(9, 8, 21, 20, 20, flushed=20, flushed_revision=20, tables=(table(3, 11, 20), table(2, 1, 10)),
-                     segments=segments)
+    fresh = Manifest(
+        9, 8, 21, 20, 20, flushed=20, flushed_revision=20, tables=(table(3, 11, 20), table(2, 1, 10)), segments=segments
+    )
     numbers = lambda m: [segment.number for segment in m.segments]  # noqa: E731
     assert numbers(plan.without_garbage(fresh, 20, reserve=True)) == [1, 2]  # the tables have no other source
     assert numbers(plan.without_garbage(fresh, 20, reserve=False)) == []
@@ -548,16 +569,20 @@
 
     @initialize(contract=st.sampled_from(["always", "group"]), reserve=st.booleans())
     def begin(self, contract, reserve):
-        self.here = Here(Options(contract=contract, memtable_bytes=4_096, block_bytes=256, cache_bytes=4_096, runs=2,
-                                 reserve=reserve))
+        self.here = Here(
+            Options(
+                contract=contract, memtable_bytes=4_096, block_bytes=256, cache_bytes=4_096, runs=2, reserve=reserve
+            )
+        )
         self.states, self.changes, self.compacted, self.held = [{}], [[]], 0, 0
 
     def commit(self, batch, puts, deletes):
         state, revision, made = dict(self.states[-1]), len(self.states), []
         for key, value in puts.items():
             old = state.get(key)
-            state[key] = KeyValue(key, value, old.create_revision if old else revision, revision,
-                                  old.version + 1 if old else 1)
+            state[key] = KeyValue(
+                key, value, old.create_revision if old else revision, revision, old.version + 1 if old else 1
+            )
             made.append((key, state[key]))
         for key in deletes:
             if key in state:
@@ -620,7 +645,7 @@
     def reopen(self, files):
         store = self.here.again(files)
         assert self.held <= store.revision < len(self.states)
-        del self.states[store.revision + 1:], self.changes[store.revision + 1:]
+        del self.states[store.revision + 1 :], self.changes[store.revision + 1 :]
         self.compacted = store.compacted
         self.held = store.revision
 
@@ -631,8 +656,7 @@
             with pytest.raises((Compacted, FutureRevision)):
                 self.here.store.range(at=at)
             return
-        wanted = [item for key, item in sorted(self.states[at].items())
-                  if key >= start and (end is None or key < end)]
+        wanted = [item for key, item in sorted(self.states[at].items()) if key >= start and (end is None or key < end)]
         assert self.here.store.range(start, end, at=at) == wanted
         for key in (start, end or b"none"):
             assert self.here.store.get(key, at=at) == self.states[at].get(key)
@@ -641,7 +665,7 @@
     def history(self):
         upto = self.here.store.acknowledged_revision
         told = [(change.key, change.now) for change in self.here.store.changes(self.compacted + 1)]
-        assert told == [one for made in self.changes[self.compacted + 1:upto + 1] for one in made]
+        assert told == [one for made in self.changes[self.compacted + 1 : upto + 1] for one in made]
 
     @invariant()
     def now(self):
@@ -649,6 +673,7 @@
             assert self.here.store.range() == [item for _, item in sorted(self.states[-1].items())]
 
 
-Histories.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40, deadline=None,
-                                                  derandomize=True)
+Histories.TestCase.settings = hypothesis_settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
 test_the_store_keeps_to_a_model_of_histories = Histories.TestCase
--- a/tests/test_timings.py
+++ b/tests/test_timings.py
@@ -80,11 +80,14 @@
 
 def test_what_is_legal_and_unwise_is_told_apart_from_faults():
     unwise = {
-        'class = "lookup"': "sets nothing", "retry_on = []": "is empty",
-        "attempts = 1\nbackoff_ms = { first = 5 }": "no effect", "retry_share = 0.9": "more than half",
+        'class = "lookup"': "sets nothing",
+        "retry_on = []": "is empty",
+        "attempts = 1\nbackoff_ms = { first = 5 }": "no effect",
+        "retry_share = 0.9": "more than half",
         'class = "lookup"\nattempt_timeout_ms = 100': "under a quarter",
         'retry_on = ["late", "full"]\nclass = "lookup"': "late without retry_share",
-        'class = "lookup"\nattempts = 2\nattempt_timeout_ms = 2000': "less than its time-out"}
+        'class = "lookup"\nattempts = 2\nattempt_timeout_ms = 2000': "less than its time-out",
+    }
     for text, why in unwise.items():
         checked = check(read(part(f"[[timings.route]]\n{text}"))[0], SITE)
         assert not checked.faults and any(why in warning.why for warning in checked.warnings), text
@@ -99,8 +102,10 @@
     assert "settings.Permissions.SecondCopies" in str(found[0])
     with pytest.raises(BadConfig) as refused:
         timings_table({"route": [{"attempts": 4}], "x": 1}, SITE)
-    assert str(refused.value) == "operator file: timings.x = 1: is not known here; there is route; " \
+    assert (
+        str(refused.value) == "operator file: timings.x = 1: is not known here; there is route; "
         "timings.route[0].attempts = 4: the site allows 3 (settings.Permissions.MaxAttempts)"
+    )
 
 
 def test_the_schema_in_the_docs_is_that_of_the_types(capsys):
@@ -151,7 +156,7 @@
     here = Core(Route(cls="lookup", retry_share=0.5, retry_floor=0))
     here.ask()
     here.end(here.port.sent[0], "GOOD")
-    window, = here.desk._retries.values()
+    (window,) = here.desk._retries.values()
     assert window.sums == [1, 0, 0]
     here.core.listed([], 2)
     here.ask()
@@ -285,9 +290,18 @@
 
 
 def site(second_copies=True, engines=4):
-    return t.Settings(classes=CLASSES, tenants=(t.TenantSettings("acme"),), kind_cores={"std": 8.0}, period=5 * MS,
-                      priorities=True, note_period=S, cancel=True, max_attempts=3, max_retry_after=500 * MS,
-                      second_copies=second_copies)
+    return t.Settings(
+        classes=CLASSES,
+        tenants=(t.TenantSettings("acme"),),
+        kind_cores={"std": 8.0},
+        period=5 * MS,
+        priorities=True,
+        note_period=S,
+        cancel=True,
+        max_attempts=3,
+        max_retry_after=500 * MS,
+        second_copies=second_copies,
+    )
 
 
 class Core:
@@ -365,8 +379,10 @@
     assert len(here.port.sent) == 1
     left = here.port.sent[0].engine
     stays = next(entry for entry in here.entries if entry.engine != left)
-    drained = [entry if entry is stays else t.EngineEntry(entry.engine, "z", "std", state="Terminating")
-               for entry in here.entries]
+    drained = [
+        entry if entry is stays else t.EngineEntry(entry.engine, "z", "std", state="Terminating")
+        for entry in here.entries
+    ]
     here.core.listed(drained, 2)  # all but one drain while it waits
     here.clock.advance(20 * MS)
     assert [attempt.engine for attempt in here.port.sent[1:]] == [stays.engine]
@@ -488,8 +504,15 @@
     assert len(here.port.sent) == 2 and here.counters["copies"] == 0
     here = Core(COPY)
     here.ask()
-    here.core.listed([t.EngineEntry(entry.engine, "z", "std", state="Terminating" if entry.engine
-                                    == here.port.sent[0].engine else "Ready") for entry in here.entries], 2)
+    here.core.listed(
+        [
+            t.EngineEntry(
+                entry.engine, "z", "std", state="Terminating" if entry.engine == here.port.sent[0].engine else "Ready"
+            )
+            for entry in here.entries
+        ],
+        2,
+    )
     here.clock.advance(300 * MS)
     assert here.counters["copies"] == 0
     here = Core(COPY)
@@ -546,14 +569,18 @@
     stands = [Stand(TdsEngine if tds else RespEngine) for _ in range(2)]
     here = Loopback(*stands, tds_engines=tds)
     try:
-        here.core.desk = Desk(Table([Route(cls="depot-load", repeat_within_ms=1_000.0)], here.core.settings),
-                              {"depot-load": 25 * S}, 3, here.counters.add)
+        here.core.desk = Desk(
+            Table([Route(cls="depot-load", repeat_within_ms=1_000.0)], here.core.settings),
+            {"depot-load": 25 * S},
+            3,
+            here.counters.add,
+        )
         query = Query(f"{1:016x}", "depot-load", b"x", here.clock.now() + 20 * S, Port(), tenant="acme", token=TOKEN)
         here.core.submit(query)
         spin(lambda: sum(len(stand.wants()) for stand in stands) == 1)
-        first, = query.out.values()
+        (first,) = query.out.values()
         here.core.ended(first, "RST")  # the second one begins to dial
-        second, = query.out.values()
+        (second,) = query.out.values()
         assert second.send_by == first.sent + S and second.engine != first.engine
         here.clock.time += 2 * S  # its window ends before it is through
         spin(lambda: query.closed)
@@ -617,15 +644,21 @@
 class Lives(RuleBasedStateMachine):
     """Requests under random routes, ends, reloads, drains and steps of the clock, against what must hold."""
 
-    ROUTES = st.lists(st.builds(
-        Route, cls=st.sampled_from(["lookup", "report", "depot-load"]),
-        attempts=st.sampled_from([None, 1, 2, 3]),
-        backoff_ms=st.sampled_from([None, Backoff(20.0), Backoff(150.0, 2.0, 400.0, "none")]),
-        retry_on=st.sampled_from([None, ["full", "noconn"], ["late", "error", "reset"], []]),
-        retry_share=st.sampled_from([None, 0.0, 0.3]), retry_floor=st.sampled_from([0, 2]),
-        attempt_timeout_ms=st.sampled_from([None, 300.0, 700.0]),
-        second_copy=st.sampled_from([None, SecondCopy(after_ms=120.0, most_share=1.0)])), max_size=3,
-        unique_by=lambda route: route.cls)
+    ROUTES = st.lists(
+        st.builds(
+            Route,
+            cls=st.sampled_from(["lookup", "report", "depot-load"]),
+            attempts=st.sampled_from([None, 1, 2, 3]),
+            backoff_ms=st.sampled_from([None, Backoff(20.0), Backoff(150.0, 2.0, 400.0, "none")]),
+            retry_on=st.sampled_from([None, ["full", "noconn"], ["late", "error", "reset"], []]),
+            retry_share=st.sampled_from([None, 0.0, 0.3]),
+            retry_floor=st.sampled_from([0, 2]),
+            attempt_timeout_ms=st.sampled_from([None, 300.0, 700.0]),
+            second_copy=st.sampled_from([None, SecondCopy(after_ms=120.0, most_share=1.0)]),
+        ),
+        max_size=3,
+        unique_by=lambda route: route.cls,
+    )
 
     @initialize(routes=ROUTES, copies=st.booleans())
     def begin(self, routes, copies):
@@ -673,8 +706,13 @@
     @rule(drained=st.sets(st.sampled_from(["e0", "e1", "e2", "e3"]), max_size=3))
     def drain(self, drained):
         self.drained = drained
-        self.here.core.listed([t.EngineEntry(entry.engine, "z", "std", state="Terminating" if entry.engine in drained
-                                             else "Ready") for entry in self.here.entries], self.seen + 2)
+        self.here.core.listed(
+            [
+                t.EngineEntry(entry.engine, "z", "std", state="Terminating" if entry.engine in drained else "Ready")
+                for entry in self.here.entries
+            ],
+            self.seen + 2,
+        )
 
     @precondition(lambda self: self.here.core.queries)
     @rule(data=st.data())
@@ -684,7 +722,7 @@
     def watch(self):
         """What has gone out since, one by one."""
         sent = self.here.port.sent
-        for attempt in sent[self.seen:]:
+        for attempt in sent[self.seen :]:
             query = attempt.query
             assert attempt.engine not in self.drained
             assert attempt.number < min(self.here.settings.max_attempts, query.life.terms.attempts)
@@ -726,15 +764,18 @@
 
 
 def test_copies_cut_the_tail_of_one_slow_engine_for_little_more_work():
-    without, fixed = (Rig(SLOW, routes, 1).run() for routes in (None, [
-        Route(cls="lookup", second_copy=SecondCopy(after_ms=200.0))]))
+    without, fixed = (
+        Rig(SLOW, routes, 1).run() for routes in (None, [Route(cls="lookup", second_copy=SecondCopy(after_ms=200.0))])
+    )
     assert fixed.p99_ms < 0.7 * without.p99_ms and fixed.engine_work_ms < 1.05 * without.engine_work_ms
     assert fixed.copies > 0 and fixed.doubled == without.doubled == fixed.unanswered == 0
 
 
 def test_the_rig_is_the_same_every_time():
-    assert Rig(SLOW, [Route(cls="lookup", second_copy=SecondCopy(after="p95"))], 3).run() == \
+    assert (
         Rig(SLOW, [Route(cls="lookup", second_copy=SecondCopy(after="p95"))], 3).run()
+        == Rig(SLOW, [Route(cls="lookup", second_copy=SecondCopy(after="p95"))], 3).run()
+    )
 
 
 # ---- both fronts
@@ -745,18 +786,27 @@
     for tds in (False, True):
         here = Loopback(Stand(act=lambda engine, word, id, *rest: engine.say(id, b"500") if word == b"want" else None))
         try:
-            here.core.desk = Desk(Table([Route(cls="lookup", attempts=1, priority=3)], here.core.settings), {}, 3,
-                                  here.counters.add)
+            here.core.desk = Desk(
+                Table([Route(cls="lookup", attempts=1, priority=3)], here.core.settings), {}, 3, here.counters.add
+            )
             if tds:
                 client = here.tds_client()
                 client.call("SELECT 1 FROM r_3.t")
                 spin(lambda h=here: h.counters["refused"] == 1)
             else:
                 client = here.json_client()
-                client.sendLine(json.dumps({"jsonrpc": "2.0", "id": 1, "method": "lookup", "params": {
-                    "rid": f"{1:016x}", "budget": 1500, "acct": "acme", "body": "eA=="}}).encode())
+                client.sendLine(
+                    json.dumps(
+                        {
+                            "jsonrpc": "2.0",
+                            "id": 1,
+                            "method": "lookup",
+                            "params": {"rid": f"{1:016x}", "budget": 1500, "acct": "acme", "body": "eA=="},
+                        }
+                    ).encode()
+                )
                 spin(lambda c=client: len(c.lines) == 1)
-            want, = here.stands[0].wants()
+            (want,) = here.stands[0].wants()
             outcomes.append((here.counters["attempts"], here.counters["refused"], b"level=3" in want[2]))
         finally:
             here.close()
@@ -769,9 +819,10 @@
 @pytest.fixture
 def files(tmp_path, monkeypatch):
     """A platform's file and a function that writes operator's files."""
-    services = [{"Name": "lookup", "Deadline": 3_000_000, "Objective": 600_000, "Effect": "retryable"},
-                {"Name": "depot-load", "Deadline": 25_000_000, "Effect": "dedup", "DedupScope": "all",
-                 "Window": 25_000_000}]
+    services = [
+        {"Name": "lookup", "Deadline": 3_000_000, "Objective": 600_000, "Effect": "retryable"},
+        {"Name": "depot-load", "Deadline": 25_000_000, "Effect": "dedup", "DedupScope": "all", "Window": 25_000_000},
+    ]
     (tmp_path / "site.json").write_text(json.dumps(told(settings=PLATFORM | {"Services": services})))
     monkeypatch.setenv("BALANCER_CONFIG", str(tmp_path / "site.json"))
 
@@ -797,8 +848,11 @@
 
 
 def test_config_explain_says_which_route_and_the_worst_case(files, capsys):
-    path = files('[[timings.route]]\ntenant = "acme"\nclass = "depot-load"\nattempts = 1\n' + ROUTE
-                 + "backoff_ms = { first = 100, jitter = \"none\" }\n")
+    path = files(
+        '[[timings.route]]\ntenant = "acme"\nclass = "depot-load"\nattempts = 1\n'
+        + ROUTE
+        + 'backoff_ms = { first = 100, jitter = "none" }\n'
+    )
     assert main(["config", "explain", path, "--class", "lookup", "--json"]) == 0
     told_ = json.loads(capsys.readouterr().out)
     assert [one["fits"] for one in told_["asked"]] == [False, True] and "depot-load" in told_["asked"][0]["why"]
@@ -814,20 +868,30 @@
 
 
 def test_config_diff_says_what_changes_for_whom(files, capsys):
-    old, new = files(ROUTE, "old.toml"), files(ROUTE.replace("attempts = 2", "estimate_ms = [0, 500]\nattempts = 3"),
-                                               "new.toml")
+    old, new = (
+        files(ROUTE, "old.toml"),
+        files(ROUTE.replace("attempts = 2", "estimate_ms = [0, 500]\nattempts = 3"), "new.toml"),
+    )
     assert main(["config", "diff", old, old]) == 0 and capsys.readouterr().out.startswith("0 kinds")
     assert main(["config", "diff", old, new, "--json"]) == 1
     found = json.loads(capsys.readouterr().out)
     assert [(row["class"], row["engine_kind"], row["estimate_ms"]) for row in found] == [
-        ("lookup", "all", [0, 500]), ("lookup", "all", [500, None])]
+        ("lookup", "all", [0, 500]),
+        ("lookup", "all", [500, None]),
+    ]
     assert found[0]["changes"] == {"attempts": [2, 3]} and found[1]["changes"]["timeout"] == [700_000, 0]
     assert main(["config", "diff", old, new]) == 1 and "attempts: 2 -> 3" in capsys.readouterr().out
 
 
 def test_the_worst_case_of_a_learned_time_out_goes_by_its_ceiling():
-    told_ = explain.explain([Route(cls="lookup", attempt_timeout="p99*2", attempt_timeout_most_ms=500.0, attempts=2)],
-                            SITE, "lookup", "huye-cycle", "std-8", 0.0)
+    told_ = explain.explain(
+        [Route(cls="lookup", attempt_timeout="p99*2", attempt_timeout_most_ms=500.0, attempts=2)],
+        SITE,
+        "lookup",
+        "huye-cycle",
+        "std-8",
+        0.0,
+    )
     assert [moment.at_ms for moment in told_.timeline] == [0, 500, 500, 1000, 1000]
 
 
@@ -835,19 +899,28 @@
 
 
 def test_a_good_file_loads_by_sighup_under_traffic_and_a_bad_one_changes_nothing(files, tmp_path):
-    stand = Stand(act=lambda engine, word, id, *rest: engine.say(id, b"200", b"chunks=1", b"a\tb\tc\n")
-                  if word == b"want" else None)
+    stand = Stand(
+        act=lambda engine, word, id, *rest: (
+            engine.say(id, b"200", b"chunks=1", b"a\tb\tc\n") if word == b"want" else None
+        )
+    )
     with socket.socket() as one:
         one.bind(("127.0.0.1", 0))
         listen = one.getsockname()[1]
     site_ = json.loads((tmp_path / "site.json").read_text())
     site_ |= {"listen": f"127.0.0.1:{listen}"}
     site_["known"]["notices"][0]["pool"]["endpoints"][0] |= {
-        "address": f"127.0.0.1:{stand.port.getHost().port}", "type": "std-8"}
+        "address": f"127.0.0.1:{stand.port.getHost().port}",
+        "type": "std-8",
+    }
     (tmp_path / "site.json").write_text(json.dumps(site_))
     path = files(ROUTE)
-    daemon = subprocess.Popen([sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "site.json"),
-                               "--operator", path], stderr=subprocess.PIPE, text=True, env=dict(os.environ))
+    daemon = subprocess.Popen(
+        [sys.executable, "-m", "rackhub", "serve", "--config", str(tmp_path / "site.json"), "--operator", path],
+        stderr=subprocess.PIPE,
+        text=True,
+        env=dict(os.environ),
+    )
 
     def until(what):
         for line in daemon.stderr:
@@ -865,8 +938,16 @@
             nonlocal asked
             for _ in range(count):
                 asked += 1
-                client.sendLine(json.dumps({"jsonrpc": "2.0", "id": asked, "method": "lookup", "params": {
-                    "rid": f"{asked:016x}", "budget": 60_000, "acct": "acme", "body": "eA=="}}).encode())
+                client.sendLine(
+                    json.dumps(
+                        {
+                            "jsonrpc": "2.0",
+                            "id": asked,
+                            "method": "lookup",
+                            "params": {"rid": f"{asked:016x}", "budget": 60_000, "acct": "acme", "body": "eA=="},
+                        }
+                    ).encode()
+                )
 
         ask(8)
         files("[[timings.route]]\nattempts = 4\n")
--- a/tests/test_two_fronts.py
+++ b/tests/test_two_fronts.py
@@ -89,7 +89,7 @@
     spin(lambda: effects)
     here.clock.advance(S)
     spin(lambda: len(first.answers) == 2)
-    error, = errors(first.answers[1])
+    (error,) = errors(first.answers[1])
     assert (error.number, error.state) == (tds.DEADLINE, tds.HARMLESS)
     ask(second, 9, "depot-load", b"INSERT INTO r_5.t", token="k1")
     spin(lambda: second.lines)
@@ -113,8 +113,13 @@
         engine.transport.abortConnection()
 
 
-TRAFFIC = [(cls.name, f"do {how} in {cls.name}", 4_000 + 1_000 * i, 1 + i) for cls in CLASSES for i, how in enumerate(
-    ("ok", "503 ok", "500 ok", "reset ok", "504", "500 500 500", "silent", "reset reset reset", "ok"))]
+TRAFFIC = [
+    (cls.name, f"do {how} in {cls.name}", 4_000 + 1_000 * i, 1 + i)
+    for cls in CLASSES
+    for i, how in enumerate(
+        ("ok", "503 ok", "500 ok", "reset ok", "504", "500 500 500", "silent", "reset reset reset", "ok")
+    )
+]
 
 
 def replay(site, front, tds_engines):
@@ -151,8 +156,18 @@
         outcomes.append(outcome(client.lines[-1] if front == "json" else client.answers[-1]))
         spin(lambda: not here.core.out)
     wants = [(words[1], words[2], words[3]) for words in told if words[0] == b"want"]
-    names = ("attempts", "served", "refused", "failed",
-             "out_good", "out_bad", "out_full", "out_rst", "out_nop", "out_cxl")
+    names = (
+        "attempts",
+        "served",
+        "refused",
+        "failed",
+        "out_good",
+        "out_bad",
+        "out_full",
+        "out_rst",
+        "out_nop",
+        "out_cxl",
+    )
     return wants, outcomes, {name: here.counters[name] for name in names}
 
 
