--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -171,37 +171,60 @@
             assert query.token == ("k" if method == "depot-load" else "")
 
     @precondition(lambda self: self.ready)
-    @rule(cuts=CUTS, fault=st.sampled_from([
-        (b"{not json", -32700), (b"\xff\xfe", -32700), (b"[]", -32600), (b'[{"jsonrpc":"2.0"}]', -32600),
-        (b'{"jsonrpc":"1.0","id":900,"method":"lookup"}', -32600), (b'{"jsonrpc":"2.0","id":900}', -32600),
-        (b'{"jsonrpc":"2.0","id":900,"method":"dance"}', -32601),
-        (b'{"jsonrpc":"2.0","id":900,"method":"lookup"}', -32602),
-        (b'{"jsonrpc":"2.0","id":1.5,"method":"lookup"}', -32600), (b"", -32700),
-        # nothing was said to these: on a scored day such clients waited for an answer that never came
-        (b'{"jsonrpc":"2.0","method":"lookup"}', -32600), (b'{"jsonrpc":"2.0","method":"alive"}', -32600),
-        (b'{"jsonrpc":"2.0","method":"cancelRequest"}', -32602),
-        # these ended the connection, and all that was open on it had no answer
-        (b'{"jsonrpc":"2.0","id":900,"method":"lookup","params":' + b"[" * 5_000, -32700),
-        (b'{"jsonrpc":"2.0","id":900,"method":"lookup","params":{"a":' + b"[" * 2_000 + b"]" * 2_000 + b"}}", -32700),
-        ({"acct": "nobodys"}, -32602), ({"acct": ""}, -32602), ({"body": "/w=="}, -32602), ({"body": ""}, -32602),
-        ({"rid": "XYZ"}, -32602), ({"budget": 0}, -32602), ({"budget": "soon"}, -32602), ({"est": -1}, -32602),
-        ({"body": "%%"}, -32602), ({"acct": "a" * 300}, -32602),
-        ({"method": "depot-load", "token": ""}, -32602), ({"method": "depot-load", "token": "a,level=3"}, -32602)]))
+    @rule(
+        cuts=CUTS,
+        fault=st.sampled_from(
+            [
+                (b"{not json", -32700),
+                (b"\xff\xfe", -32700),
+                (b"[]", -32600),
+                (b'[{"jsonrpc":"2.0"}]', -32600),
+                (b'{"jsonrpc":"1.0","id":900,"method":"lookup"}', -32600),
+                (b'{"jsonrpc":"2.0","id":900}', -32600),
+                (b'{"jsonrpc":"2.0","id":900,"method":"dance"}', -32601),
+                (b'{"jsonrpc":"2.0","id":900,"method":"lookup"}', -32602),
+                (b'{"jsonrpc":"2.0","id":1.5,"method":"lookup"}', -32600),
+                (b"", -32700),
+                # nothing was said to these: on a scored day such clients waited for an answer that never came
+                (b'{"jsonrpc":"2.0","method":"lookup"}', -32600),
+                (b'{"jsonrpc":"2.0","method":"alive"}', -32600),
+                (b'{"jsonrpc":"2.0","method":"cancelRequest"}', -32602),
+                # these ended the connection, and all that was open on it had no answer
+                (b'{"jsonrpc":"2.0","id":900,"method":"lookup","params":' + b"[" * 5_000, -32700),
+                (
+                    b'{"jsonrpc":"2.0","id":900,"method":"lookup","params":{"a":' + b"[" * 2_000 + b"]" * 2_000 + b"}}",
+                    -32700,
+                ),
+                ({"acct": "nobodys"}, -32602),
+                ({"acct": ""}, -32602),
+                ({"body": "/w=="}, -32602),
+                ({"body": ""}, -32602),
+                ({"rid": "XYZ"}, -32602),
+                ({"budget": 0}, -32602),
+                ({"budget": "soon"}, -32602),
+                ({"est": -1}, -32602),
+                ({"body": "%%"}, -32602),
+                ({"acct": "a" * 300}, -32602),
+                ({"method": "depot-load", "token": ""}, -32602),
+                ({"method": "depot-load", "token": "a,level=3"}, -32602),
+            ]
+        ),
+    )
     def fault(self, cuts, fault):
         line, code = fault
         if isinstance(line, dict):
             line = json.dumps(self.ask(900, **{"rid": "00000000000000ff"} | line)).encode()
-        said, = self.say(line, cuts, raw=True)
+        (said,) = self.say(line, cuts, raw=True)
         assert len(self.open) >= LIMITS.open_requests or said["error"]["code"] == code
 
     @precondition(lambda self: self.ready and self.open)
     @rule(cuts=CUTS, data=st.data())
     def repeated(self, cuts, data):
         id = data.draw(st.sampled_from(sorted(self.open)))
-        said, = self.say(self.ask(id, "00000000000000fe"), cuts)
+        (said,) = self.say(self.ask(id, "00000000000000fe"), cuts)
         assert said["error"]["code"] == -32600 and said["id"] is None  # under its id it would pass for the answer
         if len(self.open) < LIMITS.open_requests:
-            said, = self.say(self.ask(901, self.open[id]), cuts)
+            (said,) = self.say(self.ask(901, self.open[id]), cuts)
             assert said["error"]["code"] == -32602 and said["id"] == 901
 
     @precondition(lambda self: self.open)
@@ -211,7 +234,7 @@
         query = self.core.open.pop(self.open.pop(id))
         self.used = self.now
         getattr(query.reply, how[0])(query, how[1])
-        said, = (json.loads(line) for line in self.wire.take().splitlines())
+        (said,) = (json.loads(line) for line in self.wire.take().splitlines())
         assert said["id"] == id
         if how[0] == "served":
             assert base64.b64decode(said["result"]["body"]) == b"".join(how[1])
@@ -268,8 +291,13 @@
         if self.choked and self.now - self.choked >= LIMITS.unread + LIMITS.look or self.wire.aborted:
             assert self.wire.aborted and self.now - self.choked >= LIMITS.unread
             return self.lose(0)
-        patience = self.half + LIMITS.half_message if self.half else self.now + S if self.open else self.used + (
-            LIMITS.client_idle if self.spoke else LIMITS.first_message)
+        patience = (
+            self.half + LIMITS.half_message
+            if self.half
+            else self.now + S
+            if self.open
+            else self.used + (LIMITS.client_idle if self.spoke else LIMITS.first_message)
+        )
         if self.taking:
             self.taking = self.now < patience + LIMITS.look and not self.connection.ending
             assert self.connection.ending != self.taking and (self.taking or self.now >= patience)
@@ -303,7 +331,7 @@
     def lose(self, how):
         if how == 0 or self.wire.aborted:
             self.connection.connectionLost()
-            assert sorted(self.core.left[len(self.core.left) - len(self.open):]) == sorted(self.open.values())
+            assert sorted(self.core.left[len(self.core.left) - len(self.open) :]) == sorted(self.open.values())
             self.open, self.taking, self.lost = {}, False, True
             self.connection.ending = True  # a lost connection is fed nothing
 
@@ -437,15 +465,31 @@
         assert self.wire.take() == b"" and not self.wire.disconnecting
 
     @precondition(lambda self: self.state == "up" and self.attempts)
-    @rule(data=st.data(), cuts=CUTS, much=st.integers(0, 5), body=st.sampled_from([
-        b"\xe4\x1a\x00\r\x92T\r\n\r\n", b"a\tb\tc", b"a\tb\n", b"a\tb\tc\td\n", b"a\tb\tc\nd\t\n\te\tf\n",
-        b"a\t\xff\tc\n", b"a\tb\t" + b"c" * LIMITS.page + b"\n"]))
+    @rule(
+        data=st.data(),
+        cuts=CUTS,
+        much=st.integers(0, 5),
+        body=st.sampled_from(
+            [
+                b"\xe4\x1a\x00\r\x92T\r\n\r\n",
+                b"a\tb\tc",
+                b"a\tb\n",
+                b"a\tb\tc\td\n",
+                b"a\tb\tc\nd\t\n\te\tf\n",
+                b"a\t\xff\tc\n",
+                b"a\tb\t" + b"c" * LIMITS.page + b"\n",
+            ]
+        ),
+    )
     def spoilt(self, data, cuts, much, body):
         if much:  # it ends the connection, so seldom
             return
         id = self.pick(data, self.attempts)
-        word, fields = (b"chunk", b"at=%d" % next(number for number, text in self.pages[id].items() if not text)) \
-            if id in self.pages else (b"200", b"chunks=2")
+        word, fields = (
+            (b"chunk", b"at=%d" % next(number for number, text in self.pages[id].items() if not text))
+            if id in self.pages
+            else (b"200", b"chunks=2")
+        )
         self.say(id.encode(), word, fields, body, cuts=cuts)
         assert self.wire.aborted and self.counters["engine_spoilt"] == 1
         self.over(id, "BAD")  # it ran, and what came of it is never passed on
@@ -515,11 +559,24 @@
         assert self.wire.take() == (b"".join(command(b"hurry", id.encode(), b"1")) if heard else b"")
 
     @precondition(lambda self: self.state == "up")
-    @rule(how=st.integers(0, 11), cuts=CUTS, bad=st.sampled_from([
-        b"hello\r\n", b"*99\r\n", b"*0\r\n", b"*4\r\n:4\r\n", b"*4\r\n$999999\r\n", b"*1\r\n$1\r\nabc",
-        b"*4" + b"4" * 99,
-        b"".join(command(b"1", b"999", b"-", b"")), b"".join(command(b"1", b"200", b"chunks", b"")),
-        b"".join(command(b"1", b"200", b"-"))]))
+    @rule(
+        how=st.integers(0, 11),
+        cuts=CUTS,
+        bad=st.sampled_from(
+            [
+                b"hello\r\n",
+                b"*99\r\n",
+                b"*0\r\n",
+                b"*4\r\n:4\r\n",
+                b"*4\r\n$999999\r\n",
+                b"*1\r\n$1\r\nabc",
+                b"*4" + b"4" * 99,
+                b"".join(command(b"1", b"999", b"-", b"")),
+                b"".join(command(b"1", b"200", b"chunks", b"")),
+                b"".join(command(b"1", b"200", b"-")),
+            ]
+        ),
+    )
     def broken(self, how, cuts, bad):
         if how > 1:
             return
@@ -574,7 +631,7 @@
     @rule(cuts=CUTS, right=st.integers(0, 9))
     def login(self, cuts, right):
         body = codec.login7("desk", "open sesame" if right else "wrong", "rides", 512)
-        answer, = self.say(codec.LOGIN7, body, cuts)
+        (answer,) = self.say(codec.LOGIN7, body, cuts)
         if right:
             assert codec.LOGINACK in [kind for kind, _ in answer]
         else:
@@ -584,29 +641,48 @@
     @precondition(lambda self: self.state == "ready")
     @rule(cuts=CUTS, batch=st.booleans())
     def request(self, cuts, batch):
-        kind, body = (codec.SQL_BATCH, codec.batch("SELECT 'é' FROM a_3.b")) if batch else (codec.RPC, codec.rpc(
-            "rackhub_query", {"@statement": "x", "@class": "depot-load", "@key": "k", "@est_ms": 1.5, "@ram_mb": 7}))
+        kind, body = (
+            (codec.SQL_BATCH, codec.batch("SELECT 'é' FROM a_3.b"))
+            if batch
+            else (
+                codec.RPC,
+                codec.rpc(
+                    "rackhub_query",
+                    {"@statement": "x", "@class": "depot-load", "@key": "k", "@est_ms": 1.5, "@ram_mb": 7},
+                ),
+            )
+        )
         assert self.say(kind, body, cuts) == []
-        query, = self.core.open.values()
+        (query,) = self.core.open.values()
         assert query.deadline == self.core.clock.now() + (3 * S if batch else 25 * S) and query.tenant == "acme"
         assert (query.cls, query.token, query.estimate, query.memory_mb, query.statement) == (
-            ("lookup", "", 0, 0, "SELECT 'é' FROM a_3.b".encode()) if batch else ("depot-load", "k", 1500, 7, b"x"))
+            ("lookup", "", 0, 0, "SELECT 'é' FROM a_3.b".encode()) if batch else ("depot-load", "k", 1500, 7, b"x")
+        )
         self.state, self.kind = "busy", codec.DONE if batch else codec.DONEPROC
 
     @precondition(lambda self: self.state == "ready")
-    @rule(cuts=CUTS, fault=st.sampled_from([
-        (codec.RPC, codec.rpc("sp_who", {}), 50005), (codec.BULK, b"", 50005), (codec.TRANSACTION, b"abc", 50005),
-        (codec.RPC, codec.rpc("rackhub_query", {}), 50004), (codec.SQL_BATCH, codec.batch(" "), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@class": "depot-load"}), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@class": "none"}), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@tenant": "other"}), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@budget_ms": -5}), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@budget_ms": "5"}), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@other": "5"}), 50004),
-        (codec.RPC, codec.rpc("rackhub_query", {}) + b"\x00\x00\x24\x10\x00", 50005)]))
+    @rule(
+        cuts=CUTS,
+        fault=st.sampled_from(
+            [
+                (codec.RPC, codec.rpc("sp_who", {}), 50005),
+                (codec.BULK, b"", 50005),
+                (codec.TRANSACTION, b"abc", 50005),
+                (codec.RPC, codec.rpc("rackhub_query", {}), 50004),
+                (codec.SQL_BATCH, codec.batch(" "), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@class": "depot-load"}), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@class": "none"}), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@tenant": "other"}), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@budget_ms": -5}), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@budget_ms": "5"}), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {"@statement": "x", "@other": "5"}), 50004),
+                (codec.RPC, codec.rpc("rackhub_query", {}) + b"\x00\x00\x24\x10\x00", 50005),
+            ]
+        ),
+    )
     def fault(self, cuts, fault):
         kind, body, number = fault
-        answer, = self.say(kind, body, cuts)
+        (answer,) = self.say(kind, body, cuts)
         assert answer[0][1].number == number and answer[-1][1].status == codec.DONE_ERROR and not self.core.open
 
     @precondition(lambda self: self.state == "busy")
@@ -618,7 +694,7 @@
         if how[0] == "served":
             self.state, self.pages = "rows", len(how[1])
             return
-        answer, = self.heard()
+        (answer,) = self.heard()
         error = answer[0][1]
         wanted = (50003, 1 if how[0] == "refused" else 2) if late else (50001 if how[0] == "refused" else 50002, 1)
         assert (error.number, error.state) == wanted and (how[0] != "refused" or "retry after 251 ms" in error.text)
@@ -631,7 +707,7 @@
         """The client has read what was written: the transport asks for more."""
         self.connection.resumeProducing()
         if self.wire.producer is None:
-            answer, = self.heard()
+            (answer,) = self.heard()
             assert [value for kind, value in answer if kind == codec.ROW] == [["a", "b", "c"], ["d", "e", "f"]]
             assert answer[-1] == (self.kind, codec.Done(codec.DONE_COUNT, 2))
             self.state = "ready"
@@ -640,9 +716,9 @@
     @rule(cuts=CUTS)
     def attention(self, cuts):
         left = list(self.core.open)
-        answer, = self.say(codec.ATTENTION, b"", cuts)
+        (answer,) = self.say(codec.ATTENTION, b"", cuts)
         assert answer[-1] == (codec.DONE, codec.Done(codec.DONE_ATTN, 0))
-        assert self.core.left[len(self.core.left) - len(left):] == left and not self.core.open
+        assert self.core.left[len(self.core.left) - len(left) :] == left and not self.core.open
         assert self.wire.producer is None
         self.state = "ready"
 
@@ -654,9 +730,18 @@
         assert self.heard() == [] and not self.core.open
 
     @precondition(lambda self: self.state not in ("closed", "lost"))
-    @rule(how=st.integers(0, 19), bad=st.sampled_from([
-        b"\x01\x01\x00\x04\0\0\0\0", b"\x63\x01\x00\x08\0\0\0\0", b"\x12\x01\x00\x09\0\0\0\0\x05",
-        b"".join(codec.message(codec.SQL_BATCH, b"\xff\xff\xff\xff")), b"".join(codec.message(codec.RPC, b"abc"))]))
+    @rule(
+        how=st.integers(0, 19),
+        bad=st.sampled_from(
+            [
+                b"\x01\x01\x00\x04\0\0\0\0",
+                b"\x63\x01\x00\x08\0\0\0\0",
+                b"\x12\x01\x00\x09\0\0\0\0\x05",
+                b"".join(codec.message(codec.SQL_BATCH, b"\xff\xff\xff\xff")),
+                b"".join(codec.message(codec.RPC, b"abc")),
+            ]
+        ),
+    )
     def ended(self, how, bad):
         if how == 0:
             feed(self.connection, bad, ())
@@ -666,7 +751,7 @@
         if how <= 1:
             left = list(self.core.open)
             self.connection.connectionLost()
-            assert self.core.left[len(self.core.left) - len(left):] == left and not self.core.open
+            assert self.core.left[len(self.core.left) - len(left) :] == left and not self.core.open
             self.state = "lost"
 
     @rule()
@@ -712,8 +797,10 @@
     """On a scored day silent connections filled the front, and its usual clients were turned away with requests."""
     here = Crowd()
     spoke, silent, newer = here.join(ALIVE), here.join(), here.join()
-    busy = here.join(b'{"jsonrpc":"2.0","id":2,"method":"lookup","params":{"rid":"00000000000000aa","budget":900,'
-                     b'"acct":"acme","body":"eA=="}}\n')
+    busy = here.join(
+        b'{"jsonrpc":"2.0","id":2,"method":"lookup","params":{"rid":"00000000000000aa","budget":900,'
+        b'"acct":"acme","body":"eA=="}}\n'
+    )
     assert here.core.open and here.join() is not None and silent.transport.aborted
     assert here.join() is not None and newer.transport.aborted and not spoke.transport.aborted
     assert here.join() is None and here.counters["clients_refused"] == 1  # those cut hold their descriptors still
@@ -790,8 +877,14 @@
 
 def test_connections_to_all_engines_together_stay_within_their_share_of_descriptors():
     core, counters, made = PlayedCore(), Counters(), []
-    pools = Pools(lambda pool: made.append(Dialled(pool)) or made[-1], core.clock,
-                  replace(LIMITS, engine_links=4), counters, core, LIMITS.engine_connections)
+    pools = Pools(
+        lambda pool: made.append(Dialled(pool)) or made[-1],
+        core.clock,
+        replace(LIMITS, engine_links=4),
+        counters,
+        core,
+        LIMITS.engine_connections,
+    )
     pools.listed({f"e{i}": ("127.0.0.1", 5050 + i) for i in range(6)})
     query = Query(f"{1:016x}", "lookup", b"x", S, None)
     for i in range(6):
