--- /dev/null
+++ b/rackhub/fleet/distribution/__init__.py
@@ -0,0 +1,8 @@
+"""Configuration distributed from the register's voters through relays to coordinators, as a watch of keys by revision.
+
+`messages` has what goes over the link, `events` what goes in and out of the pure cores, `state` keys, revisions and the
+log of changes, `server` the serving side of a watch, `watcher` the receiving side, `relay` both of them, `source` a
+voter's side, `summary` what is acknowledged upward. Shells put these cores on the link, a disk and timers.
+
+Nothing here is imported unless `[fleet] role` is set. Design: docs/design/distribution.md.
+"""
--- /dev/null
+++ b/rackhub/fleet/distribution/limits.py
@@ -0,0 +1,40 @@
+"""Every size, count and time that distribution holds to. Times are microseconds, sizes are bytes."""
+
+import msgspec
+
+MILLISECOND, SECOND = 1_000, 1_000_000
+
+KEY_BYTES = 256  # most bytes of a key, in UTF-8
+VALUE_BYTES = 16_384  # most bytes of one value
+CHANGE_BYTES = 65_536  # most bytes of all keys and values of one change
+CHANGE_ENTRIES = 256  # most keys that one change may set or delete
+UPDATE_BYTES = 131_072  # most bytes of keys and values in one message: with its head it fits in one piece of mail
+SCOPES = 64  # most prefixes in one scope
+WORST = 5  # names of the members that lag most, in one report
+FAULT_KEYS = 8  # keys that could not be applied, named in one acknowledgement
+FAULT_LETTERS = 200  # letters kept of the reason for one of them
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Handed down from the shell; tests make their own."""
+
+    heartbeat: int = 2 * SECOND  # between two messages to a watcher that has nothing new to get
+    silence: int = 5 * SECOND  # without a word from the upstream after which the watcher goes to another one
+    stale: int = (
+        6 * SECOND
+    )  # an upstream that has itself heard nothing from above for so long is left for a fresher one
+    answer: int = 1 * SECOND  # until a watch that has no answer is asked again, elsewhere
+    retry_least: int = 250 * MILLISECOND  # between two tries at upstreams, growing
+    retry_most: int = 2 * SECOND
+    acknowledge: int = 2 * SECOND  # until an update without an acknowledgement is sent again
+    credit: int = 4  # updates that a watcher lets be under way to it without an acknowledgement
+    session: int = 8 * SECOND  # without a word from a watcher after which its session ends
+    history: int = 4_096  # changes kept for watchers that resume; older revisions need a snapshot
+    history_bytes: int = 8 << 20
+    newcomers: float = 50.0  # watches that a server answers a second, and their burst
+    snapshots: float = 20.0  # snapshots among them a second, and their burst
+    guests: int = 200  # watchers of other zones that one relay takes at the same time
+    watchers: int = 1_024  # watchers that one server takes
+    report: int = 1 * SECOND  # between two reports upward; sooner, at most four a second, when something changed
+    report_age: int = 5 * SECOND  # a report that is older does not count
+    check: int = 4 * SECOND  # for the answers to a check before an edit
