Divide the rule book's calls by concern and break their circle with the book

Need: fleet/rules/desk.py and part.py imported each other, and the calls' 280 lines held reading, waiting and changing. Change: service.py (changes), queries.py (calls that only read), waiting.py (until all hold a version), requests.py (the call as it comes), ports.py (what they see of the book, a protocol, so nothing imports part.py). RuleBook.told is confirmed, its desk is service. Answers are as before, word for word.

--- a/rackhub/fleet/rules/part.py
+++ b/rackhub/fleet/rules/part.py
@@ -1,4 +1,4 @@
-"""The rule book as a part of the fleet: `ports.Rules`, put together from register, spread, checks, trials and desk."""
+"""The rule book as a part of the fleet: `ports.Rules`, made of register, spread, checks, trials and service."""
 
 import logging
 from collections.abc import Callable, Mapping
@@ -11,8 +11,8 @@
 from rackhub.fleet.register.proposer import Proposer
 from rackhub.fleet.rules.changes import Changes
 from rackhub.fleet.rules.checks import Checks
-from rackhub.fleet.rules.desk import Desk
 from rackhub.fleet.rules.holder import Holder, Holds, Kept
+from rackhub.fleet.rules.service import RulesService
 from rackhub.fleet.rules.spread import Spread
 from rackhub.fleet.rules.trials import Trials
 from rackhub.fleet.rules.words import KIND, Check, Checked, Holding, Mail, Post, Version, encode
@@ -51,8 +51,8 @@
         self.checks = Checks(fleet, self.fault)
         self.changes = Changes(fleet, self.holder, self.proposer, self.spread, self._learn)
         self.trials = Trials(fleet, self.holder, self.keepers, self.changes.lapse)
-        self.desk = Desk(self, control)
-        self.told: dict[Name, int] = {}  # what others said, to this gateway alone, that they hold
+        self.service = RulesService(self, control)
+        self.confirmed: dict[Name, int] = {}  # the version that others said to this gateway alone that they hold
         self.why = ""  # it can't take the newest version
         self._held = Holds(0, False, {})
         self._began = (0, False, counts())
@@ -95,7 +95,7 @@
         self.proposer.start()
         if self.keeper is not None:
             self.keeper.start()
-        self.desk.start()
+        self.service.start()
         self._settle()
         self._tick()
 
@@ -252,7 +252,7 @@
             return self.fleet.tally("rules_unread", 1)
         if isinstance(message, Holding):
             if source in self.fleet.members.living():
-                self.told[source] = message.version
+                self.confirmed[source] = message.version
         elif isinstance(message, Check | Checked):
             self.checks.heard(source, message)
         else:
