--- a/rackhub/adapter.py
+++ b/rackhub/adapter.py
@@ -6,7 +6,7 @@
 import sys
 import traceback
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.policy.control import Control
 from rackhub.settings import BadLine, number, read, settings_of, truth, whole, word
 
@@ -23,7 +23,7 @@
 # wire message -> (event type, ((wire field, attribute, reader, needed), ...))
 EVENTS = {
     "ORDER": (
-        t.QueryArrived,
+        interface.QueryArrived,
         (
             ("RequestId", "query", word, True),
             ("Cls", "cls", word, True),
@@ -38,7 +38,7 @@
         ),
     ),
     "UNDER_WAY": (
-        t.StreamBegan,
+        interface.StreamBegan,
         (
             ("RequestId", "query", word, True),
             ("SendNo", "attempt", whole, False),
@@ -47,7 +47,7 @@
         ),
     ),
     "STATUS_NOTE": (
-        t.Note,
+        interface.Note,
         (
             ("RequestId", "query", word, True),
             ("SendNo", "attempt", whole, False),
@@ -57,7 +57,7 @@
         ),
     ),
     "OUTCOME": (
-        t.AttemptEnded,
+        interface.AttemptEnded,
         (
             ("RequestId", "query", word, True),
             ("SendNo", "attempt", whole, False),
@@ -69,10 +69,10 @@
             ("Load", "report", report, False),
         ),
     ),
-    "CLIENT_LEFT": (t.ClientLeft, (("RequestId", "query", word, True),)),
-    "ELAPSED": (t.TimerFired, (("Ref", "ref", whole, True),)),
+    "CLIENT_LEFT": (interface.ClientLeft, (("RequestId", "query", word, True),)),
+    "ELAPSED": (interface.TimerFired, (("Ref", "ref", whole, True),)),
     "SAMPLED": (
-        t.ProbeEnded,
+        interface.ProbeEnded,
         (
             ("Node", "engine", word, True),
             ("Reason", "reason", word, True),
@@ -80,7 +80,7 @@
             ("Load", "report", report, False),
         ),
     ),
-    "MAIL": (t.PeerSaid, (("OriginPeer", "peer", whole, True), ("Contents", "contents", plain_bytes, True))),
+    "MAIL": (interface.PeerSaid, (("OriginPeer", "peer", whole, True), ("Contents", "contents", plain_bytes, True))),
 }
 ENTRY = (
     ("Node", "engine", word, True),
@@ -115,31 +115,31 @@
     """One action as its wire line."""
     head = f"\tI={instance}"
     match act:
-        case t.Send(query, engine, timeout):
+        case interface.Send(query, engine, timeout):
             tail = f"\tTimeout={timeout}" if timeout else ""
             return f"TRY{head}\tRequestId={query}{tail}\tNode={engine}"
-        case t.Timer(delay, ref):
+        case interface.Timer(delay, ref):
             return f"WAKE_ME{head}\tFromNow={delay}\tRef={ref}"
-        case t.Refuse(query, retry_after):
+        case interface.Refuse(query, retry_after):
             tail = f"\tRetryAfter={retry_after}" if retry_after else ""
             return f"SHED{head}\tRequestId={query}{tail}"
-        case t.Fail(query):
+        case interface.Fail(query):
             return f"GIVE_UP{head}\tRequestId={query}"
-        case t.Terms(query, grant_mb, priority):
+        case interface.Terms(query, grant_mb, priority):
             return f"EQUIP{head}\tRequestId={query}\tMemoryGrant={grant_mb:g}\tWeightClass={priority}"
-        case t.Cancel(query, attempt):
+        case interface.Cancel(query, attempt):
             return f"REVOKE{head}\tRequestId={query}\tSendNo={attempt}"
-        case t.Probe(engine):
+        case interface.Probe(engine):
             return f"SOUND_OUT{head}\tNode={engine}"
-        case t.Tell(peer, contents):
+        case interface.Tell(peer, contents):
             return f"ANNOUNCE{head}\tWhom={peer}\tContents={contents.hex() or '-'}"
-        case t.Subscribe(on):
+        case interface.Subscribe(on):
             return f"LISTEN{head}\tOn={int(on)}"
-        case t.FetchList():
+        case interface.FetchList():
             return f"RESOLVE{head}"
-        case t.CloseIdle(engine):
+        case interface.CloseIdle(engine):
             return f"DROP_CONNS{head}\tNode={engine}"
-        case t.Log(text):
+        case interface.Log(text):
             return f"EMIT{head}\tReasonText={flat(text)}"
     raise TypeError(f"no wire line for {act!r}")
 
@@ -171,14 +171,14 @@
             if message == "START":
                 seed = gather(message, pairs, (("RngSeed", "seed", whole, True),))["seed"]
                 self.controls[instance] = Control(settings_of(pairs), seed)
-                happening = t.Started()
+                happening = interface.Started()
             elif message == "MEMBERS":
                 values = gather(message, pairs, MEMBERS)
                 page = values.pop("page", 0)
                 if values["scope"] != "Error" and page not in self.pages:
                     raise BadLine(f"MEMBERS: field Page names the list {page}, which was not sent")
                 entries = () if values["scope"] == "Error" else self.pages[page]
-                happening = t.EngineList(entries=entries, **values)
+                happening = interface.EngineList(entries=entries, **values)
             else:
                 kind, spec = EVENTS[message]
                 happening = kind(**gather(message, pairs, spec))
@@ -220,7 +220,7 @@
         if parts[0] != "M":
             raise BadLine(f"DIRECTORY: a line M was due, not {parts[0]!r}")
         pairs = dict(part.split("=", 1) for part in parts[1:] if "=" in part)
-        return t.EngineEntry(**gather("M", pairs, ENTRY))
+        return interface.EngineEntry(**gather("M", pairs, ENTRY))
 
 
 def main():
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.request import Attempt, EnginePort, Query, State
 from rackhub.core.timers import Clock, Timers
 from rackhub.counters import Counters
@@ -34,7 +34,7 @@
     """The requests of one process, the module that decides on them, and the ports it acts through."""
 
     def __init__(
-        self, settings: t.Settings, seed: int, clock: Clock, timers: Timers, limits: Limits, counters: Counters
+        self, settings: interface.Settings, seed: int, clock: Clock, timers: Timers, limits: Limits, counters: Counters
     ):
         self.settings, self.clock, self.timers = settings, clock, timers
         self.limits, self.counters = limits, counters
@@ -53,16 +53,16 @@
         self._control = Control(settings, seed)
         self._events: deque[object] = deque()
         self._does = {
-            t.Timer: self._timer,
-            t.Send: self._send,
-            t.Terms: self._terms,
-            t.Cancel: self._cancel,
-            t.Refuse: self._refuse,
-            t.Fail: self._fail,
-            t.CloseIdle: self._close_idle,
-            t.Log: self._log,
-            t.Probe: self._probe,
-            t.Tell: self._tell_peer,
+            interface.Timer: self._timer,
+            interface.Send: self._send,
+            interface.Terms: self._terms,
+            interface.Cancel: self._cancel,
+            interface.Refuse: self._refuse,
+            interface.Fail: self._fail,
+            interface.CloseIdle: self._close_idle,
+            interface.Log: self._log,
+            interface.Probe: self._probe,
+            interface.Tell: self._tell_peer,
         }
         self._handling, self._behind, self._sweep_due = False, False, clock.now()
         self._held = 0  # bytes of the statements of all open requests
@@ -73,18 +73,18 @@
 
     # ---- what the ports bring
 
-    def start(self, engines: EnginePort, entries: Sequence[t.EngineEntry], rev: int) -> None:
+    def start(self, engines: EnginePort, entries: Sequence[interface.EngineEntry], rev: int) -> None:
         self.engines = engines
         self._kinds = {entry.engine: entry.kind for entry in entries}
-        self._tell(t.Started())
-        self._tell(t.EngineList("Persisted", tuple(entries), rev))
+        self._tell(interface.Started())
+        self._tell(interface.EngineList("Persisted", tuple(entries), rev))
         self._sweep()
 
-    def listed(self, entries: Sequence[t.EngineEntry], rev: int) -> None:
+    def listed(self, entries: Sequence[interface.EngineEntry], rev: int) -> None:
         """The whole list of engines, as the resolver has it now."""
         self.counters.add("lists_told")
         self._kinds = {entry.engine: entry.kind for entry in entries}
-        self._tell(t.EngineList("Complete", tuple(entries), rev))
+        self._tell(interface.EngineList("Complete", tuple(entries), rev))
 
     def known(self, id: str) -> bool:
         """Whether a request of this id is open, or was answered or withdrawn lately. Ids are new with each request,
@@ -126,7 +126,7 @@
             attempts, within = query.life.attempts, query.life.repeat_within
         standing = self.guide.arrived(query, self.clock.now()) if self.guide is not None else 0
         self._tell(
-            t.QueryArrived(
+            interface.QueryArrived(
                 query.id,
                 query.cls,
                 query.deadline,
@@ -163,7 +163,7 @@
     def _call_off(self, query: Query) -> None:
         """It is over without the word of whoever decides on it."""
         if not query.gathering:
-            self._tell(t.ClientLeft(query.id))
+            self._tell(interface.ClientLeft(query.id))
         elif self.gathers is not None:
             self.gathers.left(query)
 
@@ -218,7 +218,7 @@
             if not query.closed and not query.out:
                 again, wait, backoff = self.desk.after(query.life, reason, query.tries, now)
         self._tell(
-            t.AttemptEnded(
+            interface.AttemptEnded(
                 query.id,
                 attempt.number,
                 reason,
@@ -235,7 +235,7 @@
     def noted(self, attempt: Attempt, topic: int, value: float) -> None:
         if not attempt.over:
             self.counters.add("notes_in")
-            self._tell(t.Note(attempt.query.id, attempt.number, topic, value, attempt.engine))
+            self._tell(interface.Note(attempt.query.id, attempt.number, topic, value, attempt.engine))
 
     # ---- the module
 
@@ -264,43 +264,43 @@
 
     def probed(self, engine: str, reason: str, elapsed: int, report: dict[str, float] | None = None) -> None:
         """The end of a probe that the guide sent. `reason`: GOOD, LATE or NOCONN; `elapsed` in microseconds."""
-        self._tell(t.ProbeEnded(engine, reason, elapsed, report or {}))
+        self._tell(interface.ProbeEnded(engine, reason, elapsed, report or {}))
 
     def peer_said(self, peer: int, contents: bytes) -> None:
         """The word of another gateway's module."""
-        self._tell(t.PeerSaid(peer, contents))
+        self._tell(interface.PeerSaid(peer, contents))
 
-    def fleet_said(self, said: t.FleetSaid) -> None:
+    def fleet_said(self, said: interface.FleetSaid) -> None:
         """What the gateways of the fleet agree on, as far as this one knows; it holds until the next."""
         self._tell(said)
 
-    def _probe(self, act: t.Probe) -> None:
+    def _probe(self, act: interface.Probe) -> None:
         if self.guide is not None:  # without a guide there are no peers, and this wire has no probes
             self.guide.probe(act.engine)
 
-    def _tell_peer(self, act: t.Tell) -> None:
+    def _tell_peer(self, act: interface.Tell) -> None:
         if self.guide is not None:
             self.guide.tell(act.peer, act.contents)
 
-    def _timer(self, act: t.Timer) -> None:
+    def _timer(self, act: interface.Timer) -> None:
         self.timers.at(self.clock.now() + act.delay, self._due, act.ref)
 
-    def _refuse(self, act: t.Refuse) -> None:
+    def _refuse(self, act: interface.Refuse) -> None:
         if query := self.queries.get(act.query):
             self._end(query, "refused", act.retry_after)
 
-    def _fail(self, act: t.Fail) -> None:
+    def _fail(self, act: interface.Fail) -> None:
         if query := self.queries.get(act.query):
             self._end(query, "failed", "failed: its effect is not known")
 
-    def _close_idle(self, act: t.CloseIdle) -> None:
+    def _close_idle(self, act: interface.CloseIdle) -> None:
         self.engines.close_idle(act.engine)
 
-    def _log(self, act: t.Log) -> None:
+    def _log(self, act: interface.Log) -> None:
         log.info("module: %s", act.text)
 
     def _due(self, ref: int) -> None:
-        self._tell(t.TimerFired(ref))
+        self._tell(interface.TimerFired(ref))
 
     def _tally(self, cls: str, what: int) -> None:
         counts = self.by_class.get(cls)
@@ -340,7 +340,7 @@
         if self.guide is not None and not query.gathering:
             self.guide.closed(query, how, self.clock.now())
 
-    def _send(self, act: t.Send) -> None:
+    def _send(self, act: interface.Send) -> None:
         query, timeout = self.queries.get(act.query), act.timeout
         if query is None:  # nothing is sent for a request that is over: the module closed it itself
             return self.counters.add("attempts_not_sent")
@@ -401,10 +401,10 @@
             return
         if self.desk.may_copy(query.life, self._kinds.get(attempt.engine, ""), query.tries, self.clock.now()):
             query.copying = True
-            self._tell(t.CopyDue(query.id))
+            self._tell(interface.CopyDue(query.id))
             query.copying = False
 
-    def _terms(self, act: t.Terms) -> None:
+    def _terms(self, act: interface.Terms) -> None:
         """The priority holds for further sends, and at once for an attempt that is out."""
         query = self.queries.get(act.query)
         if query is not None and query.level != act.priority and not query.fixed:
@@ -413,7 +413,7 @@
                 self.counters.add("hurries")
                 self.engines.hurry(attempt)
 
-    def _cancel(self, act: t.Cancel) -> None:
+    def _cancel(self, act: interface.Cancel) -> None:
         attempt = self.out.get((act.query, act.attempt))
         if attempt is not None:
             self._give_up(attempt, "CXL")
--- a/rackhub/core/part.py
+++ b/rackhub/core/part.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from rackhub import interface as t
+    from rackhub import interface
     from rackhub.clock import UnixClock
     from rackhub.config import Config
     from rackhub.core.coordinator import Coordinator
@@ -75,7 +75,7 @@
     def listed(self, listing: "Listing") -> None:
         """A new list of engines; the module knows of it."""
 
-    def shown(self, entries: Sequence["t.EngineEntry"]) -> Sequence["t.EngineEntry"]:
+    def shown(self, entries: Sequence["interface.EngineEntry"]) -> Sequence["interface.EngineEntry"]:
         """The list as the module is to see it."""
         return entries
 
--- a/rackhub/core/source.py
+++ b/rackhub/core/source.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from rackhub import interface as t
+from rackhub import interface
 
 Address = tuple[str, int]
 
@@ -12,14 +12,14 @@
     """The list of engines at one event of its numbering."""
 
     rev: int
-    entries: tuple[t.EngineEntry, ...]
+    entries: tuple[interface.EngineEntry, ...]
     addresses: dict[str, Address]
 
 
 class Source(Protocol):
     """On the platform its file and its resolver; a store of the program's own would stand here too."""
 
-    settings: t.Settings
+    settings: interface.Settings
     start: Listing
 
     def follow(self, told: Callable[[Listing], None]) -> None:
--- a/rackhub/gather/rules.py
+++ b/rackhub/gather/rules.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.address import address
 
 Names = str | list[str]
@@ -99,7 +99,7 @@
     )
 
 
-def gather_rules(part: dict[str, Any], settings: t.Settings) -> GatherRules:
+def gather_rules(part: dict[str, Any], settings: interface.Settings) -> GatherRules:
     """The part as it is used. Raises `ValueError` with all its faults, each with key, value and reason."""
     try:
         told = msgspec.convert(part, GatherFile, strict=False)
@@ -140,7 +140,7 @@
     return faults
 
 
-def _rule_faults(key: str, rule: Rule, told: GatherFile, settings: t.Settings) -> list[Fault]:
+def _rule_faults(key: str, rule: Rule, told: GatherFile, settings: interface.Settings) -> list[Fault]:
     faults = []
     classes, sites = {cls.name: cls for cls in settings.classes}, {site.name for site in told.site}
     for name in names(rule.cls) or ():
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -9,7 +9,7 @@
 from twisted.internet.interfaces import IConnector, IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt
 from rackhub.core.source import Address
@@ -113,14 +113,14 @@
         self.pools: dict[str, Pool] = {}
         self.retired: list[Pool] = []  # of engines that take nothing new, while something is open on their connections
 
-    def listed(self, addresses: Mapping[str, Address], entries: Sequence[t.EngineEntry] = ()) -> None:
+    def listed(self, addresses: Mapping[str, Address], entries: Sequence[interface.EngineEntry] = ()) -> None:
         """The list as it is now; `entries` as the module sees them. Engines that are gone, drain, have started anew or
         moved get nothing more on the connections that they have. The new pools are there before the old ones retire:
         what had waited for these is sent elsewhere at once."""
         told = {entry.engine: entry for entry in entries}
         old, self.pools = self.pools, {}
         for name, address in addresses.items():
-            entry = told.get(name, t.EngineEntry(name))
+            entry = told.get(name, interface.EngineEntry(name))
             if entry.state == "Ready":
                 known = old.get(name)
                 if known is not None and (known.address, known.started) == (address, entry.came_up):
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -16,7 +16,7 @@
 from twisted.internet.protocol import DatagramProtocol
 from twisted.names import dns
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.source import Address, Listing
 from rackhub.counters import Counters
 from rackhub.limits import Limits
@@ -76,7 +76,7 @@
         told = dict(part.decode("utf-8", "replace").partition("=")[::2] for part in text)
         try:
             entries.append(
-                t.EngineEntry(
+                interface.EngineEntry(
                     name,
                     zone,
                     told["kind"],
@@ -182,7 +182,7 @@
 
 def whole_list(known: Sequence[Listing]) -> Listing:
     """What numbered events come to, the first of them a whole list. An event's gone engines have state Gone."""
-    entries: dict[str, t.EngineEntry] = {}
+    entries: dict[str, interface.EngineEntry] = {}
     addresses: dict[str, Address] = {}
     for event in known:
         for entry in event.entries:
@@ -199,7 +199,7 @@
     def __init__(
         self,
         reactor: IReactorUDP,
-        settings: t.Settings,
+        settings: interface.Settings,
         start: Listing,
         server: Address,
         limits: Limits,
--- a/rackhub/ops/bans.py
+++ b/rackhub/ops/bans.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
-from rackhub import interface as t
+from rackhub import interface
 
 DRAINING = "Terminating"
 
@@ -21,7 +21,7 @@
         self.listed: set[str] = set(listed)  # every id seen in a list since the state was first kept
         self.back: dict[str, int] = dict(back or {})  # put back at, until a list shows the engine come up later
 
-    def seen(self, entries: Sequence[t.EngineEntry]) -> bool:
+    def seen(self, entries: Sequence[interface.EngineEntry]) -> bool:
         """Note the ids of a list; whether any was new."""
         before = len(self.listed)
         self.listed.update(entry.engine for entry in entries)
@@ -52,7 +52,7 @@
         self.listed |= listed
         return changed
 
-    def shown(self, entries: Sequence[t.EngineEntry]) -> tuple[t.EngineEntry, ...]:
+    def shown(self, entries: Sequence[interface.EngineEntry]) -> tuple[interface.EngineEntry, ...]:
         """The list as the module is to see it: those out are draining, those put back have come up when they did."""
         self.seen(entries)
         shown = []
@@ -67,6 +67,6 @@
             shown.append(entry)
         return tuple(shown)
 
-    def avoided(self, entries: Sequence[t.EngineEntry]) -> int:
+    def avoided(self, entries: Sequence[interface.EngineEntry]) -> int:
         """Listed engines that nothing new goes to: out by hand, or draining by the list."""
         return sum(1 for entry in entries if entry.engine in self.out or entry.state != "Ready")
--- a/rackhub/ops/part.py
+++ b/rackhub/ops/part.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.task import LoopingCall
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.part import Host, Part
 from rackhub.core.source import Listing
 from rackhub.limits import SECOND
@@ -30,7 +30,7 @@
         except OSError as fault:
             log.warning("the next process can't know of this one, and will start at full speed: %s", fault)
         gentle.done()
-        self._listed: Sequence[t.EngineEntry] = ()
+        self._listed: Sequence[interface.EngineEntry] = ()
         self._mark = statefile.mark(self._path)  # of the file as it was last read or written here
         self.bans = statefile.kept_bans(self._path, host.counters.add)
         figures = Figures(
@@ -52,7 +52,7 @@
         self._listed = listing.entries
         return listing
 
-    def shown(self, entries: Sequence[t.EngineEntry]) -> Sequence[t.EngineEntry]:
+    def shown(self, entries: Sequence[interface.EngineEntry]) -> Sequence[interface.EngineEntry]:
         """Engines out by hand are draining there."""
         self._listed = entries
         self._take_up()
--- a/rackhub/settings.py
+++ b/rackhub/settings.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from rackhub import interface as t
+from rackhub import interface
 
 
 class BadLine(ValueError):
@@ -98,7 +98,7 @@
         raise BadLine(f"{message}: field {field} has the bad value {pairs[field]!r}") from None
 
 
-def settings_of(pairs: Mapping[str, str], source: str = "START") -> t.Settings:
+def settings_of(pairs: Mapping[str, str], source: str = "START") -> interface.Settings:
     """Settings from path=value pairs; `source` is what a message about a bad one calls their origin."""
 
     def known(table: Mapping[str, tuple[str, Reader]], prefix: str = "") -> dict[str, Any]:
@@ -122,9 +122,9 @@
             if "name" not in values:
                 raise BadLine(f"{source}: field {path}.{i}.Name is missing")
     kinds = names(pairs.get("HostTypes", ""))
-    return t.Settings(
-        classes=tuple(t.ClassSettings(**values) for values in classes),
-        tenants=tuple(t.TenantSettings(**values) for values in tenants),
+    return interface.Settings(
+        classes=tuple(interface.ClassSettings(**values) for values in classes),
+        tenants=tuple(interface.TenantSettings(**values) for values in tenants),
         kind_cores=dict(zip(kinds, column("FamilyInfo.KindCores", number), strict=False)),
         kind_memory=dict(zip(kinds, column("FamilyInfo.RamOfKindMb", number), strict=False)),
         **known(PLAIN),
--- a/rackhub/state/keeper.py
+++ b/rackhub/state/keeper.py
@@ -6,7 +6,7 @@
 import msgspec
 from twisted.internet.task import LoopingCall
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.request import Attempt, Query
 from rackhub.core.source import Listing
 from rackhub.core.timers import Clock
@@ -28,7 +28,7 @@
         self,
         reactor: Reactor,
         settings: StoreSettings,
-        classes: tuple[t.ClassSettings, ...],
+        classes: tuple[interface.ClassSettings, ...],
         clock: Clock,
         counters: Counters,
         files: Files | None = None,
--- a/rackhub/state/ledger.py
+++ b/rackhub/state/ledger.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.source import Listing
 
 ENGINES, COUNTERS, KEYED = b"engines", b"counters", b"keyed/"
@@ -41,7 +41,7 @@
 
     rev: int
     at: int
-    entries: list[t.EngineEntry]
+    entries: list[interface.EngineEntry]
     addresses: dict[str, tuple[str, int]]
 
 
--- a/rackhub/timings/check.py
+++ b/rackhub/timings/check.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.timings.routes import (
     BY_ENGINE,
     DAY_MS,
@@ -34,12 +34,12 @@
     return [told] if isinstance(told, str) else told
 
 
-def repeatable(cls: t.ClassSettings) -> bool:
+def repeatable(cls: interface.ClassSettings) -> bool:
     """Whether a request of the class may run twice at once: it is safe, or every engine drops a repeat of its key."""
     return cls.effect == "retryable" or cls.effect == "dedup" and cls.dedup_scope == "all"
 
 
-def check(routes: Sequence[Route], settings: t.Settings) -> Checked:
+def check(routes: Sequence[Route], settings: interface.Settings) -> Checked:
     """Check routes whose form is right against the site's settings."""
     faults: list[Fault] = []
     warnings: list[Fault] = []
@@ -57,7 +57,7 @@
 class _Route:
     """One route under check."""
 
-    def __init__(self, at: str, route: Route, settings: t.Settings):
+    def __init__(self, at: str, route: Route, settings: interface.Settings):
         self.at, self.route, self.settings = at, route, settings
         wanted = names(route.cls)
         self.classes = [cls for cls in settings.classes if wanted is None or cls.name in wanted]
@@ -335,7 +335,7 @@
     )
 
 
-def _never_met(routes: Sequence[Route], settings: t.Settings) -> Iterator[Fault]:
+def _never_met(routes: Sequence[Route], settings: interface.Settings) -> Iterator[Fault]:
     """Routes whose every request an earlier one takes. All kinds of requests are gone through: estimates matter only
     by which ranges they lie in. A route by engine_kind is asked beside those without, so it takes nothing from them."""
     met: set[int] = set()
--- a/rackhub/timings/explain.py
+++ b/rackhub/timings/explain.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.timings.check import edges, meets, names
 from rackhub.timings.routes import REASONS, WORDS, Route
 from rackhub.timings.table import EngineTerms, Table, Terms
@@ -50,7 +50,7 @@
 
 
 def explain(
-    routes: Sequence[Route], settings: t.Settings, cls: str, tenant: str, kind: str, estimate: float
+    routes: Sequence[Route], settings: interface.Settings, cls: str, tenant: str, kind: str, estimate: float
 ) -> Explained:
     """`estimate` in milliseconds; `kind` "" for any that no route names."""
     table = Table(routes, settings)
@@ -83,7 +83,9 @@
     return f"timings.route[{route}]" if own and route is not None else default
 
 
-def _terms(terms: Terms, engine: EngineTerms, settings: t.Settings, told: t.ClassSettings) -> list[Term]:
+def _terms(
+    terms: Terms, engine: EngineTerms, settings: interface.Settings, told: interface.ClassSettings
+) -> list[Term]:
     request, here = terms.route, engine.route
     rows = [
         Term(
@@ -147,7 +149,7 @@
     return rows
 
 
-def timeline(terms: Terms, engine: EngineTerms, told: t.ClassSettings) -> list[Moment]:
+def timeline(terms: Terms, engine: EngineTerms, told: interface.ClassSettings) -> list[Moment]:
     """The worst case: every attempt takes all its time, every wait is the longest. Learned times count by their
     ceilings; where there is none, an attempt may take all that is left."""
     end = told.deadline / MS
@@ -191,7 +193,7 @@
     changes: dict[str, tuple[Any, Any]]
 
 
-def diff(old: Sequence[Route], new: Sequence[Route], settings: t.Settings) -> list[Changed]:
+def diff(old: Sequence[Route], new: Sequence[Route], settings: interface.Settings) -> list[Changed]:
     """For every kind of request that the two treat differently, which terms and from what to what."""
     before, after = Table(old, settings), Table(new, settings)
     bounds = sorted({*edges(old), *edges(new)})
--- a/rackhub/timings/rig.py
+++ b/rackhub/timings/rig.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt, Query, Reply
 from rackhub.core.timers import Timers
@@ -29,8 +29,8 @@
 START = 1_000 * SECOND
 KNEE, THRASH, LEAST = 1.8, 0.15, 0.3  # threads a core; loss with each beyond; the least that is left
 LATENCY = 300  # microseconds on the wire, each way
-LOOKUP = t.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, effect="retryable", worth=1.0)
-LOAD = t.ClassSettings(
+LOOKUP = interface.ClassSettings("lookup", deadline=3 * SECOND, objective=600 * MS, effect="retryable", worth=1.0)
+LOAD = interface.ClassSettings(
     "depot-load",
     deadline=25 * SECOND,
     objective=3 * SECOND,
@@ -125,7 +125,7 @@
     spread: float = 0.6  # of the logarithm of the work
     second_copies: bool = True
     most: int = 80
-    cls: t.ClassSettings = LOOKUP
+    cls: interface.ClassSettings = LOOKUP
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -153,9 +153,9 @@
         self.world, self.scene, self.random = World(), scene, random.Random(seed)
         self.counters = Counters()
         kinds = {"std": scene.cores}
-        self.settings = t.Settings(
+        self.settings = interface.Settings(
             classes=(scene.cls,),
-            tenants=(t.TenantSettings("acme"),),
+            tenants=(interface.TenantSettings("acme"),),
             kind_cores=kinds,
             period=5 * MS,
             cancel=True,
@@ -185,7 +185,7 @@
         self.took: list[int] = []
         self.good = 0
         self._works: dict[str, float] = {}
-        self.core.start(self, [t.EngineEntry(name, "z", "std") for name in self.engines], 1)
+        self.core.start(self, [interface.EngineEntry(name, "z", "std") for name in self.engines], 1)
 
     # ---- the engine port
 
--- a/rackhub/timings/table.py
+++ b/rackhub/timings/table.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.core.terms import Sending
 from rackhub.timings.check import check, edges, meets, names
 from rackhub.timings.routes import REASONS, Backoff, Learned, Reason, Route, learned, read
@@ -48,7 +48,7 @@
         return found if found is not None else self.kinds[""]
 
 
-def read_table(part: dict[str, Any], settings: t.Settings) -> "Table":
+def read_table(part: dict[str, Any], settings: interface.Settings) -> "Table":
     """The `[timings]` part as a table, checked against the site's settings; `ValueError` with all its faults."""
     routes, faults = read(part)
     faults = faults + check(routes, settings).faults
@@ -60,7 +60,7 @@
 class Table:
     """The routes of one file, by class, tenant and estimate."""
 
-    def __init__(self, routes: Sequence[Route], settings: t.Settings):
+    def __init__(self, routes: Sequence[Route], settings: interface.Settings):
         self.routes, self._settings = tuple(routes), settings
         self._edges = [int(edge * MS) for edge in edges(routes)]
         self._cells: dict[tuple[str, str], list[Terms]] = {}
