Read and check the keys of a role in a fleet with relays; name registers

Need: a process of a fleet with relays has to know its role, zone, scope and the directory of voters and relays, and a voter has to run a second register beside the rule book's.

Change: [fleet] role, zone, watch, watch_advertise, scope and [[fleet.node]], each fault by key and value; the register's Keeper and Proposer take a name for their kinds of mail and their key on the disk, with the defaults of before.

--- a/rackhub/fleet/register/keeper.py
+++ b/rackhub/fleet/register/keeper.py
@@ -10,17 +10,39 @@
 from rackhub.fleet.register.words import Barred, Enter, Life, Message, Noted, Reply, Vote, decode, encode
 
 log = logging.getLogger(__name__)
-KEY = "register/voter"
-ASK, TOLD = "register", "register.told"  # kinds of mail: to a keeper, to a proposer
+DEFAULT_REGISTER = "register"
 ENTER_AGAIN, ENTER_MOST = 200_000, 2_000_000  # between two askings to be let in, longer each time
 WAITING = 256  # answers that wait for the disk; beyond, what comes is dropped as if it was lost
 
 
+def disk_key(register: str) -> str:
+    """Where a voter's state is on its disk."""
+    return f"{register}/voter"
+
+
+def request_kind(register: str) -> str:
+    """The kind of mail to a voter."""
+    return register
+
+
+def reply_kind(register: str) -> str:
+    """The kind of mail to a proposer."""
+    return f"{register}.told"
+
+
+KEY, TOLD = disk_key(DEFAULT_REGISTER), reply_kind(DEFAULT_REGISTER)  # those of the rule book's register
+
+
 class Keeper:
-    """This gateway as one of `keepers`. `boot`: its process's, which only grows."""
+    """This gateway as one of `keepers`. `boot`: its process's, which only grows. `register`: the name of the register,
+    in its mail and on its disk; a process may vote in several."""
 
-    def __init__(self, fleet: Fleet, keepers: tuple[Name, ...], disk: Disk, boot: int):
+    def __init__(
+        self, fleet: Fleet, keepers: tuple[Name, ...], disk: Disk, boot: int, register: str = DEFAULT_REGISTER
+    ):
         self._fleet, self._disk, self.me = fleet, disk, fleet.members.me
+        self._key = disk_key(register)
+        self._request_kind, self._reply_kind = request_kind(register), reply_kind(register)
         self._waiting: deque[tuple[int, list[tuple[Name, Reply | Enter]]]] = deque()
         self._puts = self._synced = 0
         self._pause = ENTER_AGAIN
@@ -34,13 +56,13 @@
 
     def _load(self, keepers: tuple[Name, ...], boot: int) -> Voter | None:
         """What the disk holds of this keeper. What can't be read is as good as another disk: it begins anew."""
-        body = self._disk.get(KEY)
+        body = self._disk.get(self._key)
         if body is None:
             return None
         try:
             state = msgspec.msgpack.decode(body, type=Voter)
         except msgspec.MsgspecError as bad:
-            self.damage = f"{KEY} can't be read: {bad}"
+            self.damage = f"{self._key} can't be read: {bad}"
             log.error("fleet: %s; it is fetched anew from the other keepers", self.damage)
             self._fleet.tally("register_damaged", 1)
             return None
@@ -52,7 +74,7 @@
         return state
 
     def start(self) -> None:
-        self._fleet.mail.take(ASK, self._mailed)
+        self._fleet.mail.take(self._request_kind, self._mailed)
         self._enter()
 
     def stop(self) -> None:
@@ -118,7 +140,7 @@
             while self._waiting and self._waiting[0][0] <= self._synced:
                 self._tell(self._waiting.popleft()[1])
 
-        self._disk.put(KEY, msgspec.msgpack.encode(self.state), synced)
+        self._disk.put(self._key, msgspec.msgpack.encode(self.state), synced)
 
     def _after(self, replies: list[tuple[Name, Reply | None]]) -> None:
         """Tell what rests on the state as it is now. None: that this life asks to be let in."""
@@ -135,7 +157,9 @@
             if to == self.me:
                 self.own(reply)
             else:
-                self._fleet.mail.send(to, TOLD if isinstance(reply, Vote) else ASK, encode(reply))
+                self._fleet.mail.send(
+                    to, self._reply_kind if isinstance(reply, Vote) else self._request_kind, encode(reply)
+                )
 
     def own(self, reply: Reply | Enter) -> None:
         """Where the own proposer gets its replies; it sets this."""
--- a/rackhub/fleet/register/proposer.py
+++ b/rackhub/fleet/register/proposer.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from rackhub.fleet.ports import Fleet, Name
-from rackhub.fleet.register.keeper import ASK, TOLD, Keeper
+from rackhub.fleet.register.keeper import DEFAULT_REGISTER, Keeper, reply_kind, request_kind
 from rackhub.fleet.register.round import Beaten, Change, Chosen, Round, begin, heard
 from rackhub.fleet.register.words import (
     NONE,
@@ -51,10 +51,18 @@
 
 
 class Proposer:
-    """Changes the register. `boot`: this process's; with a name and a number no ballot comes twice."""
-
-    def __init__(self, fleet: Fleet, keepers: tuple[Name, ...], boot: int, keeper: Keeper | None = None):
+    """Changes the register of that name. `boot`: this process's; with a name and a number no ballot comes twice."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        keepers: tuple[Name, ...],
+        boot: int,
+        keeper: Keeper | None = None,
+        register: str = DEFAULT_REGISTER,
+    ):
         self._fleet, self._keepers, self._keeper = fleet, keepers, keeper
+        self._request_kind, self._reply_kind = request_kind(register), reply_kind(register)
         # a gateway without a state directory has its boot number from the wall clock, which may be set back
         self._boot = boot << DRAWN | secrets.randbits(DRAWN)
         self._random = random.Random(f"{fleet.seed} proposer {fleet.members.me} {boot}")
@@ -72,7 +80,7 @@
             keeper.own = self._heard  # type: ignore[method-assign]
 
     def start(self) -> None:
-        self._fleet.mail.take(TOLD, self._mailed)
+        self._fleet.mail.take(self._reply_kind, self._mailed)
 
     def stop(self) -> None:
         """What is under way has no known outcome here."""
@@ -134,7 +142,7 @@
             if any(one.keeper == name for one in replied):
                 continue
             if name != self._fleet.members.me:
-                self._fleet.mail.send(name, ASK, encode(message))
+                self._fleet.mail.send(name, self._request_kind, encode(message))
             elif self._keeper is not None:
                 self._local(message)
         self._cancel = self._fleet.later(AGAIN, self._send)
--- a/rackhub/fleet/settings.py
+++ b/rackhub/fleet/settings.py
@@ -3,16 +3,15 @@
 Docs: docs/operators/fleet.md. Each fault names its key and value.
 """
 
-import re
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from rackhub import interface as t
+from rackhub import interface
 from rackhub.address import address
+from rackhub.fleet.roles import NAME, FleetNode, check_role
 
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z")
 SEEDS, KEEPERS = 64, (1, 3, 5)
 
 
@@ -32,6 +31,12 @@
     timeout_ms: int = 200  # for the answer to a probe
     records_ms: int = 3_000  # older records of another gateway do not count: it stands at its even slice
     overload: bool = True  # one level, budgets and probes for all
+    role: str = ""  # in a fleet with relays: "voter", "relay" or "coordinator"; empty: a fleet without relays
+    zone: str = ""  # with a role: membership is among the processes of one zone
+    watch: str = ""  # with a role: UDP, where changes of configuration come and go
+    watch_advertise: str = ""  # the address and port at which the others reach `watch`, where it is another one
+    scope: tuple[str, ...] = ("",)  # prefixes of the keys that this coordinator gets
+    node: tuple[FleetNode, ...] = ()  # with a role: all voters and relays, the same at every process
     worth_guard: float = 0.1  # of the fleet's share, that is left to tenants below their part whatever they ask
 
     @property
@@ -43,8 +48,13 @@
         """Where the others find this gateway."""
         return address(self.advertise, "advertise") if self.advertise else self.bind
 
+    @property
+    def zone_cluster(self) -> str:
+        """The cluster's name on the members' link: with a role, each zone is a cluster of its own."""
+        return f"{self.cluster}.{self.zone}" if self.role else self.cluster
+
 
-def fleet_settings(part: dict[str, Any], settings: t.Settings, name: str) -> FleetSettings:
+def fleet_settings(part: dict[str, Any], settings: interface.Settings, name: str) -> FleetSettings:
     """The part as it is used. Raises `ValueError` or `msgspec.ValidationError`, worded with the key."""
     told = msgspec.convert(part, FleetSettings, strict=True)
     told = msgspec.structs.replace(told, name=told.name or name)
@@ -80,4 +90,5 @@
             raise ValueError(f"{key}: {value} is not from {least} to {most}")
     if not 0 <= told.worth_guard <= 0.5:
         raise ValueError(f"worth_guard: {told.worth_guard} is not from 0 to 0.5")
+    check_role(told)
     return told
