Put distribution's cores on mail, timer and disk; write the rule book as keys

Need: the pure cores of distribution need mail, a clock, a disk and the rule book's parts around them.

A disk writes many keys at once and tells which there are.

--- /dev/null
+++ b/rackhub/fleet/distribution/coordinator.py
@@ -0,0 +1,99 @@
+"""A coordinator's side: the watcher on mail and disk, and the rule book's parts that its keys are put in force at."""
+
+from collections.abc import Callable
+
+from rackhub.fleet.distribution.applying import RuleKeys
+from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
+from rackhub.fleet.distribution.events import Applied, Apply, CheckWanted, Effect, Held, Persist, Persisted
+from rackhub.fleet.distribution.limits import FAULT_KEYS, Limits
+from rackhub.fleet.distribution.messages import Check, Checked, Heartbeat, SnapshotPart, Unavailable, Update
+from rackhub.fleet.distribution.ports import Identity
+from rackhub.fleet.distribution.state import in_scope
+from rackhub.fleet.distribution.store import HeldStore
+from rackhub.fleet.distribution.watcher import Watcher
+from rackhub.fleet.ports import Fleet, KeyedDisk, RulePart
+
+FROM_UPSTREAM = (Update, SnapshotPart, Heartbeat, Unavailable, Check)
+
+
+class Coordinator:
+    """`part` is called before `start` for each part of the rule book that runs here."""
+
+    def __init__(self, fleet: Fleet, identity: Identity, disk: KeyedDisk, limits: Limits):
+        self._fleet, self._identity = fleet, identity
+        self._store = HeldStore(disk, identity.scope, fleet.tally)
+        self._watcher = Watcher(identity, self._store.held, limits, fleet.clock.now())
+        entries = in_scope(self._store.held.entries.values(), identity.scope)
+        wanted = {entry.key: entry.value for entry in entries if entry.value is not None}
+        self._keys = RuleKeys(wanted, self._store.refused)
+        self.inbox = Inbox(fleet)
+        self._endpoint = Endpoint(fleet, self.inbox, self._watcher, self._perform)
+        self.inbox.route(FROM_UPSTREAM, self._endpoint.received)
+
+    @property
+    def version(self) -> int:
+        """The revision in force."""
+        return self._watcher.revision
+
+    @property
+    def held(self) -> Held:
+        return self._watcher.held
+
+    @property
+    def upstream(self) -> str:
+        return self._watcher.upstream or ""
+
+    @property
+    def faults(self) -> dict[str, str]:
+        """Keys whose newest value can't be taken here, with the reason."""
+        return self._keys.faults
+
+    @property
+    def damage(self) -> str:
+        return self._store.damage
+
+    def part(self, name: str, part: RulePart) -> None:
+        self._keys.parts[name] = part
+
+    def start(self) -> None:
+        """What was held is in force before the first word from a relay."""
+        self._keys.start(self._store.held.revision)
+        self.inbox.start()
+        self._endpoint.start()
+
+    def stop(self) -> None:
+        self._endpoint.stop()
+
+    def figures(self) -> dict[str, float]:
+        return {
+            "distribution_revision": float(self.version),
+            "distribution_held": float(self.held.revision),
+            "distribution_keys": float(len(self.held.entries)),
+            "distribution_refused_keys": float(len(self.faults)),
+            "distribution_upstream": float(bool(self.upstream)),
+        }
+
+    # ---- effects of the watcher
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Persist():
+                self._store.persist(effect, self._synced(effect.revision))
+            case Apply():
+                self._apply(effect)
+            case CheckWanted():
+                self._check(effect)
+
+    def _synced(self, revision: int) -> Callable[[], None]:
+        return lambda: self._endpoint.hand(Persisted(revision))
+
+    def _apply(self, effect: Apply) -> None:
+        faults = self._keys.apply(effect.entries, effect.snapshot, effect.revision)
+        self._store.keep_refused(self._keys.refused())
+        if faults:
+            self._fleet.tally("distribution_not_taken", 1)
+        self._endpoint.hand(Applied(effect.revision, faults[:FAULT_KEYS]))
+
+    def _check(self, wanted: CheckWanted) -> None:
+        faults = self._keys.check(in_scope(wanted.entries, self._identity.scope))[:FAULT_KEYS]
+        self.inbox.send(wanted.to, Checked(wanted.mark, self._identity.zone, faults))
--- /dev/null
+++ b/rackhub/fleet/distribution/store.py
@@ -0,0 +1,106 @@
+"""What a watcher holds, on a disk: a head, a record for each entry, and what is in force in place of refused values."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from rackhub.fleet.distribution.events import Held, Persist
+from rackhub.fleet.distribution.messages import Entry, LogId, Revision
+from rackhub.fleet.ports import KeyedDisk
+
+log = logging.getLogger(__name__)
+
+DAMAGED = "distribution_damaged"  # counter
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """What the entries beside it stand for."""
+
+    log: LogId
+    revision: Revision
+    scope: tuple[str, ...]
+
+
+class HeldStore:
+    """`held`: what an earlier process left, or nothing. `prefix`: of its keys on the disk.
+
+    A head or entry that can't be read is named in `damage` and counted, all that is held is deleted, and the watcher
+    begins from revision 0. A disk that can't be read at all is put aside by the disk itself.
+    """
+
+    def __init__(
+        self,
+        disk: KeyedDisk,
+        scope: tuple[str, ...],
+        tally: Callable[[str, int], None],
+        prefix: str = "distribution",
+    ):
+        self._disk, self._scope = disk, scope
+        self._head_key, self._refused_key = f"{prefix}/head", f"{prefix}/refused"
+        self._entry_prefix = f"{prefix}/entry/"
+        self._keys: set[str] = set()  # of the entries on the disk
+        self._refused_body: bytes | None = None
+        self.held = Held()
+        self.refused: Mapping[str, bytes | None] = {}
+        self.damage = ""
+        try:
+            self._load()
+        except (msgspec.MsgspecError, UnicodeDecodeError) as bad:
+            self._begin_anew(str(bad))
+            tally(DAMAGED, 1)
+
+    def persist(
+        self, change: Persist, done: Callable[[], None], also: Mapping[str, bytes | None] | None = None
+    ) -> None:
+        """Write it all at once; `done` when it is synced. `also`: further keys of the disk, in the same write."""
+        changes: dict[str, bytes | None] = {}
+        if change.snapshot:
+            changes = {self._entry_prefix + key: None for key in self._keys}
+            self._keys = set()
+        for entry in change.entries:
+            changes[self._entry_prefix + entry.key] = _encoded(entry)
+            if entry.value is None:
+                self._keys.discard(entry.key)
+            else:
+                self._keys.add(entry.key)
+        changes[self._head_key] = msgspec.msgpack.encode(Head(change.log, change.revision, self._scope))
+        self._disk.write(changes | dict(also or {}), done)
+
+    def keep_refused(self, refused: Mapping[str, bytes | None]) -> None:
+        """What is in force in place of values that could not be taken, for the next process."""
+        body = msgspec.msgpack.encode(dict(refused))
+        if body != self._refused_body:
+            self._refused_body = body
+            self._disk.put(self._refused_key, body, lambda: None)
+
+    def _load(self) -> None:
+        head_body = self._disk.get(self._head_key)
+        if head_body is None:
+            return
+        head = msgspec.msgpack.decode(head_body, type=Head)
+        entries = dict(self._entries())
+        self._refused_body = self._disk.get(self._refused_key)
+        if self._refused_body is not None:
+            self.refused = msgspec.msgpack.decode(self._refused_body, type=dict[str, bytes | None])
+        self._keys = set(entries)
+        self.held = Held(head.log, head.revision, head.scope, entries)
+
+    def _entries(self) -> Iterable[tuple[str, Entry]]:
+        for key, body in self._disk.scan(self._entry_prefix):
+            entry = msgspec.msgpack.decode(body, type=Entry)
+            if self._entry_prefix + entry.key != key:
+                raise msgspec.ValidationError(f"{key} holds the entry of {entry.key}")
+            yield entry.key, entry
+
+    def _begin_anew(self, reason: str) -> None:
+        self.damage = f"{self._entry_prefix}: can't be read: {reason}"
+        log.error("fleet: %s; all of it is dropped and fetched anew", self.damage)
+        doomed = [self._head_key, self._refused_key, *(key for key, _ in self._disk.scan(self._entry_prefix))]
+        self._disk.write(dict.fromkeys(doomed), lambda: None)
+        self._keys, self._refused_body, self.refused = set(), None, {}
+        self.held = Held()
+
+
+def _encoded(entry: Entry) -> bytes | None:
+    return msgspec.msgpack.encode(entry) if entry.value is not None else None
--- a/rackhub/fleet/ports.py
+++ b/rackhub/fleet/ports.py
@@ -5,7 +5,7 @@
 the reactor's thread, and nothing waits.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
@@ -127,6 +127,16 @@
     def put(self, key: str, body: bytes, done: Callable[[], None]) -> None: ...
 
 
+class KeyedDisk(Disk, Protocol):
+    """A disk that changes many keys at once, and tells which there are."""
+
+    def write(self, changes: Mapping[str, bytes | None], done: Callable[[], None]) -> None:
+        """All of them or none, over a crash too; None deletes the key. `done` as that of `put`, in order with it."""
+
+    def scan(self, prefix: str) -> Iterator[tuple[str, bytes]]:
+        """Keys that begin so and their values, in order of key."""
+
+
 class Fleet(NamedTuple):
     """What a part of the fleet is handed."""
 
--- a/rackhub/fleet/register/disk.py
+++ b/rackhub/fleet/register/disk.py
@@ -7,7 +7,7 @@
 import logging
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -55,7 +55,7 @@
         found = self._store.get(IDENTITY)
         self.identity = found.value.decode() if found is not None else os.urandom(8).hex()
         if found is None:
-            self._commit(IDENTITY, self.identity.encode(), lambda: None)
+            self._commit({IDENTITY: self.identity.encode()}, lambda: None)
 
     def get(self, key: str) -> bytes | None:
         found = self._store.get(PREFIX + key.encode())
@@ -63,10 +63,26 @@
 
     def put(self, key: str, body: bytes, done: Callable[[], None]) -> None:
         """`done` is called when it is on disk, in the order of the calls; never where the disk fails for good."""
-        self._commit(PREFIX + key.encode(), body, done)
+        self._commit({PREFIX + key.encode(): body}, done)
 
-    def _commit(self, key: bytes, body: bytes, done: Callable[[], None]) -> None:
-        from rackhub.store import Batch, ReadOnly
+    def write(self, changes: Mapping[str, bytes | None], done: Callable[[], None]) -> None:
+        """As `put`, of many keys together; None deletes one."""
+        self._commit({PREFIX + key.encode(): body for key, body in changes.items()}, done)
+
+    def scan(self, prefix: str) -> Iterator[tuple[str, bytes]]:
+        start = PREFIX + prefix.encode()
+        for found in self._store.scan(start, start + b"\xff"):
+            yield found.key[len(PREFIX) :].decode(), bytes(found.value)
+
+    def _commit(self, changes: Mapping[bytes, bytes | None], done: Callable[[], None]) -> None:
+        from rackhub.store import BadBatch, Batch, ReadOnly
+
+        batch = Batch()
+        for key, body in changes.items():
+            if body is None:
+                batch.delete(key)
+            else:
+                batch.put(key, body)
 
         def told(error: Exception | None) -> None:
             if error is None:
@@ -75,8 +91,8 @@
                 log.error("fleet: %s: %s", self._path, error)
 
         try:
-            self._store.commit(Batch().put(key, body), acknowledged=told)
-        except ReadOnly as bad:
+            self._store.commit(batch, acknowledged=told)
+        except (ReadOnly, BadBatch) as bad:
             log.error("fleet: %s: %s", self._path, bad)
 
     def end(self) -> None:
@@ -102,12 +118,19 @@
         return self._held.get(key)
 
     def put(self, key: str, body: bytes, done: Callable[[], None]) -> None:
-        self._held[key], boot = body, self._boot
+        self.write({key: body}, done)
+
+    def scan(self, prefix: str) -> Iterator[tuple[str, bytes]]:
+        yield from [(key, self._held[key]) for key in sorted(self._held) if key.startswith(prefix)]
+
+    def write(self, changes: Mapping[str, bytes | None], done: Callable[[], None]) -> None:
+        boot = self._boot
+        _put_all(self._held, changes)
         self.puts += 1
 
         def synced() -> None:
             if boot == self._boot:
-                self._synced[key] = body
+                _put_all(self._synced, changes)
                 done()
 
         self._later(self._delay, synced)
@@ -119,3 +142,11 @@
     def wipe(self, identity: str) -> None:
         """Another disk, with nothing on it."""
         self._synced, self._held, self._boot, self.identity = {}, {}, self._boot + 1, identity
+
+
+def _put_all(values: dict[str, bytes], changes: Mapping[str, bytes | None]) -> None:
+    for key, body in changes.items():
+        if body is None:
+            values.pop(key, None)
+        else:
+            values[key] = body
