--- /dev/null
+++ b/rackhub/fleet/distribution/editing.py
@@ -0,0 +1,92 @@
+"""What an edit or undo of the rule book comes to in keys, and whether others changed the same since. Pure."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from rackhub.fleet.distribution.history import History, Past
+from rackhub.fleet.distribution.messages import Revision
+from rackhub.fleet.distribution.rules import PREFIX, Values, assemble, check_bounds, difference, flatten, part_of
+
+Changed = Mapping[str, bytes | None]
+
+MOST_TEXT = 200  # letters of an author, a reason, an id
+SHOWN_CHANGES = 3  # named in a refusal
+NEWEST = -1  # as a revision that a call names
+
+
+class EditRefused(Exception):
+    """Nothing is changed; the text says why in words for the editor."""
+
+
+class EditRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """`on`: the revision that the editor saw. Parts of an edit take the place of those that stand, None takes one out;
+    an undo brings back what the keys that changed after `to` were then, up to `on`."""
+
+    kind: str  # "edit" or "undo"
+    author: str
+    reason: str
+    id: str
+    on: Revision
+    parts: Mapping[str, Any] = {}
+    to: Revision = NEWEST
+
+
+def plan(request: EditRequest, standing: Values, history: History) -> dict[str, bytes | None]:
+    """The keys that change, within bounds. Raises `EditRefused`, `RuleKeyError` and `NotKept`."""
+    _check_texts(request)
+    if request.on > history.newest:
+        raise EditRefused(f"there is no revision {request.on} yet: the newest is {history.newest}")
+    rule_values = {key: value for key, value in standing.items() if key.startswith(PREFIX)}
+    changed = _plan_edit(request, rule_values) if request.kind == "edit" else _plan_undo(request, history)
+    changed = {key: value for key, value in changed.items() if rule_values.get(key) != value}
+    if not changed:
+        raise EditRefused(f"it changes nothing: revision {history.newest} says the same")
+    check_bounds(changed)
+    return changed
+
+
+def check_conflicts(request: EditRequest, changed: Changed, since: Iterable[Past]) -> None:
+    """Raises `EditRefused` where one of the changes since the revision that the editor saw is of the same: of the same
+    parts for an edit, which replaces them whole, of the same keys for an undo."""
+    found = [past for past in since if past.change.revision > request.on and _touches(request, changed, past.keys)]
+    if found:
+        theirs = "; ".join(
+            f"revision {past.change.revision} by {past.change.author} ({past.change.reason})"
+            for past in found[-SHOWN_CHANGES:]
+        )
+        raise EditRefused(
+            f"{request.author}'s {request.kind} ({request.reason}) builds on revision {request.on}; since then there "
+            f"is {theirs}"
+        )
+
+
+def _check_texts(request: EditRequest) -> None:
+    for name, text in (("author", request.author), ("reason", request.reason), ("id", request.id)):
+        if not 0 < len(text) <= MOST_TEXT:
+            raise EditRefused(f"{name}: {text[:40]!r}: from 1 to {MOST_TEXT} letters are needed")
+
+
+def _plan_edit(request: EditRequest, values: Values) -> Changed:
+    content = {**assemble(values), **request.parts}
+    wanted = {name: part for name, part in content.items() if part is not None}
+    return difference(values, flatten(wanted, values))
+
+
+def _plan_undo(request: EditRequest, history: History) -> Changed:
+    to = request.to if request.to != NEWEST else request.on - 1
+    if not 0 <= to < request.on:
+        raise EditRefused(f"to: {to} is not from 0 to {request.on - 1}")
+    undone = [past for past in history.since(to) if past.change.revision <= request.on]
+    changed: dict[str, bytes | None] = {}
+    for past in reversed(undone):
+        changed |= past.before
+    return {key: value for key, value in changed.items() if key.startswith(PREFIX)}
+
+
+def _touches(request: EditRequest, changed: Changed, keys: set[str]) -> bool:
+    if request.kind != "edit":
+        return bool(keys & set(changed))
+    parts = {part_of(key) for key in keys if key.startswith(PREFIX)}
+    return bool(parts & set(request.parts))
