Carry mail between processes of different zones by an association

Need: coordinators, relays and voters of a fleet with relays are not members of one another's zone, and the mail of the members' core goes to members alone.

--- a/rackhub/fleet/link/limits.py
+++ b/rackhub/fleet/link/limits.py
@@ -31,3 +31,13 @@
     boot_jump_unknown: int = 1 << 41  # above the own one, of a name heard of for the first time
     incarnation_jump: int = 1 << 20
     way_most: int = 600 * SECOND  # a longer time on the way is nobody's: the echo is not of this process
+    # An association: mail with processes that are not members of the own zone.
+    peers: int = 2_048  # processes learned from their claims
+    peer_idle: int = 30 * SECOND  # without a packet after which a learned one is forgotten
+    sweep: int = 5 * SECOND  # between two looks for those
+    waiting: int = 16  # pieces of mail that wait for the boot number of one process, no longer than `mail_life`
+    waiting_bytes: int = 1 << 19
+    greet: int = 200 * MS  # between two greetings of it, doubled at each
+    greet_most: int = 2 * SECOND
+    introduce: int = 3 * SECOND  # without a packet of the receiver after which the own claim goes before each frame
+    stamp_held: int = 2 * SECOND  # after which a stamp gives way to a lower one: a clock began anew
--- a/rackhub/fleet/link/outbox.py
+++ b/rackhub/fleet/link/outbox.py
@@ -56,6 +56,11 @@
         for piece in list(self._pieces.values()):
             self._lose(piece)
 
+    def drop_to(self, to: str) -> None:
+        """The receiver's process is another one or gone: what is under way to it can't arrive."""
+        for piece in [piece for piece in self._pieces.values() if piece.to == to]:
+            self._lose(piece)
+
     def got(self, now: int, sender: str, ack: f.Got) -> Iterator[tuple[str, f.Page]]:
         piece = self._pieces.get(ack.id)
         if piece is None or piece.to != sender:
--- /dev/null
+++ b/rackhub/fleet/link/remotes.py
@@ -0,0 +1,143 @@
+"""The processes that an association exchanges mail with: their addresses, boot numbers and bounds. Pure.
+
+Peers of the directory are reached at their configured address and never forgotten. Others are learned from the claim
+that their first packet begins with, up to a number, and forgotten when they have been silent for long enough.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator, Mapping
+from typing import NamedTuple
+
+from rackhub.fleet.link import frames as f
+from rackhub.fleet.link.bucket import Bucket
+from rackhub.fleet.link.inbox import Inbox
+from rackhub.fleet.link.limits import Limits
+from rackhub.fleet.ports import Address, Name
+
+
+class WaitingMail(NamedTuple):
+    """Mail to a process whose boot number is not known yet; dropped after `until`."""
+
+    kind: str
+    body: bytes
+    until: int
+
+
+class Remote:
+    """What is known of one other process. `boot` 0: nothing has come from it yet."""
+
+    __slots__ = (
+        "name",
+        "address",
+        "configured",
+        "boot",
+        "inbox",
+        "rate",
+        "waiting",
+        "waiting_bytes",
+        "stamp",
+        "stamp_at",
+        "heard_at",
+        "knows_us",
+        "greet_at",
+        "greetings",
+        "answered_at",
+    )
+
+    def __init__(self, name: Name, address: Address, configured: bool, limits: Limits, now: int):
+        self.name, self.address, self.configured = name, address, configured
+        self.rate = Bucket(limits.packets, limits.burst, now)
+        self.waiting: deque[WaitingMail] = deque()
+        self.waiting_bytes = 0
+        self.begin(0, now)
+
+    def begin(self, boot: int, now: int) -> None:
+        """A process of that boot number begins here: nothing of an earlier one is left but the mail that waits."""
+        self.boot, self.heard_at, self.knows_us = boot, now, False
+        self.stamp = self.stamp_at = 0
+        self.inbox: Inbox | None = None
+        self.greet_at = now
+        self.greetings = 0
+        self.answered_at: int | None = None
+
+    def wait(self, mail: WaitingMail, limits: Limits) -> bool:
+        """Whether there was room for mail that waits for the boot number."""
+        if len(self.waiting) >= limits.waiting or self.waiting_bytes + len(mail.body) > limits.waiting_bytes:
+            return False
+        self.waiting.append(mail)
+        self.waiting_bytes += len(mail.body)
+        return True
+
+    def take_waiting(self) -> list[WaitingMail]:
+        mails = list(self.waiting)
+        self.waiting.clear()
+        self.waiting_bytes = 0
+        return mails
+
+    def expire_waiting(self, now: int) -> int:
+        """Drop mail that has waited for too long; how many pieces."""
+        dropped = 0
+        while self.waiting and now >= self.waiting[0].until:
+            self.waiting_bytes -= len(self.waiting.popleft().body)
+            dropped += 1
+        return dropped
+
+
+class Remotes:
+    """All of them by name. `count` gets a counter's name and the sender at fault."""
+
+    def __init__(self, directory: Mapping[Name, Address], limits: Limits, now: int, count: Callable[[str, str], None]):
+        self._limits, self._count = limits, count
+        self._owners = {address: name for name, address in directory.items()}
+        self._remotes = {name: Remote(name, address, True, limits, now) for name, address in directory.items()}
+        self._learned = 0
+
+    def get(self, name: Name) -> Remote | None:
+        return self._remotes.get(name)
+
+    def all(self) -> Iterator[Remote]:
+        yield from self._remotes.values()
+
+    def configured_owner(self, address: Address | None) -> Name:
+        """The name of the directory that has this address; empty: none."""
+        return self._owners.get(address, "") if address is not None else ""
+
+    def admit(self, claim: f.Claim, now: int) -> Remote | None:
+        """The process that says so of itself, whose boot number is greater than what is held; None: not admitted."""
+        address = (claim.host, claim.port)
+        if self._clashes(claim.name, address):
+            self._count("address_clashes", claim.name)
+            return None
+        remote = self._remotes.get(claim.name)
+        if remote is None:
+            if self._learned >= self._limits.peers:
+                self._count("peers_over", "")
+                return None
+            remote = self._remotes[claim.name] = Remote(claim.name, address, False, self._limits, now)
+            self._learned += 1
+        remote.address = address
+        remote.begin(claim.boot, now)
+        return remote
+
+    def _clashes(self, name: Name, address: Address) -> bool:
+        """Whether the address is configured for another name, or the name for another address."""
+        owner = self.configured_owner(address)
+        if owner:
+            return owner != name
+        remote = self._remotes.get(name)
+        return remote is not None and remote.configured
+
+    def forget_idle(self, now: int) -> list[Name]:
+        """Those heard of for too long ago: learned ones go, of configured ones only the boot number does."""
+        idle = [one for one in self._remotes.values() if now - one.heard_at >= self._limits.peer_idle]
+        forgotten = []
+        for remote in idle:
+            if remote.boot:
+                forgotten.append(remote.name)
+            if remote.configured:
+                if remote.boot:
+                    remote.begin(0, now)
+            else:
+                del self._remotes[remote.name]
+                self._learned -= 1
+        return forgotten
--- /dev/null
+++ b/tests/test_fleet_association.py
@@ -0,0 +1,404 @@
+"""Mail between processes of different zones: associations over a faulty transport, restarts, and what is dropped."""
+
+import heapq
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet import task
+
+from rackhub.fleet.link import frames as f
+from rackhub.fleet.link.association import Arrived, Association
+from rackhub.fleet.link.limits import MS, SECOND, Limits
+from rackhub.fleet.link.mail_link import MailLink
+from rackhub.fleet.members.events import Came, Send, Tick
+from rackhub.fleet.members.here import Mailed, Out
+from rackhub.fleet.ports import MAIL
+
+START = 5 * SECOND
+RELAY, COORDINATOR, OTHER = ("10.0.0.1", 7), ("10.0.0.2", 7), ("10.0.0.3", 7)
+DIRECTORY = {"relay": RELAY}
+
+
+class Network:
+    """Associations at addresses, with losses, doubles, disorder and cuts, in virtual time."""
+
+    def __init__(self, seed=0, lose=0.0, double=0.0, late=0):
+        self.random, self.lose, self.double, self.late = random.Random(seed), lose, double, late
+        self.now, self.queue, self.order = START, [], 0
+        self.at, self.mail, self.sent = {}, [], []
+
+    def join(self, name, address, boot=1, directory=DIRECTORY, limits=None):
+        process = Association("c", name, boot, address, directory, limits or Limits(), self.now, 1)
+        self.at[address] = process
+        return process
+
+    def send(self, process, to, body, kind="k"):
+        self.do(process, process.step(self.now, Send(to, kind, body)))
+
+    def do(self, process, effects):
+        source = next(address for address, other in self.at.items() if other is process)
+        for effect in effects:
+            if isinstance(effect, Mailed):
+                self.mail.append((process.name, effect.sender, effect.kind, effect.body))
+                continue
+            self.sent.append((source, effect))
+            for _ in range(1 + (self.random.random() < self.double)):
+                if self.random.random() >= self.lose:
+                    self.put(1 * MS + self.random.randint(0, self.late), source, effect)
+
+    def put(self, delay, source, out):
+        self.order += 1
+        heapq.heappush(self.queue, (self.now + delay, self.order, source, out))
+
+    def run(self, span):
+        end = self.now + span
+        while True:
+            ticks = [(process.due(), address) for address, process in self.at.items()]
+            soonest = min([due for due, _ in ticks] + [entry[0] for entry in self.queue[:1]])
+            if soonest > end:
+                self.now = end
+                return
+            self.now = max(self.now, soonest)
+            while self.queue and self.queue[0][0] <= self.now:
+                _, _, source, out = heapq.heappop(self.queue)
+                process = self.at.get(out.to)
+                if process is not None:
+                    self.do(process, process.step(self.now, Arrived(out.data, source)))
+            for due, address in ticks:
+                if due <= self.now:
+                    self.do(self.at[address], self.at[address].step(self.now, Tick()))
+
+    def bodies(self, name):
+        return [body for receiver, _, _, body in self.mail if receiver == name]
+
+
+def pair(**faults):
+    network = Network(**faults)
+    return network, network.join("relay", RELAY), network.join("coordinator", COORDINATOR)
+
+
+def packet(name="coordinator", boot=1, to="relay", cluster="c", address=COORDINATOR, frames=(), claim=True):
+    told = [f.Claim(name, *address, boot, 0, f.ALIVE)] if claim else []
+    raws = [msgspec.Raw(f.encode(frame)) for frame in [*told, *frames]]
+    return f.datagram(f.Packet(f.VERSION, cluster, name, boot, to, 1, 0, 0, raws))
+
+
+def test_mail_goes_to_a_configured_peer_and_back_to_the_one_that_it_learned():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"up")
+    network.run(100 * MS)
+    assert network.mail == [("relay", "coordinator", "k", b"up")]
+    network.send(relay, "coordinator", b"down" * 10_000)
+    network.run(100 * MS)
+    assert network.mail[1:] == [("coordinator", "relay", "k", b"down" * 10_000)]
+    assert not relay.faults and not coordinator.faults
+
+
+def test_nothing_is_sent_when_nothing_is_to_be_said():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"up")
+    network.run(1 * SECOND)
+    before = len(network.sent)
+    network.run(20 * SECOND)
+    assert len(network.sent) == before
+
+
+def test_the_claim_goes_only_before_frames_to_who_may_not_know_this_process():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"1")
+    network.run(100 * MS)
+    network.sent.clear()
+    network.send(coordinator, "relay", b"2")
+    network.run(100 * MS)
+    first = f.read(network.sent[0][1].data)
+    assert [type(f.frame(raw)) for raw in first.frames] == [f.Page]
+    network.run(Limits().introduce)
+    network.send(coordinator, "relay", b"3")
+    assert isinstance(f.frame(f.read(network.sent[-1][1].data).frames[0]), f.Claim)
+
+
+def test_mail_to_a_peer_that_is_not_there_waits_within_bounds_and_not_for_long():
+    network = Network()
+    coordinator = network.join("coordinator", COORDINATOR)
+    for _ in range(Limits().waiting + 3):
+        network.send(coordinator, "relay", b"x")
+    assert coordinator.counts["mail_over"] == 3
+    network.run(Limits().mail_life + 1 * SECOND)
+    assert coordinator.counts["mail_lost"] == Limits().waiting
+    assert 3 <= coordinator.counts["greetings"] <= 12
+    network.join("relay", RELAY)
+    network.send(coordinator, "relay", b"new")
+    network.run(3 * SECOND)
+    assert network.bodies("relay") == [b"new"]
+
+
+def test_waiting_mail_is_bounded_by_bytes():
+    network = Network()
+    coordinator = network.join("coordinator", COORDINATOR)
+    for _ in range(3):
+        network.send(coordinator, "relay", bytes(MAIL))
+    assert coordinator.counts["mail_over"] == 1
+
+
+def test_a_receiver_that_restarted_gets_what_is_sent_from_then_on():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"1")
+    network.run(100 * MS)
+    relay = network.join("relay", RELAY, boot=2)
+    for number in range(20):
+        network.send(coordinator, "relay", b"after %d" % number)
+        network.run(400 * MS)
+    received = network.bodies("relay")
+    assert received[-1] == b"after 19" and len(received) >= 1 + 20 - 9
+    network.send(relay, "coordinator", b"back")
+    network.run(100 * MS)
+    assert network.bodies("coordinator") == [b"back"]
+
+
+def test_a_sender_that_restarted_begins_with_new_numbers_and_loses_nothing():
+    network, relay, coordinator = pair()
+    for _ in range(3):
+        network.send(coordinator, "relay", b"before")
+        network.run(100 * MS)
+    coordinator = network.join("coordinator", COORDINATOR, boot=2)
+    for _ in range(3):
+        network.send(coordinator, "relay", b"after")
+        network.run(100 * MS)
+    assert network.bodies("relay") == [b"before"] * 3 + [b"after"] * 3
+
+
+def test_a_learned_peer_that_restarted_elsewhere_is_reached_there():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"x")
+    network.run(100 * MS)
+    del network.at[COORDINATOR]
+    moved = network.join("coordinator", OTHER, boot=2)
+    network.send(moved, "relay", b"y")
+    network.run(100 * MS)
+    network.send(relay, "coordinator", b"z")
+    network.run(100 * MS)
+    assert network.mail[-1] == ("coordinator", "relay", "k", b"z")
+
+
+def test_packets_of_an_older_process_are_dropped_and_counted_under_the_sender():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"x")
+    network.run(100 * MS)
+    late = [out for source, out in network.sent if source == COORDINATOR]
+    coordinator = network.join("coordinator", COORDINATOR, boot=2)
+    network.send(coordinator, "relay", b"y")
+    network.run(100 * MS)
+    for out in late:
+        network.put(1 * MS, COORDINATOR, out)
+    network.run(1 * SECOND)
+    assert network.bodies("relay") == [b"x", b"y"]
+    assert relay.faults["old_packets", "coordinator"] == len(late)
+
+
+def test_a_boot_number_that_fell_is_taken_once_the_greater_has_been_silent():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"x")
+    network.run(100 * MS)
+    coordinator = network.join("coordinator", COORDINATOR, boot=1)
+    relay.step(network.now, Came(packet(boot=9)))
+    network.send(coordinator, "relay", b"y")
+    network.run(1 * SECOND)
+    assert b"y" not in network.bodies("relay")
+    network.run(Limits().peer_idle + Limits().sweep)
+    network.send(coordinator, "relay", b"z")
+    network.run(3 * SECOND)
+    assert network.bodies("relay")[-1] == b"z"
+
+
+def test_damaged_foreign_and_misdirected_datagrams_are_dropped_and_counted():
+    network, relay, coordinator = pair()
+    network.send(coordinator, "relay", b"x")
+    network.run(100 * MS)
+    spoilt = bytearray(packet())
+    spoilt[-1] ^= 1
+    assert coordinator.step(network.now, Arrived(bytes(spoilt), RELAY)) == []
+    assert coordinator.faults["damaged", "relay"] == 1
+    assert relay.step(network.now, Came(bytes(spoilt))) == [] and relay.faults["damaged", ""] == 1
+    assert relay.step(network.now, Came(packet(cluster="d"))) == []
+    assert relay.faults["other_cluster", "coordinator"] == 1
+    assert relay.step(network.now, Came(packet(to="other"))) == []
+    assert relay.faults["not_for_me", "coordinator"] == 1
+    relay.step(network.now, Came(packet(frames=[f.Ping(1)])))
+    assert relay.faults["unexpected_frames", "coordinator"] == 1
+
+
+def test_a_stranger_must_begin_with_its_claim_and_faults_of_strangers_share_one_counter():
+    network, relay, _ = pair()
+    for number in range(40):
+        assert relay.step(network.now, Came(packet(name=f"stranger-{number}", claim=False))) == []
+    assert relay.faults == {("strangers", ""): 40}
+
+
+def test_a_name_can_not_come_from_the_address_of_another():
+    directory = {"relay": RELAY, "voter": OTHER}
+    network = Network()
+    process = network.join("me", COORDINATOR, directory=directory)
+    forged = packet(name="relay", to="me", address=OTHER)
+    assert process.step(network.now, Came(forged)) == []
+    assert process.step(network.now, Came(packet(name="newcomer", to="me", address=OTHER))) == []
+    assert process.step(network.now, Came(packet(name="relay", to="me", address=COORDINATOR))) == []
+    assert process.counts["address_clashes"] == 3
+    assert not process.knows("relay") and not process.knows("newcomer")
+    genuine = packet(name="relay", to="me", address=RELAY)
+    assert process.step(network.now, Arrived(genuine, OTHER)) == []
+    assert process.faults["address_clashes", "relay"] == 3
+    process.step(network.now, Arrived(genuine, RELAY))
+    assert process.knows("relay")
+
+
+def test_a_second_process_of_the_own_name_is_counted():
+    network, relay, _ = pair()
+    assert relay.step(network.now, Came(packet(name="relay", boot=5))) == []
+    assert relay.faults == {("address_clashes", "relay"): 1}
+
+
+def test_learned_peers_are_bounded_and_idle_ones_forgotten():
+    network = Network()
+    relay = network.join("relay", RELAY, limits=Limits(peers=3))
+    for number in range(5):
+        relay.step(network.now, Came(packet(name=f"n{number}")))
+    assert relay.counts["peers_over"] == 2 and relay.knows("n2") and not relay.knows("n3")
+    network.run(Limits().peer_idle + Limits().sweep)
+    assert not relay.knows("n2")
+    relay.step(network.now, Came(packet(name="n4")))
+    assert relay.knows("n4")
+
+
+def test_newcomers_and_each_sender_are_held_to_a_rate():
+    network = Network()
+    limits = Limits(newcomers=10, packets=10, burst=5)
+    relay = network.join("relay", RELAY, limits=limits)
+    for number in range(30):
+        relay.step(network.now, Came(packet(name=f"n{number}")))
+    assert relay.counts["newcomers_over"] == 20
+    for _ in range(8):
+        relay.step(network.now, Came(packet(name="n1")))
+    assert relay.faults["over_rate", "n1"] == 3
+
+
+def test_mail_to_oneself_and_mail_that_is_too_large():
+    network, relay, _ = pair()
+    assert relay.step(network.now, Send("relay", "k", b"x")) == [Mailed("relay", "k", b"x")]
+    with pytest.raises(ValueError):
+        relay.step(network.now, Send("coordinator", "k", bytes(MAIL + 1)))
+    with pytest.raises(ValueError):
+        relay.step(network.now, Send("coordinator", "", b""))
+    assert relay.step(network.now, Send("nobody", "k", b"")) == []
+    assert relay.counts["mail_to_nobody"] == 1
+
+
+def test_a_page_beside_a_claim_with_the_longest_names_still_goes_out():
+    long = "n" * 63
+    network = Network()
+    network.join(long, RELAY, boot=1 << 50, directory={})
+    process = network.join("m" * 63, COORDINATOR, boot=1 << 50, directory={long: RELAY})
+    network.send(process, long, bytes(10_000), kind="k" * 32)
+    network.run(1 * SECOND)
+    assert network.bodies(long) == [bytes(10_000)]
+    assert all(len(out.data) < 1_400 for _, out in network.sent)
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(
+    st.integers(0, 1 << 30),
+    st.floats(0, 0.4),
+    st.floats(0, 0.5),
+    st.lists(
+        st.tuples(st.sampled_from(["send", "reply", "restart-relay", "restart-coordinator"]), st.integers(0, 900))
+    ),
+)
+def test_over_a_faulty_transport_mail_comes_whole_and_at_most_once(seed, lose, double, moves):
+    network, relay, coordinator = pair(seed=seed, lose=lose, double=double, late=80 * MS)
+    boots, sent = {RELAY: 1, COORDINATOR: 1}, set()
+    for number, (move, wait) in enumerate(moves):
+        body = b"%d:" % number + bytes(wait * 4)
+        relay, coordinator = network.at[RELAY], network.at[COORDINATOR]
+        if move == "send":
+            network.send(coordinator, "relay", body)
+            sent.add(("relay", "coordinator", "k", body))
+        elif move == "reply":
+            network.send(relay, "coordinator", body)
+            sent.add(("coordinator", "relay", "k", body))
+        else:
+            address = RELAY if move == "restart-relay" else COORDINATOR
+            boots[address] += 1
+            network.join(network.at[address].name, address, boot=boots[address])
+        network.run(wait * MS)
+    network.run(10 * SECOND)
+    assert len(set(network.mail)) == len(network.mail) and set(network.mail) <= sent
+    network.lose = 0
+    for _ in range(12):
+        network.send(network.at[COORDINATOR], "relay", b"at last")
+        network.run(1 * SECOND)
+    assert network.mail[-1][3] == b"at last"
+
+
+class FakePort:
+    """In place of the socket: what went out, and a way to hand something in."""
+
+    def __init__(self, reactor, bind, take, count):
+        self.take, self.out, self.opened = take, [], 0
+        self.bytes_in = self.bytes_out = self.packets_in = self.packets_out = 0
+
+    def open(self):
+        self.opened += 1
+
+    def close(self):
+        return None
+
+    def send(self, to, data):
+        self.out.append(Out(to, data))
+
+
+class ReactorClock:
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def now(self):
+        return START + int(self.reactor.seconds() * 1_000_000)
+
+
+def shell(reactor, name, address, directory):
+    link = MailLink(reactor, address, "c", name, 1, address, directory, clock=ReactorClock(reactor), port=FakePort)
+    link.start()
+    link.start()
+    return link
+
+
+def exchange(reactor, links, steps=10):
+    for _ in range(steps):
+        for address, link in links.items():
+            outs, link.port.out = link.port.out, []
+            for out in outs:
+                if out.to in links:
+                    links[out.to].port.take(out.data, address)
+        reactor.advance(0.05)
+
+
+def test_the_shell_delivers_by_kind_and_counts_what_nobody_takes():
+    reactor = task.Clock()
+    relay, coordinator = shell(reactor, "relay", RELAY, {}), shell(reactor, "coordinator", COORDINATOR, DIRECTORY)
+    links, taken = {RELAY: relay, COORDINATOR: coordinator}, []
+    relay.take("k", lambda sender, body: taken.append((sender, body)))
+    relay.take("bad", lambda sender, body: 1 / 0)
+    coordinator.take("k", lambda sender, body: taken.append((sender, body)))
+    for kind in ("k", "bad", "none"):
+        coordinator.send("relay", kind, b"x")
+    coordinator.send("coordinator", "k", b"own")
+    assert taken == []
+    exchange(reactor, links)
+    assert sorted(taken) == [("coordinator", b"own"), ("coordinator", b"x")]
+    figures = relay.figures()
+    assert (figures["mail_faults"], figures["mail_mail_untaken"], relay.port.opened) == (1, 1, 1)
+    relay.stop()
+    coordinator.stop()
+    coordinator.stop()
+    assert not reactor.getDelayedCalls()
