--- /dev/null
+++ b/rackhub/fleet/distribution/catching_up.py
@@ -0,0 +1,86 @@
+"""A voter that lacks changes which the register no longer has gets them from another voter, as a watcher of it."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
+from rackhub.fleet.distribution.events import Applied, Apply, Effect, Held, Persist, Persisted
+from rackhub.fleet.distribution.history import History
+from rackhub.fleet.distribution.learning import Learner
+from rackhub.fleet.distribution.limits import Limits
+from rackhub.fleet.distribution.messages import Heartbeat, Revision, SnapshotPart, Unavailable, Update
+from rackhub.fleet.distribution.ports import Identity
+from rackhub.fleet.distribution.store import HeldStore
+from rackhub.fleet.distribution.watcher import Watcher
+from rackhub.fleet.ports import Fleet
+
+FROM_VOTER = (Update, SnapshotPart, Heartbeat, Unavailable)
+
+
+class CatchUp:
+    """`identity`: the voter's, with the other voters as upstreams. `taken` gets what came, once it is on the disk;
+    what the voter learns otherwise must wait while `running`."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        identity: Identity,
+        inbox: Inbox,
+        store: HeldStore,
+        history: History,
+        learner: Learner,
+        limits: Limits,
+        taken: Callable[[Apply], None],
+    ):
+        self._fleet, self._identity, self._inbox = fleet, identity, inbox
+        self._store, self._history, self._learner, self._limits, self._taken = store, history, learner, limits, taken
+        self._endpoint: Endpoint | None = None
+        self._wanted: Revision = 0
+        self._boot = identity.boot
+        inbox.route(FROM_VOTER, self._too_late)
+
+    @property
+    def running(self) -> bool:
+        return self._endpoint is not None
+
+    def begin(self, wanted: Revision) -> None:
+        """Go on until at least that revision is held."""
+        self._wanted = max(self._wanted, wanted)
+        if self._endpoint is not None:
+            return
+        self._fleet.tally("distribution_catch_ups", 1)
+        self._boot += 1
+        learner = self._learner
+        held = Held(learner.log, learner.revision, self._identity.scope, dict(learner.entries))
+        identity = msgspec.structs.replace(self._identity, boot=self._boot)
+        watcher = Watcher(identity, held, self._limits, self._fleet.clock.now())
+        self._endpoint = Endpoint(self._fleet, self._inbox, watcher, self._perform)
+        self._inbox.route(FROM_VOTER, self._endpoint.received)
+        self._endpoint.start()
+
+    def stop(self) -> None:
+        if self._endpoint is not None:
+            self._endpoint.stop()
+        self._endpoint = None
+        self._inbox.route(FROM_VOTER, self._too_late)
+
+    def _too_late(self, sender: str, message: object) -> None:
+        """The other voter has not noticed yet that nobody watches any more."""
+        self._fleet.tally("distribution_late_catch_up", 1)
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Persist():
+                also = self._history.begin_anew(effect.revision)
+                self._store.persist(effect, lambda: self._hand(Persisted(effect.revision)), also)
+            case Apply():
+                self._learner.take_snapshot(effect)
+                self._taken(effect)
+                self._hand(Applied(effect.revision))
+                if effect.revision >= self._wanted:
+                    self.stop()
+
+    def _hand(self, event: Persisted | Applied) -> None:
+        if self._endpoint is not None:
+            self._endpoint.hand(event)
