Add watcher, relay and source of distribution as pure cores, first working version

Change: state with a log of changes, serving side with sessions and credit, watcher, relay, source, checks and reports; Acknowledge.parts, Unavailable.log, Identity.boot and CaughtUp are added to the contract. A virtual fleet for the tests.

--- a/rackhub/fleet/distribution/events.py
+++ b/rackhub/fleet/distribution/events.py
@@ -70,6 +70,17 @@
     changes: tuple[Change, ...]
 
 
+class CaughtUp(msgspec.Struct, frozen=True):
+    """To a source whose register no longer holds all changes that it lacks: what it got instead from another voter, and
+    has on its disk. `snapshot`: that is all there is at `revision`; else all that changed after `previous`."""
+
+    log: LogId
+    previous: Revision
+    revision: Revision
+    entries: tuple[Entry, ...]
+    snapshot: bool
+
+
 class MembersChanged(msgspec.Struct, frozen=True):
     """To a relay: so many coordinators live in its zone now."""
 
@@ -83,7 +94,7 @@
     entries: tuple[Entry, ...]
 
 
-Event = Tick | Received | Persisted | Applied | Decided | MembersChanged | CheckAsked
+Event = Tick | Received | Persisted | Applied | Decided | CaughtUp | MembersChanged | CheckAsked
 
 
 # ---- effects
--- a/rackhub/fleet/distribution/messages.py
+++ b/rackhub/fleet/distribution/messages.py
@@ -118,20 +118,23 @@
 
 class Unavailable(Message, frozen=True, array_like=True, tag="unavailable"):
     """The answer to a watch that can't be served now: too many newcomers, or the sender is behind the watcher. Ask
-    again after `retry_after` milliseconds, or elsewhere at once. `revision`: the newest that the sender holds."""
+    again after `retry_after` milliseconds, or elsewhere at once. `log`, `revision`: what the sender holds."""
 
     session: Number
     revision: Revision
     retry_after: Duration
     reason: Reason = ""
+    log: LogId = ""
 
 
 class Acknowledge(Message, frozen=True, array_like=True, tag="acknowledge"):
-    """`revision` is on the watcher's disk and in force there. `faults`: keys that it could not take."""
+    """`revision` is on the watcher's disk and in force there. `faults`: keys that it could not take. `parts`: so many
+    parts of a snapshot under way, from the first on, are in its memory; it gives credit for further ones, no more."""
 
     session: Number
     revision: Revision
     faults: Annotated[tuple[KeyFault, ...], Meta(max_length=FAULT_KEYS)] = ()
+    parts: Annotated[int, Meta(ge=0, le=4_096)] = 0
 
 
 class RevisionCount(msgspec.Struct, frozen=True, array_like=True):
--- a/rackhub/fleet/distribution/ports.py
+++ b/rackhub/fleet/distribution/ports.py
@@ -26,6 +26,7 @@
     upstreams: tuple[Node, ...] = ()
     scope: tuple[str, ...] = ("",)
     seed: int = 0
+    boot: int = 0  # greater at each start of the process: session numbers begin above it
 
 
 class FleetStatus(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/rackhub/fleet/distribution/session.py
@@ -0,0 +1,119 @@
+"""What a server knows of one watcher. Nothing is queued for it: a position in the log says what it still has to get."""
+
+from collections import deque
+
+from rackhub.fleet.distribution.agenda import NEVER
+from rackhub.fleet.distribution.limits import Limits
+from rackhub.fleet.distribution.messages import KeyFault, Name, Revision, Watch
+from rackhub.fleet.distribution.state import Snapshot
+
+
+class SnapshotTransfer:
+    """A snapshot on its way to one watcher, some parts at a time."""
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self.snapshot = snapshot
+        self.next_part = 0
+        self.confirmed = 0  # parts from the first on that the watcher has in memory
+
+    @property
+    def in_flight(self) -> int:
+        return self.next_part - self.confirmed
+
+    @property
+    def sent(self) -> bool:
+        return self.next_part == len(self.snapshot.parts)
+
+    def confirm(self, parts: int) -> None:
+        self.confirmed = max(self.confirmed, min(parts, self.next_part))
+
+    def rewind(self) -> None:
+        """Send again from the first part that is missing; the last one where none is, to have the watcher answer."""
+        self.next_part = min(self.confirmed, len(self.snapshot.parts) - 1)
+        self.confirmed = min(self.confirmed, self.next_part)
+
+
+class Session:
+    """One watch. `position`: all in scope up to it was sent. `chain`: where the last update sent ended, or what the
+    watcher has acknowledged since; the next one is marked as following on it."""
+
+    def __init__(self, name: Name, watch: Watch, now: int) -> None:
+        self.name = name
+        self.number = watch.session
+        self.scope = watch.scope
+        self.zone = watch.zone
+        self.credit = self.window = watch.credit
+        held = watch.revision if watch.log else 0
+        self.acknowledged = self.position = self.chain = held
+        self.in_flight: deque[Revision] = deque()  # where the updates end that are not acknowledged
+        self.holds_nothing = not watch.log
+        self.transfer: SnapshotTransfer | None = None
+        self.faults: tuple[KeyFault, ...] = ()
+        self.heard_at = self.progress_at = now
+        self.heartbeat_at = now  # when the next heartbeat is to go out
+        self.behind_since = now if not watch.log else NEVER  # since when something in scope lacks an acknowledgement
+
+    @property
+    def waits(self) -> bool:
+        """Whether an acknowledgement is awaited."""
+        return bool(self.in_flight) or self.transfer is not None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether there is credit for one more message."""
+        in_flight = len(self.in_flight) if self.transfer is None else self.transfer.in_flight
+        return in_flight < self.window
+
+    def due(self, limits: Limits) -> int:
+        """When this session is to be looked at next."""
+        due = min(self.heartbeat_at, self.heard_at + limits.session)
+        return min(due, self.progress_at + limits.acknowledge) if self.waits else due
+
+    def sent_update(self, revision: Revision, now: int) -> None:
+        if not self.waits:
+            self.progress_at = now
+        self.in_flight.append(revision)
+        self.position = self.chain = revision
+
+    def begin_transfer(self, snapshot: Snapshot, now: int) -> None:
+        self.transfer = SnapshotTransfer(snapshot)
+        self.in_flight.clear()
+        self.progress_at = now
+
+    def acknowledge(self, revision: Revision, now: int) -> None:
+        """The watcher has `revision` on its disk and in force."""
+        if self.transfer is not None and revision >= self.transfer.snapshot.revision:
+            self.transfer, self.holds_nothing = None, False
+        if revision <= self.acknowledged:
+            return
+        self.acknowledged = revision
+        self.position, self.chain = max(self.position, revision), max(self.chain, revision)
+        while self.in_flight and self.in_flight[0] <= revision:
+            self.in_flight.popleft()
+        self._progress(now)
+
+    def confirm_parts(self, parts: int, now: int) -> None:
+        """The watcher has so many parts of the snapshot in memory."""
+        if self.transfer is not None:
+            self.transfer.confirm(parts)
+            self._progress(now)
+
+    def _progress(self, now: int) -> None:
+        self.progress_at = now
+        self.window = min(self.window + 1, self.credit)
+
+    def rewind(self, now: int) -> None:
+        """No acknowledgement came: go back to the last one, with one message at a time until the next one comes."""
+        self.window, self.progress_at = 1, now
+        if self.transfer is not None:
+            self.transfer.rewind()
+        else:
+            self.in_flight.clear()
+            self.position = self.chain = self.acknowledged
+
+    def effective_revision(self, newest: Revision, now: int, limits: Limits) -> Revision:
+        """What counts as in force: the newest where nothing in scope is pending and the watcher was heard lately."""
+        complete = not self.waits and self.position >= newest
+        if complete and now - self.heard_at <= limits.silence:
+            return newest
+        return min(self.acknowledged, newest)
--- /dev/null
+++ b/tests/distribution_fleet.py
@@ -0,0 +1,304 @@
+"""A fleet of distribution cores in virtual time, for the tests: sources, relays and coordinators over a transport that
+loses, delays, reorders and doubles, with disks that outlive a process."""
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from rackhub.fleet.distribution import events, messages
+from rackhub.fleet.distribution.events import Held, Node, Role
+from rackhub.fleet.distribution.limits import MILLISECOND, SECOND, Limits
+from rackhub.fleet.distribution.messages import Change, Entry
+from rackhub.fleet.distribution.ports import Identity
+from rackhub.fleet.distribution.relay import Relay
+from rackhub.fleet.distribution.source import Source
+from rackhub.fleet.distribution.watcher import Watcher
+
+LOG = "log-1"
+
+
+@dataclass
+class Faults:
+    """Of the transport: chances of one message, and times in microseconds."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    delay: int = 2 * MILLISECOND
+    jitter: int = 0
+
+
+class History:
+    """The decided changes: what must hold at each revision in each scope."""
+
+    def __init__(self):
+        self.changes = []
+
+    @property
+    def revision(self):
+        return len(self.changes)
+
+    def add(self, values, identifier=""):
+        """A change that sets these values, or deletes a key where it is None."""
+        revision = self.revision + 1
+        entries = tuple(Entry(key, value, revision) for key, value in values.items())
+        self.changes.append(Change(revision, entries, identifier or f"edit-{revision}"))
+        return self.changes[-1]
+
+    def at(self, revision, scope):
+        state = {}
+        for change in self.changes[:revision]:
+            for entry in change.entries:
+                if entry.value is None:
+                    state.pop(entry.key, None)
+                elif entry.key.startswith(scope):
+                    state[entry.key] = entry
+        return state
+
+
+@dataclass
+class Disk:
+    """What a coordinator's disk has. `write` is how long it takes."""
+
+    held: Held = field(default_factory=Held)
+    write: int = 3 * MILLISECOND
+
+    def keep(self, scope, effect):
+        entries = {} if effect.snapshot else dict(self.held.entries)
+        for entry in effect.entries:
+            if entry.value is None:
+                entries.pop(entry.key, None)
+            else:
+                entries[entry.key] = entry
+        self.held = Held(effect.log, effect.revision, scope, entries)
+
+
+class Process:
+    """One process of the fleet. `boots` counts its starts; what was under way for an earlier one is lost."""
+
+    def __init__(self, fleet, name, start):
+        self.fleet, self.name, self.start = fleet, name, start
+        self.boots, self.core, self.still_until, self.counted, self.backlog = 0, None, 0, {}, []
+        self.wakes_at = None
+        self.restart()
+
+    def restart(self):
+        self.boots += 1
+        self.core = self.start(self.boots, self.fleet.now)
+        self.backlog, self.still_until = [], 0
+        self.wake()
+
+    def stop(self):
+        self.core, self.backlog = None, []
+
+    def stand_still(self, duration):
+        self.still_until = self.fleet.now + duration
+        self.fleet.at(self.still_until, self.catch_up)
+
+    def catch_up(self):
+        backlog, self.backlog = self.backlog, []
+        for event in backlog:
+            self.handle(event)
+        self.wake()
+
+    def handle(self, event):
+        if self.core is None:
+            return
+        if self.fleet.now < self.still_until:
+            if not isinstance(event, events.Tick):
+                self.backlog.append(event)
+            return
+        for effect in self.core.step(self.fleet.now, event):
+            self.do(effect)
+        self.wake()
+
+    def wake(self):
+        if self.core is None:
+            return
+        due = max(self.core.due(), self.fleet.now)
+        if due < 1 << 60 and (self.wakes_at is None or due < self.wakes_at):
+            self.wakes_at = due
+            self.fleet.at(due, lambda: self.tick(due))
+
+    def tick(self, due):
+        if self.wakes_at == due:
+            self.wakes_at = None
+        if self.core is not None:
+            if self.fleet.now >= self.core.due():
+                self.handle(events.Tick())
+            else:
+                self.wake()
+
+    def do(self, effect):
+        if isinstance(effect, events.Send):
+            self.fleet.send(self.name, effect.to, effect.message)
+        elif isinstance(effect, events.Counted):
+            self.counted[effect.name] = self.counted.get(effect.name, 0) + 1
+            self.fleet.counted[effect.name] = self.fleet.counted.get(effect.name, 0) + 1
+        elif isinstance(effect, events.CheckDone):
+            self.fleet.checks.append(effect)
+
+    def later(self, delay, event):
+        """An answer of the shell to this start of the process."""
+        boots = self.boots
+        self.fleet.at(self.fleet.now + delay, lambda: self.handle(event) if self.boots == boots else None)
+
+
+class Coordinator(Process):
+    """A watcher with its disk; what it has in force is kept here as a shell would. `refuses`: keys it can't take."""
+
+    def __init__(self, fleet, name, start, scope):
+        self.scope, self.disk, self.in_force, self.refuses = scope, Disk(), Held(), set()
+        self.checks_seen, self.acknowledged = [], []
+        super().__init__(fleet, name, start)
+
+    def restart(self):
+        held = self.disk.held
+        self.in_force = held if held.scope == self.scope else Held()
+        super().restart()
+
+    def do(self, effect):
+        if isinstance(effect, events.Persist):
+            boots = self.boots
+            self.fleet.at(self.fleet.now + self.disk.write, lambda: self.written(boots, effect))
+        elif isinstance(effect, events.Apply):
+            self.put_in_force(effect)
+        elif isinstance(effect, events.CheckWanted):
+            faults = tuple(messages.KeyFault(e.key, "no") for e in effect.entries if e.key in self.refuses)
+            zone = self.fleet.zones[self.name]
+            self.fleet.send(self.name, effect.to, messages.Checked(effect.mark, zone, faults))
+        else:
+            if isinstance(effect, events.Send) and isinstance(effect.message, messages.Acknowledge):
+                self.acknowledged.append(effect.message.revision)
+                self.fleet.on_acknowledge(self, effect.message)
+            super().do(effect)
+
+    def written(self, boots, effect):
+        if boots == self.boots and self.core is not None:  # a process that ends before has not synced
+            self.disk.keep(self.scope, effect)
+            self.handle(events.Persisted(effect.revision))
+
+    def put_in_force(self, effect):
+        disk = Disk(self.in_force)
+        disk.keep(self.scope, effect)
+        self.in_force = disk.held
+        self.fleet.on_apply(self, effect)
+        faults = tuple(messages.KeyFault(e.key, "no") for e in effect.entries if e.key in self.refuses)
+        self.later(0, events.Applied(effect.revision, faults))
+
+
+class Fleet:
+    """All processes, the transport between them and the clock. Deterministic by its seed."""
+
+    def __init__(self, *, sources=1, zones=("a", "b"), relays=2, limits=None, seed=0, faults=None):
+        self.now, self.chance, self.limits = 1_000 * SECOND, random.Random(seed), limits or Limits()
+        self.faults, self.cuts, self.counted, self.checks, self.sent = faults or Faults(), set(), {}, [], []
+        self.queue, self.order, self.history, self.zones, self.processes = [], itertools.count(), History(), {}, {}
+        self.seed, self.record = seed, False
+        self.voters = tuple(Node(f"voter-{i}", Role.VOTER) for i in range(sources))
+        self.relays = tuple(Node(f"relay-{z}{i}", Role.RELAY, z) for z in zones for i in range(relays))
+        for node in self.voters:
+            self.add(node.name, "", lambda boots, now, name=node.name: self.start_source(name, boots, now))
+        for node in self.relays:
+            self.add(node.name, node.zone, lambda boots, now, node=node: self.start_relay(node, boots, now))
+
+    # ---- processes
+
+    def add(self, name, zone, start):
+        self.zones[name] = zone
+        self.processes[name] = Process(self, name, start)
+
+    def start_source(self, name, boots, now):
+        revision = self.history.revision if boots > 1 else 0
+        held = Held(LOG, revision, ("",), self.history.at(revision, ("",)))
+        return Source(Identity(name=name, seed=self.seed, boot=boots << 20), held, self.limits, now)
+
+    def start_relay(self, node, boots, now):
+        identity = Identity(name=node.name, zone=node.zone, upstreams=self.voters, seed=self.seed, boot=boots << 20)
+        return Relay(identity, self.limits, now)
+
+    def coordinator(self, name, zone="a", scope=("",), kind=Watcher, held=None):
+        self.zones[name] = zone
+
+        def start(boots, now):
+            identity = Identity(
+                name=name, zone=zone, upstreams=self.relays, scope=scope, seed=self.seed, boot=boots << 20
+            )
+            held = self.processes[name].disk.held if name in self.processes else Held()
+            return kind(identity, held, self.limits, now)
+
+        self.processes[name] = Coordinator(self, name, start, scope)
+        return self.processes[name]
+
+    def coordinators(self):
+        return [one for one in self.processes.values() if isinstance(one, Coordinator)]
+
+    def relay_processes(self):
+        return [self.processes[node.name] for node in self.relays]
+
+    # ---- time and transport
+
+    def at(self, time, call):
+        heapq.heappush(self.queue, (time, next(self.order), call))
+
+    def run(self, duration):
+        end = self.now + duration
+        while self.queue and self.queue[0][0] <= end:
+            time, _, call = heapq.heappop(self.queue)
+            self.now = max(self.now, time)
+            call()
+        self.now = end
+
+    def run_until(self, done, most):
+        """The time it took, at the most `most`."""
+        began = self.now
+        while not done():
+            assert self.now - began < most, f"not within {most / SECOND} s"
+            self.run(100 * MILLISECOND)
+        return self.now - began
+
+    def send(self, sender, to, message):
+        if self.record:
+            self.sent.append((self.now, sender, to, message))
+        message = messages.decode(messages.encode(message))
+        copies = 1 + (self.chance.random() < self.faults.double)
+        for _ in range(copies):
+            if self.chance.random() >= self.faults.loss:
+                delay = self.faults.delay + int(self.chance.random() * self.faults.jitter)
+                self.at(self.now + delay, lambda: self.arrive(sender, to, message))
+
+    def arrive(self, sender, to, message):
+        process = self.processes.get(to)
+        if process is not None and frozenset((sender, to)) not in self.cuts:
+            process.handle(events.Received(sender, message))
+
+    def cut(self, some, others):
+        self.cuts |= {frozenset((one, other)) for one in some for other in others if one != other}
+
+    def heal(self):
+        self.cuts.clear()
+
+    # ---- what is done and looked at
+
+    def decide(self, values):
+        change = self.history.add(values)
+        for node in self.voters:
+            self.tell(node.name)
+        return change
+
+    def tell(self, name):
+        """The shell of a voter hands in all that is decided."""
+        process = self.processes[name]
+        if process.core is not None:
+            held = process.core.revision
+            process.handle(events.Decided(LOG, tuple(self.history.changes[held:])))
+
+    def converged(self):
+        newest = self.history.revision
+        return all(one.core is not None and one.core.revision == newest for one in self.coordinators())
+
+    def on_apply(self, coordinator, effect):
+        """For checkers."""
+
+    def on_acknowledge(self, coordinator, message):
+        """For checkers."""
