Run coordinator and relay shells on the twin; keep values in force over a crash

Need: a coordinator that ended between the sync of a change and its check lost the value that a refused key went on with.

Change: each write of a change has what was in force of its keys beside it; the shells are tested with the real cores on the faulty twin: lost mail, a relay's end, a restart, a scope, a check by key.

--- a/rackhub/fleet/distribution/applying.py
+++ b/rackhub/fleet/distribution/applying.py
@@ -28,19 +28,15 @@
 class RuleKeys:
     """What is wanted, what is in force, and the parts that it is for. `parts` may grow until the first `apply`.
 
-    `refused`: what an earlier process kept in place of the values that it could not take; None: no such key.
+    `fallback`: what an earlier process had in force where it may not have taken the wanted value; None: no such key.
     """
 
-    def __init__(self, wanted: Mapping[str, bytes], refused: Mapping[str, bytes | None]):
+    def __init__(self, wanted: Mapping[str, bytes], fallback: Mapping[str, bytes | None]):
         self.parts: dict[str, RulePart] = {}
         self.wanted: Values = dict(wanted)
-        self.in_force: Values = _changed(self.wanted, refused)
+        self.in_force: Values = _changed(self.wanted, fallback)
         self.faults: dict[str, str] = {}
 
-    def refused(self) -> dict[str, bytes | None]:
-        """What is in force in place of each value that can't be taken; None: no such key is."""
-        return {key: self.in_force.get(key) for key in self.faults}
-
     def start(self, revision: int) -> None:
         """Put in force what was held when the process before this one ended."""
         self._settle(self._part_names(), revision)
--- a/rackhub/fleet/distribution/coordinator.py
+++ b/rackhub/fleet/distribution/coordinator.py
@@ -6,7 +6,7 @@
 from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
 from rackhub.fleet.distribution.events import Applied, Apply, CheckWanted, Effect, Held, Persist, Persisted
 from rackhub.fleet.distribution.limits import FAULT_KEYS, Limits
-from rackhub.fleet.distribution.messages import Check, Checked, Heartbeat, SnapshotPart, Unavailable, Update
+from rackhub.fleet.distribution.messages import Check, Checked, Heartbeat, Revision, SnapshotPart, Unavailable, Update
 from rackhub.fleet.distribution.ports import Identity
 from rackhub.fleet.distribution.state import in_scope
 from rackhub.fleet.distribution.store import HeldStore
@@ -25,7 +25,8 @@
         self._watcher = Watcher(identity, self._store.held, limits, fleet.clock.now())
         entries = in_scope(self._store.held.entries.values(), identity.scope)
         wanted = {entry.key: entry.value for entry in entries if entry.value is not None}
-        self._keys = RuleKeys(wanted, self._store.refused)
+        self._keys = RuleKeys(wanted, self._store.fallback)
+        self._unapplied: dict[str, Revision] = {}  # keys that are persisted, by the newest revision of each
         self.inbox = Inbox(fleet)
         self._endpoint = Endpoint(fleet, self.inbox, self._watcher, self._perform)
         self.inbox.route(FROM_UPSTREAM, self._endpoint.received)
@@ -78,7 +79,7 @@
     def _perform(self, effect: Effect) -> None:
         match effect:
             case Persist():
-                self._store.persist(effect, self._synced(effect.revision))
+                self._store.persist(effect, self._synced(effect.revision), self._fallback(effect))
             case Apply():
                 self._apply(effect)
             case CheckWanted():
@@ -87,9 +88,19 @@
     def _synced(self, revision: int) -> Callable[[], None]:
         return lambda: self._endpoint.hand(Persisted(revision))
 
+    def _fallback(self, change: Persist) -> dict[str, bytes | None]:
+        """What is in force of all keys that the next process may find a value of that can't be taken."""
+        in_force = self._keys.in_force
+        values = {entry.key: entry.value for entry in change.entries}
+        if change.snapshot:
+            values |= {key: None for key in in_force if key not in values}
+        touched = [key for key, value in values.items() if in_force.get(key) != value]
+        self._unapplied |= dict.fromkeys(touched, change.revision)
+        return {key: in_force.get(key) for key in self._unapplied.keys() | self.faults.keys()}
+
     def _apply(self, effect: Apply) -> None:
         faults = self._keys.apply(effect.entries, effect.snapshot, effect.revision)
-        self._store.keep_refused(self._keys.refused())
+        self._unapplied = {key: newest for key, newest in self._unapplied.items() if newest > effect.revision}
         if faults:
             self._fleet.tally("distribution_not_taken", 1)
         self._endpoint.hand(Applied(effect.revision, faults[:FAULT_KEYS]))
--- a/rackhub/fleet/distribution/store.py
+++ b/rackhub/fleet/distribution/store.py
@@ -1,4 +1,4 @@
-"""What a watcher holds, on a disk: a head, a record for each entry, and what is in force in place of refused values."""
+"""What a watcher holds, on a disk: a head, a record for each entry, and the values that they took the place of."""
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
@@ -23,7 +23,8 @@
 
 
 class HeldStore:
-    """`held`: what an earlier process left, or nothing. `prefix`: of its keys on the disk.
+    """`held`: what an earlier process left, or nothing. `fallback`: what was in force for keys whose newest value was not
+    known to be taken; None: no such key. `prefix`: of its keys on the disk.
 
     A head or entry that can't be read is named in `damage` and counted, all that is held is deleted, and the watcher
     begins from revision 0. A disk that can't be read at all is put aside by the disk itself.
@@ -37,12 +38,11 @@
         prefix: str = "distribution",
     ):
         self._disk, self._scope = disk, scope
-        self._head_key, self._refused_key = f"{prefix}/head", f"{prefix}/refused"
+        self._head_key, self._fallback_key = f"{prefix}/head", f"{prefix}/fallback"
         self._entry_prefix = f"{prefix}/entry/"
         self._keys: set[str] = set()  # of the entries on the disk
-        self._refused_body: bytes | None = None
         self.held = Held()
-        self.refused: Mapping[str, bytes | None] = {}
+        self.fallback: Mapping[str, bytes | None] = {}
         self.damage = ""
         try:
             self._load()
@@ -51,7 +51,11 @@
             tally(DAMAGED, 1)
 
     def persist(
-        self, change: Persist, done: Callable[[], None], also: Mapping[str, bytes | None] | None = None
+        self,
+        change: Persist,
+        done: Callable[[], None],
+        fallback: Mapping[str, bytes | None] | None = None,
+        also: Mapping[str, bytes | None] | None = None,
     ) -> None:
         """Write it all at once; `done` when it is synced. `also`: further keys of the disk, in the same write."""
         changes: dict[str, bytes | None] = {}
@@ -65,24 +69,19 @@
             else:
                 self._keys.add(entry.key)
         changes[self._head_key] = msgspec.msgpack.encode(Head(change.log, change.revision, self._scope))
+        if fallback is not None:
+            changes[self._fallback_key] = msgspec.msgpack.encode(dict(fallback))
         self._disk.write(changes | dict(also or {}), done)
 
-    def keep_refused(self, refused: Mapping[str, bytes | None]) -> None:
-        """What is in force in place of values that could not be taken, for the next process."""
-        body = msgspec.msgpack.encode(dict(refused))
-        if body != self._refused_body:
-            self._refused_body = body
-            self._disk.put(self._refused_key, body, lambda: None)
-
     def _load(self) -> None:
         head_body = self._disk.get(self._head_key)
         if head_body is None:
             return
         head = msgspec.msgpack.decode(head_body, type=Head)
         entries = dict(self._entries())
-        self._refused_body = self._disk.get(self._refused_key)
-        if self._refused_body is not None:
-            self.refused = msgspec.msgpack.decode(self._refused_body, type=dict[str, bytes | None])
+        fallback_body = self._disk.get(self._fallback_key)
+        if fallback_body is not None:
+            self.fallback = msgspec.msgpack.decode(fallback_body, type=dict[str, bytes | None])
         self._keys = set(entries)
         self.held = Held(head.log, head.revision, head.scope, entries)
 
@@ -96,9 +95,9 @@
     def _begin_anew(self, reason: str) -> None:
         self.damage = f"{self._entry_prefix}: can't be read: {reason}"
         log.error("fleet: %s; all of it is dropped and fetched anew", self.damage)
-        doomed = [self._head_key, self._refused_key, *(key for key, _ in self._disk.scan(self._entry_prefix))]
+        doomed = [self._head_key, self._fallback_key, *(key for key, _ in self._disk.scan(self._entry_prefix))]
         self._disk.write(dict.fromkeys(doomed), lambda: None)
-        self._keys, self._refused_body, self.refused = set(), None, {}
+        self._keys, self.fallback = set(), {}
         self.held = Held()
 
 
--- a/tests/test_distribution_rules.py
+++ b/tests/test_distribution_rules.py
@@ -135,8 +135,8 @@
     return Entry(f"rules/{name}", None if number is None else rules.encode_value(number), revision)
 
 
-def keys_with_part(wanted=(), refused=()):
-    keys, part = RuleKeys(dict(wanted), dict(refused)), Part()
+def keys_with_part(wanted=(), fallback=()):
+    keys, part = RuleKeys(dict(wanted), dict(fallback)), Part()
     keys.parts["p"] = part
     return keys, part
 
@@ -155,7 +155,7 @@
     [fault] = keys.apply([entry("p/first", 99), entry("p/third", 4), entry("p/second", 5)], False, 2)
     assert fault.key == "rules/p/first" and "first = 99: is not below 10" in fault.reason
     assert part.held[-1] == (2, {"first": 1, "second": 5, "third": 4})
-    assert keys.refused() == {"rules/p/first": rules.encode_value(1)}
+    assert keys.in_force["rules/p/first"] == rules.encode_value(1)
     assert keys.apply([entry("p/first", 7)], False, 3) == () and part.held[-1][1]["first"] == 7
 
 
@@ -176,11 +176,12 @@
 
 def test_over_a_restart_a_refused_key_s_value_before_holds_again():
     keys, _ = keys_with_part()
-    keys.apply([entry("p/first", 1)], False, 1)
+    keys.apply([entry("p/first", 1), entry("p/third", 3)], False, 1)
     keys.apply([entry("p/first", 99), entry("p/new", 99)], False, 2)
-    again, part = keys_with_part(keys.wanted, keys.refused())
+    fallback = {key: keys.in_force.get(key) for key in keys.faults}
+    again, part = keys_with_part(keys.wanted, fallback | {"rules/p/third": None})
     again.start(2)
-    assert part.held == [(2, {"first": 1})] and set(again.faults) == {"rules/p/first", "rules/p/new"}
+    assert part.held == [(2, {"first": 1, "third": 3})] and set(again.faults) == {"rules/p/first", "rules/p/new"}
 
 
 def test_a_part_that_fails_while_it_holds_is_a_fault_and_the_others_go_on():
--- a/tests/test_distribution_shells.py
+++ b/tests/test_distribution_shells.py
@@ -2,10 +2,40 @@
 
 import pytest
 
+from rackhub.fleet.distribution.coordinator import Coordinator
 from rackhub.fleet.distribution.endpoint import MOST_SENDERS, Endpoint, Inbox, SenderCounts
-from rackhub.fleet.distribution.events import Counted, Held, Persist, Persisted, Received, Send, Tick
-from rackhub.fleet.distribution.messages import KIND, Entry, Unwatch, Watch, encode
+from rackhub.fleet.distribution.events import (
+    CheckAsked,
+    CheckDone,
+    Counted,
+    Decided,
+    Held,
+    Node,
+    Persist,
+    Persisted,
+    Received,
+    Role,
+    Send,
+    Tick,
+)
+from rackhub.fleet.distribution.limits import Limits
+from rackhub.fleet.distribution.messages import (
+    KIND,
+    Acknowledge,
+    Change,
+    Checked,
+    Entry,
+    Report,
+    Unwatch,
+    Watch,
+    encode,
+)
+from rackhub.fleet.distribution.ports import Identity
+from rackhub.fleet.distribution.relay_shell import RelayShell
+from rackhub.fleet.distribution.rules import encode_value
+from rackhub.fleet.distribution.source import Source
 from rackhub.fleet.distribution.store import HeldStore
+from rackhub.fleet.ports import State
 from rackhub.fleet.register.disk import MemoryDisk, StoreDisk
 from rackhub.trials.fleet.twin import MS, SECOND, Net
 
@@ -134,15 +164,14 @@
     assert list(loaded(disk).held.entries) == ["z"] and loaded(disk).held.log == "other"
 
 
-def test_values_in_force_in_place_of_refused_ones_are_kept():
+def test_values_that_were_in_force_before_are_kept_with_the_change_that_replaces_them():
     net, disk = memory()
     store = loaded(disk)
-    store.persist(Persist("log", 1, (), False), lambda: None)
-    store.keep_refused({"a": b"old", "b": None})
-    puts = disk.puts
-    store.keep_refused({"a": b"old", "b": None})
+    store.persist(Persist("log", 1, (), False), lambda: None, {"a": b"old", "b": None})
     net.time.run(MS)
-    assert disk.puts == puts and loaded(disk).refused == {"a": b"old", "b": None}
+    store.persist(Persist("log", 2, (), False), lambda: None, {})
+    disk.crash()
+    assert loaded(disk).fallback == {"a": b"old", "b": None}
 
 
 @pytest.mark.parametrize(
@@ -151,7 +180,7 @@
         ("distribution/head", b"\xc1"),
         ("distribution/entry/a", b"nonsense"),
         ("distribution/entry/a", b"\x93\xa1b\xc4\x00\x01"),  # the entry of another key
-        ("distribution/refused", b"\x01"),
+        ("distribution/fallback", b"\x01"),
     ],
 )
 def test_a_record_that_can_t_be_read_is_named_and_all_begins_from_0(key, body):
@@ -185,3 +214,170 @@
     assert disk.damage and disk.identity != identity and loaded(disk).held == Held()
     disk.end()
     assert any(aside.name.startswith("distribution.damaged-") for aside in tmp_path.iterdir())
+
+
+# ---- roles on the twin: real cores, real shells, mail that may be lost
+
+
+class RecordingPart:
+    """Refuses the values that it is told to."""
+
+    def __init__(self, refused=()):
+        self.refused, self.held = refused, []
+
+    def check(self, part):
+        bad = [f"{name} = {value!r}: no" for name, value in (part or {}).items() if value in self.refused]
+        if bad:
+            raise ValueError("; ".join(bad))
+
+    def hold(self, part, version):
+        self.held.append((version, part))
+
+
+def nodes(voters=1, relays=2):
+    return tuple(
+        [Node(f"v{number}", Role.VOTER, "z") for number in range(voters)]
+        + [Node(f"r{number}", Role.RELAY, "z") for number in range(relays)]
+    )
+
+
+def coordinator_on(net, name, disk, boot=1, refused=(), relays=2, scope=("",)):
+    upstreams = tuple(node for node in nodes(relays=relays) if node.role is Role.RELAY)
+    identity = Identity(name=name, zone="z", upstreams=upstreams, scope=scope, boot=boot)
+    coordinator = Coordinator(net.nodes[name].fleet(), identity, disk, Limits())
+    part = RecordingPart(refused)
+    coordinator.part("p", part)
+    coordinator.start()
+    return coordinator, part
+
+
+def relay_on(net, name, voters=1, boot=1):
+    directory = nodes(voters)
+    upstreams = tuple(node for node in directory if node.role is Role.VOTER)
+    identity = Identity(name=name, zone="z", upstreams=upstreams, boot=boot)
+    relay = RelayShell(net.nodes[name].fleet(), identity, frozenset(node.name for node in directory), Limits())
+    relay.start()
+    return relay
+
+
+class SourceStand:
+    """A voter without a register: what it is told is decided."""
+
+    def __init__(self, net, name="v0"):
+        self.fleet = net.nodes[name].fleet()
+        self.source = Source(Identity(name=name), Held(), Limits(), net.time.now())
+        self.checks, self.revision = [], 0
+        inbox = Inbox(self.fleet)
+        self.endpoint = Endpoint(self.fleet, inbox, self.source, self.checks.append)
+        inbox.route((Watch, Unwatch, Acknowledge, Report, Checked), self.endpoint.received)
+        inbox.start()
+        self.endpoint.start()
+
+    def change(self, **values):
+        self.revision += 1
+        entries = tuple(
+            Entry(f"rules/p/{name}", None if value is None else encode_value(value), self.revision)
+            for name, value in values.items()
+        )
+        self.endpoint.hand(Decided("log", (Change(self.revision, entries),)))
+
+    def status(self):
+        return self.source.status(self.fleet.clock.now())
+
+
+def fleet_of(lose=0.0):
+    net = Net(["v0", "r0", "r1", "c0", "c1"], 5)
+    net.lose = lose
+    disks = {name: MemoryDisk(net.nodes[name].later, name) for name in ("c0", "c1")}
+    return net, SourceStand(net), disks
+
+
+@pytest.mark.parametrize("lose", [0.0, 0.2])
+def test_a_change_is_in_force_at_all_coordinators_and_the_voter_knows(lose):
+    net, voter, disks = fleet_of(lose)
+    for name in ("r0", "r1"):
+        relay_on(net, name)
+    stands = [coordinator_on(net, name, disks[name], refused=(9,)) for name in ("c0", "c1")]
+    voter.change(first=1)
+    assert net.time.run(16 * SECOND, lambda: voter.status().in_force == 2)
+    assert all(part.held[-1] == (1, {"first": 1}) for _, part in stands)
+    voter.change(first=9, second=2)
+    assert net.time.run(16 * SECOND, lambda: voter.status().in_force == 2)
+    for coordinator, part in stands:
+        assert part.held[-1] == (2, {"first": 1, "second": 2})
+        assert list(coordinator.faults) == ["rules/p/first"] and coordinator.version == 2
+        assert coordinator.figures()["distribution_refused_keys"] == 1
+    assert net.time.run(16 * SECOND, lambda: voter.status().fault_count == 2)
+
+
+def test_a_coordinator_s_check_is_asked_through_a_relay_and_names_the_key():
+    net, voter, disks = fleet_of()
+    for name in ("r0", "r1"):
+        relay_on(net, name)
+    for name in ("c0", "c1"):
+        coordinator_on(net, name, disks[name], refused=(9,))
+    voter.change(first=1)
+    assert net.time.run(16 * SECOND, lambda: voter.status().in_force == 2)
+    voter.endpoint.hand(CheckAsked(7, (Entry("rules/p/first", encode_value(9), 0),)))
+    assert net.time.run(16 * SECOND, lambda: bool(voter.checks))
+    [done] = voter.checks
+    assert isinstance(done, CheckDone) and done.mark == 7 and not done.silent
+    assert [fault.key for fault in done.faults] == ["rules/p/first"]
+
+
+def test_the_relay_that_one_watches_ends_and_the_next_change_comes_by_the_other():
+    net, voter, disks = fleet_of()
+    for name in ("r0", "r1"):
+        relay_on(net, name)
+    coordinator, part = coordinator_on(net, "c0", disks["c0"])
+    voter.change(first=1)
+    assert net.time.run(16 * SECOND, lambda: coordinator.version == 1)
+    gone = coordinator.upstream
+    net.nodes[gone].kill()
+    voter.change(first=2)
+    assert net.time.run(16 * SECOND, lambda: part.held[-1] == (2, {"first": 2}))
+    assert coordinator.upstream not in ("", gone)
+
+
+@pytest.mark.parametrize(
+    "at",
+    [lambda coordinator: coordinator.version == 2, lambda coordinator: coordinator.held.revision == 2],
+    ids=["in force", "on the disk"],
+)
+def test_a_coordinator_resumes_from_its_disk_with_what_was_in_force(at):
+    net, voter, disks = fleet_of()
+    for name in ("r0", "r1"):
+        relay_on(net, name)
+    coordinator, _ = coordinator_on(net, "c0", disks["c0"], refused=(9,))
+    voter.change(first=1, second=2)
+    assert net.time.run(16 * SECOND, lambda: coordinator.version == 1)
+    voter.change(first=9)
+    assert net.time.run(16 * SECOND, lambda: at(coordinator))
+    coordinator.stop()
+    net.nodes["c0"].kill()
+    disks["c0"].crash()
+    net.nodes["c0"].restart()
+    net.cut({"c0"}, set(net.nodes))
+    again, part = coordinator_on(net, "c0", disks["c0"], boot=2, refused=(9,))
+    assert part.held == [(2, {"first": 1, "second": 2})] and again.version == 2
+    net.heal()
+    voter.change(first=3)
+    assert net.time.run(16 * SECOND, lambda: again.version == 3)
+    assert part.held[-1] == (3, {"first": 3, "second": 2}) and not again.faults
+
+
+def test_a_scope_keeps_other_keys_away():
+    net, voter, disks = fleet_of()
+    relay_on(net, "r0")
+    coordinator, part = coordinator_on(net, "c0", disks["c0"], scope=("rules/p/a",))
+    voter.change(a=1, b=2)
+    assert net.time.run(16 * SECOND, lambda: coordinator.version == 1)
+    assert part.held == [(1, {"a": 1})] and list(coordinator.held.entries) == ["rules/p/a"]
+
+
+def test_a_relay_counts_the_coordinators_of_its_zone_by_the_members_word():
+    net, voter, disks = fleet_of()
+    relay = relay_on(net, "r0")
+    assert relay.figures()["distribution_members"] == 2
+    net.nodes["r0"].say("c1", State.GONE)
+    assert relay.figures()["distribution_members"] == 1
