Decide edits of the rule book at voters of distribution, with undo and catching up

Need: an edit at a voter has to be checked, decided by the register, on the disk before it is acknowledged, and learned by every other voter.

--- a/rackhub/fleet/distribution/catching_up.py
+++ b/rackhub/fleet/distribution/catching_up.py
@@ -19,8 +19,8 @@
 
 
 class CatchUp:
-    """`identity`: the voter's, with the other voters as upstreams. `taken` gets what came, once it is on the disk;
-    what the voter learns otherwise must wait while `running`."""
+    """`identity`: the voter's, with the other voters as upstreams. `taken` gets what came, once it is on the disk,
+    and the revision that was held before; what the voter learns otherwise must wait while `running`."""
 
     def __init__(
         self,
@@ -31,7 +31,7 @@
         history: History,
         learner: Learner,
         limits: Limits,
-        taken: Callable[[Apply], None],
+        taken: Callable[[Apply, Revision], None],
     ):
         self._fleet, self._identity, self._inbox = fleet, identity, inbox
         self._store, self._history, self._learner, self._limits, self._taken = store, history, learner, limits, taken
@@ -75,8 +75,9 @@
                 also = self._history.begin_anew(effect.revision)
                 self._store.persist(effect, lambda: self._hand(Persisted(effect.revision)), also)
             case Apply():
+                previous = self._learner.revision
                 self._learner.take_snapshot(effect)
-                self._taken(effect)
+                self._taken(effect, previous)
                 self._hand(Applied(effect.revision))
                 if effect.revision >= self._wanted:
                     self.stop()
--- a/rackhub/fleet/distribution/editing.py
+++ b/rackhub/fleet/distribution/editing.py
@@ -5,21 +5,17 @@
 
 import msgspec
 
-from rackhub.fleet.distribution.history import History, Past
-from rackhub.fleet.distribution.messages import Revision
+from rackhub.fleet.distribution.decisions import EditRefused, InvalidEdit
+from rackhub.fleet.distribution.history import History
+from rackhub.fleet.distribution.messages import Change, Revision
 from rackhub.fleet.distribution.rules import PREFIX, Values, assemble, check_bounds, difference, flatten, part_of
 
 Changed = Mapping[str, bytes | None]
 
-MOST_TEXT = 200  # letters of an author, a reason, an id
 SHOWN_CHANGES = 3  # named in a refusal
 NEWEST = -1  # as a revision that a call names
 
 
-class EditRefused(Exception):
-    """Nothing is changed; the text says why in words for the editor."""
-
-
 class EditRequest(msgspec.Struct, frozen=True, kw_only=True):
     """`on`: the revision that the editor saw. Parts of an edit take the place of those that stand, None takes one out;
     an undo brings back what the keys that changed after `to` were then, up to `on`."""
@@ -34,7 +30,7 @@
 
 
 def plan(request: EditRequest, standing: Values, history: History) -> dict[str, bytes | None]:
-    """The keys that change, within bounds. Raises `EditRefused`, `RuleKeyError` and `NotKept`."""
+    """The keys that change, within bounds. Raises `EditRefused`, `RuleKeyError`, `NotKept`."""
     _check_texts(request)
     if request.on > history.newest:
         raise EditRefused(f"there is no revision {request.on} yet: the newest is {history.newest}")
@@ -47,14 +43,13 @@
     return changed
 
 
-def check_conflicts(request: EditRequest, changed: Changed, since: Iterable[Past]) -> None:
+def check_conflicts(request: EditRequest, changed: Changed, since: Iterable[Change]) -> None:
     """Raises `EditRefused` where one of the changes since the revision that the editor saw is of the same: of the same
     parts for an edit, which replaces them whole, of the same keys for an undo."""
-    found = [past for past in since if past.change.revision > request.on and _touches(request, changed, past.keys)]
+    found = [change for change in since if change.revision > request.on and _touches(request, changed, change)]
     if found:
         theirs = "; ".join(
-            f"revision {past.change.revision} by {past.change.author} ({past.change.reason})"
-            for past in found[-SHOWN_CHANGES:]
+            f"revision {change.revision} by {change.author} ({change.reason})" for change in found[-SHOWN_CHANGES:]
         )
         raise EditRefused(
             f"{request.author}'s {request.kind} ({request.reason}) builds on revision {request.on}; since then there "
@@ -64,8 +59,8 @@
 
 def _check_texts(request: EditRequest) -> None:
     for name, text in (("author", request.author), ("reason", request.reason), ("id", request.id)):
-        if not 0 < len(text) <= MOST_TEXT:
-            raise EditRefused(f"{name}: {text[:40]!r}: from 1 to {MOST_TEXT} letters are needed")
+        if not text:
+            raise InvalidEdit("", f"{name}: {text!r} is empty")
 
 
 def _plan_edit(request: EditRequest, values: Values) -> Changed:
@@ -85,7 +80,8 @@
     return {key: value for key, value in changed.items() if key.startswith(PREFIX)}
 
 
-def _touches(request: EditRequest, changed: Changed, keys: set[str]) -> bool:
+def _touches(request: EditRequest, changed: Changed, change: Change) -> bool:
+    keys = {entry.key for entry in change.entries}
     if request.kind != "edit":
         return bool(keys & set(changed))
     parts = {part_of(key) for key in keys if key.startswith(PREFIX)}
--- a/rackhub/fleet/distribution/learning.py
+++ b/rackhub/fleet/distribution/learning.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from rackhub.fleet.distribution.decisions import Tail
 from rackhub.fleet.distribution.events import Apply, Decided, Persist
 from rackhub.fleet.distribution.history import History
 from rackhub.fleet.distribution.messages import Change, Entry, LogId, Revision
@@ -36,17 +37,31 @@
     def values(self) -> dict[str, bytes]:
         return {key: entry.value for key, entry in self.entries.items() if entry.value is not None}
 
+    def learn_tail(self, tail: Tail) -> None:
+        """The register's value, as a majority has chosen it."""
+        if self._is_foreign(tail.log):
+            return
+        if tail.settled > self.revision:
+            return self._gap(tail.settled)
+        self.learn(tail.log, tail.changes)
+
     def learn(self, log_id: LogId, changes: tuple[Change, ...]) -> None:
         """Chosen changes of the log, in order; those that are held are passed over."""
-        if self.log and log_id != self.log:
-            log.error("fleet: changes of log %r, and %r is held: the register was lost or put back", log_id, self.log)
-            return self._tally("distribution_other_logs", 1)
+        if self._is_foreign(log_id):
+            return
         for change in changes:
             if change.revision > self.revision + 1:
                 return self._gap(change.revision - 1)
             if change.revision == self.revision + 1:
                 self._take(log_id, change)
 
+    def _is_foreign(self, log_id: LogId) -> bool:
+        if not self.log or log_id == self.log:
+            return False
+        log.error("fleet: changes of log %r, and %r is held: the register was lost or put back", log_id, self.log)
+        self._tally("distribution_other_logs", 1)
+        return True
+
     def take_snapshot(self, snapshot: Apply) -> None:
         """What another voter has, which is written already: it takes the place of all that is held here."""
         self.entries = {} if snapshot.snapshot else self.entries
--- a/rackhub/fleet/distribution/store.py
+++ b/rackhub/fleet/distribution/store.py
@@ -23,8 +23,8 @@
 
 
 class HeldStore:
-    """`held`: what an earlier process left, or nothing. `fallback`: what was in force for keys whose newest value was not
-    known to be taken; None: no such key. `prefix`: of its keys on the disk.
+    """`held`: what an earlier process left, or nothing. `fallback`: what was in force for keys whose newest value was
+    not known to be taken; None: no such key. `prefix`: of its keys on the disk.
 
     A head or entry that can't be read is named in `damage` and counted, all that is held is deleted, and the watcher
     begins from revision 0. A disk that can't be read at all is put aside by the disk itself.
--- /dev/null
+++ b/rackhub/fleet/distribution/voter.py
@@ -0,0 +1,159 @@
+"""A voter: decides changes by a register of its own, keeps them on its disk, and serves them to relays and voters."""
+
+from rackhub.fleet.distribution.applying import RuleKeys
+from rackhub.fleet.distribution.catching_up import CatchUp
+from rackhub.fleet.distribution.editing import EditRequest
+from rackhub.fleet.distribution.editor import Done, Editor
+from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
+from rackhub.fleet.distribution.events import Apply, CaughtUp, CheckDone, Decided, Effect, Node, Role
+from rackhub.fleet.distribution.history import History
+from rackhub.fleet.distribution.learning import Learner
+from rackhub.fleet.distribution.limits import Limits
+from rackhub.fleet.distribution.messages import (
+    Acknowledge,
+    AnyMessage,
+    Checked,
+    KeyFault,
+    Report,
+    Revision,
+    Unwatch,
+    Watch,
+)
+from rackhub.fleet.distribution.ports import FleetStatus, Identity
+from rackhub.fleet.distribution.replication import Replication
+from rackhub.fleet.distribution.source import Source
+from rackhub.fleet.distribution.store import HeldStore
+from rackhub.fleet.distribution.voting import REGISTER
+from rackhub.fleet.ports import Fleet, KeyedDisk, Name, RulePart
+from rackhub.fleet.register.keeper import Keeper
+from rackhub.fleet.register.proposer import Proposer
+
+FROM_WATCHERS = (Watch, Unwatch, Acknowledge, Checked)
+EVERYTHING = ("",)
+
+
+class Voter:
+    """`voters`: the names of all, this one too. `part` is called before `start`. Raises `ValueError` where the disk is
+    that of another voter or set of voters."""
+
+    def __init__(self, fleet: Fleet, identity: Identity, voters: tuple[Name, ...], disk: KeyedDisk, limits: Limits):
+        self._fleet = fleet
+        self._store = HeldStore(disk, EVERYTHING, fleet.tally)
+        held = self._store.held
+        self._source = Source(identity, held, limits, fleet.clock.now())
+        self.inbox = Inbox(fleet)
+        self._endpoint = Endpoint(fleet, self.inbox, self._source, self._perform)
+        self.inbox.route(FROM_WATCHERS, self._endpoint.received)
+        self.inbox.route((Report,), self._reported)
+        self.history = History(disk, held.revision)
+        self.learner = Learner(self._store, self.history, self._learned, self._catch_up, fleet.tally)
+        self._keys = RuleKeys(self.learner.values(), self._store.fallback)
+        others = tuple(Node(name, Role.VOTER) for name in voters if name != identity.name)
+        self._catching_up = CatchUp(
+            fleet,
+            _as_watcher(identity, others),
+            self.inbox,
+            self._store,
+            self.history,
+            self.learner,
+            limits,
+            self._caught_up,
+        )
+        self.register_voter = Keeper(fleet, voters, disk, identity.boot, REGISTER)
+        self._proposer = Proposer(fleet, voters, identity.boot, self.register_voter, REGISTER)
+        self.replication = Replication(
+            fleet, voters, self.register_voter, self._proposer, self.learner, lambda: self._catching_up.running
+        )
+        self._editor = Editor(
+            self.learner, self.history, self._keys, self.replication, self._proposer, self._endpoint.hand
+        )
+        self._refused: dict[Name, tuple[KeyFault, ...]] = {}  # by the relay that last reported them
+
+    @property
+    def version(self) -> Revision:
+        """The newest revision on the disk here."""
+        return self.learner.synced
+
+    @property
+    def damage(self) -> str:
+        """What of the disk could not be read, and is fetched anew from the other voters."""
+        return "; ".join(filter(None, (self._store.damage, self.history.damage, self.register_voter.damage)))
+
+    def part(self, name: str, part: RulePart) -> None:
+        self._keys.parts[name] = part
+
+    def start(self) -> None:
+        self._keys.start(self.version)
+        self.inbox.start()
+        self._endpoint.start()
+        self._proposer.start()
+        self.register_voter.start()
+        self.replication.start()
+
+    def stop(self) -> None:
+        self.replication.stop()
+        self._catching_up.stop()
+        self._proposer.stop()
+        self.register_voter.stop()
+        self._endpoint.stop()
+
+    def edit(self, request: EditRequest, done: Done) -> None:
+        self._editor.edit(request, done)
+
+    def status(self, revision: Revision | None = None) -> FleetStatus:
+        return self._source.status(self._fleet.clock.now(), revision)
+
+    def refused_keys(self) -> list[KeyFault]:
+        """Keys that some coordinators can't take, as the relays name them; not all where there are many."""
+        return sorted({fault for faults in self._refused.values() for fault in faults}, key=lambda fault: fault.key)
+
+    def figures(self) -> dict[str, float]:
+        status = self.status()
+        return {
+            "distribution_revision": float(self.version),
+            "distribution_keys": float(len(self.learner.entries)),
+            "distribution_in_force": float(status.in_force),
+            "distribution_expected": float(status.expected),
+            "distribution_lagging": float(status.lagging),
+            "distribution_oldest_ms": float(status.oldest),
+            "distribution_refusing": float(status.fault_count),
+            "distribution_watchers": float(self._source.watchers),
+            "distribution_votes": float(self.register_voter.state.voting),
+            "distribution_replicated": float(self.replication.replicated()),
+            "distribution_catching_up": float(self._catching_up.running),
+        }
+
+    # ---- what is decided
+
+    def _learned(self, decided: Decided) -> None:
+        """The change is on the disk."""
+        for change in decided.changes:
+            self._keys.apply(change.entries, False, change.revision)
+        self._endpoint.hand(decided)
+        self.replication.say_synced()
+
+    def _catch_up(self, wanted: Revision) -> None:
+        self._catching_up.begin(wanted)
+
+    def _caught_up(self, taken: Apply, previous: Revision) -> None:
+        self._keys.apply(taken.entries, taken.snapshot, taken.revision)
+        self._endpoint.hand(CaughtUp(taken.log, previous, taken.revision, taken.entries, taken.snapshot))
+        self.replication.say_synced()
+
+    # ---- the source
+
+    def _perform(self, effect: Effect) -> None:
+        if isinstance(effect, CheckDone):
+            self._editor.checked(effect)
+
+    def _reported(self, sender: Name, message: AnyMessage) -> None:
+        if isinstance(message, Report):
+            self._refused[sender] = message.faults
+            if not message.faults:
+                del self._refused[sender]
+        self._endpoint.received(sender, message)
+
+
+def _as_watcher(identity: Identity, upstreams: tuple[Node, ...]) -> Identity:
+    """Who a voter is where it watches the others."""
+    return Identity(name=identity.name, zone=identity.zone, upstreams=upstreams, seed=identity.seed, boot=identity.boot)
