--- /dev/null
+++ b/rackhub/trials/scale/result.py
@@ -0,0 +1,88 @@
+"""What a scale run comes to, as one typed object."""
+
+import msgspec
+
+from rackhub.trials.scale.audit import Spread, Verdict
+from rackhub.trials.scale.settings import BYTES_A_SECOND, CPU_PERCENT, IN_FORCE_SECONDS, MEMORY_MEGABYTES
+
+LATENESS_MOST = 0.1  # seconds, p99: a process whose timers are later does not keep up
+
+
+class Cost(msgspec.Struct, frozen=True, kw_only=True):
+    """Of one hollow coordinator, as the mean of all, while changes were made. None: not measured in this kind of run.
+    Bytes are those on the wire, with 28 for the heads of IP and UDP of each datagram."""
+
+    bytes_in: float | None = None
+    bytes_out: float | None = None
+    members_bytes: float | None = None  # of both, what the members' core takes
+    cpu_percent: float | None = None  # of one core
+    memory_megabytes: float | None = None
+
+    @property
+    def within_budget(self) -> bool:
+        total = (self.bytes_in or 0.0) + (self.bytes_out or 0.0)
+        return (
+            total <= BYTES_A_SECOND
+            and (self.cpu_percent or 0.0) <= CPU_PERCENT
+            and (self.memory_megabytes or 0.0) <= MEMORY_MEGABYTES
+        )
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """One run. `time`: real or virtual. `seconds`: during which changes were made. `lateness_p99`: seconds by which
+    timers of the worst process were late, in real time; `keeps_up` where that is not more than a bound."""
+
+    case: str
+    time: str
+    seed: int
+    coordinators: int
+    zones: int
+    relays: int
+    voters: int
+    processes: int
+    real: int
+    rate: float
+    seconds: float
+    verdict: Verdict
+    cost: Cost
+    lateness_p99: float | None = None
+    keeps_up: bool = True
+    relay_bytes_out: float | None = None  # of one relay, a second
+    relay_cpu_percent: float | None = None
+    counters: dict[str, int] = {}
+    notes: tuple[str, ...] = ()
+    passed: bool = False
+
+
+def passes(verdict: Verdict) -> bool:
+    """No fault, and all in force within the target's time."""
+    worst = max(verdict.everywhere.worst, verdict.after_outage.worst)
+    return verdict.faultless and worst <= IN_FORCE_SECONDS
+
+
+def lines(result: Result) -> list[str]:
+    """For a reader."""
+    verdict, cost = result.verdict, result.cost
+    told = [
+        f"{result.case} in {result.time} time, seed {result.seed}: {result.coordinators} coordinators, "
+        f"{result.relays} relays, {result.voters} voters, {result.zones} zones, {result.real} real",
+        f"{verdict.changes} changes in {result.seconds:g} s, {result.rate:g} times the target's pace",
+        f"lost {verdict.lost}, revisions back {verdict.revisions_back}, out of scope {verdict.out_of_scope}, "
+        f"content differs {verdict.content_differs}",
+        _spread_line("in force everywhere", verdict.everywhere),
+        _spread_line("in force at each", verdict.each),
+        _spread_line("after an outage", verdict.after_outage),
+        f"each coordinator: {_figure(cost.bytes_in, 'B/s in')}, {_figure(cost.bytes_out, 'B/s out')}, "
+        f"{_figure(cost.cpu_percent, '% of a core')}, {_figure(cost.memory_megabytes, 'MB')}",
+    ]
+    told += [f"note: {note}" for note in result.notes]
+    told.append("passed" if result.passed else "FAILED")
+    return told
+
+
+def _spread_line(what: str, spread: Spread) -> str:
+    return f"{what}: p50 {spread.p50:g} s, p99 {spread.p99:g} s, worst {spread.worst:g} s of {spread.count}"
+
+
+def _figure(value: float | None, unit: str) -> str:
+    return f"{unit} not measured" if value is None else f"{value:.3g} {unit}"
