Run distribution in the daemon by role, with its calls on the control port

Need: a process with [fleet] role has to run as voter, relay or coordinator, and the command line has to edit and see a fleet with relays.

Change: fleet/part.py builds distribution by role (disk.py opens the stores); membership is by zone; overload is shared among coordinators. Calls rules.* of the voter work through distribution and wait by the relays' sums; other roles and trials are refused by name. A voter that holds nothing has the register begin a log, so that relays can serve a fleet without changes. The rig writes role parts.

--- a/rackhub/cli/rules.py
+++ b/rackhub/cli/rules.py
@@ -36,6 +36,8 @@
   --limit N       So many versions [default: 20].
   --json          One JSON document instead of text.
 
+In a fleet with relays a version is a revision, changes are asked of a voter, and there are no trials.
+
 FILE is TOML (or JSON, by its name) with tables timings, gather, shed, as in the operator's file.
 
 Exit status: 0 done, and with --wait held by all that live; 1 refused, unknown, or not held by all: the words name who
@@ -52,6 +54,7 @@
 from typing import Any
 
 from rackhub.address import address
+from rackhub.cli.relayed_rules import print_relayed
 from rackhub.cli.words import Ended, as_json, number, parse, refuse
 
 MOST = 1 << 53
@@ -82,6 +85,8 @@
         raise refuse(f"--at {options['--at']}: {bad}{said}") from None
     if options["--json"]:
         as_json(told)
+    elif "revision" in told:
+        print_relayed(name, told)
     elif "error" not in told or "version" in told:
         shown(told)
     if "error" in told:
--- a/rackhub/fleet/distribution/editor.py
+++ b/rackhub/fleet/distribution/editor.py
@@ -13,11 +13,10 @@
 from rackhub.fleet.distribution.history import History
 from rackhub.fleet.distribution.learning import Learner
 from rackhub.fleet.distribution.messages import Change, Entry, KeyFault, Revision
-from rackhub.fleet.distribution.replication import WITHIN, Replication
+from rackhub.fleet.distribution.replication import LOG_BYTES, WITHIN, Replication
 from rackhub.fleet.register.proposer import Outcome, Proposer
 
 MOST_CHECKS = 16  # edits that are checked at a time
-LOG_BYTES = 8  # of a new log's identity
 
 
 class EditDone(msgspec.Struct, frozen=True):
--- a/rackhub/fleet/distribution/learning.py
+++ b/rackhub/fleet/distribution/learning.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from rackhub.fleet.distribution.decisions import Tail
-from rackhub.fleet.distribution.events import Apply, Decided, Persist
+from rackhub.fleet.distribution.events import Apply, CaughtUp, Decided, Persist
 from rackhub.fleet.distribution.history import History
 from rackhub.fleet.distribution.messages import Change, Entry, LogId, Revision
 from rackhub.fleet.distribution.store import HeldStore
@@ -13,7 +13,8 @@
 
 
 class Learner:
-    """`decided` gets each change once it is on the disk; `gap` the revision before changes that can't be taken yet.
+    """`begun` gets the empty state once its log is on the disk, `decided` each change once it is; `gap` the revision
+    before changes that can't be taken yet.
 
     `entries`, `revision` and `log` are as written, `synced` is the revision that the disk has.
     """
@@ -22,11 +23,13 @@
         self,
         store: HeldStore,
         history: History,
+        begun: Callable[[CaughtUp], None],
         decided: Callable[[Decided], None],
         gap: Callable[[Revision], None],
         tally: Callable[[str, int], None],
     ):
-        self._store, self._history, self._decided, self._gap, self._tally = store, history, decided, gap, tally
+        self._store, self._history = store, history
+        self._begun, self._decided, self._gap, self._tally = begun, decided, gap, tally
         held = store.held
         self.log: LogId = held.log
         self.revision: Revision = held.revision
@@ -43,6 +46,8 @@
             return
         if tail.settled > self.revision:
             return self._gap(tail.settled)
+        if not self.log:
+            self._begin_log(tail.log)
         self.learn(tail.log, tail.changes)
 
     def learn(self, log_id: LogId, changes: tuple[Change, ...]) -> None:
@@ -76,6 +81,12 @@
         else:
             self._waiting.append((revision, call))
 
+    def _begin_log(self, log_id: LogId) -> None:
+        """The log's identity is known, and nothing of it is held: who watches can be told that this is all there is."""
+        self.log = log_id
+        empty = CaughtUp(log_id, 0, 0, (), True)
+        self._store.persist(Persist(log_id, 0, (), False), lambda: self._begun(empty))
+
     def _take(self, log_id: LogId, change: Change) -> None:
         also = self._history.add(change, self.entries)
         self._put(change.entries)
--- a/rackhub/fleet/distribution/relay_shell.py
+++ b/rackhub/fleet/distribution/relay_shell.py
@@ -38,6 +38,10 @@
         """The revision that it holds."""
         return self._relay.revision
 
+    @property
+    def upstream(self) -> str:
+        return self._relay.upstream or ""
+
     def start(self) -> None:
         self._fleet.members.follow(self._member_changed)
         self.inbox.start()
@@ -52,6 +56,7 @@
         return {
             "distribution_revision": float(self.version),
             "distribution_watchers": float(self._relay.watchers),
+            "distribution_upstream": float(bool(self.upstream)),
             "distribution_members": float(max(self._living, 0)),
         }
 
--- a/rackhub/fleet/distribution/replication.py
+++ b/rackhub/fleet/distribution/replication.py
@@ -5,11 +5,12 @@
 """
 
 import logging
+import secrets
 from collections.abc import Callable
 
 import msgspec
 
-from rackhub.fleet.distribution.decisions import Tail, decode_tail, majority_revision
+from rackhub.fleet.distribution.decisions import Tail, decode_tail, encode_tail, majority_revision
 from rackhub.fleet.distribution.learning import Learner
 from rackhub.fleet.distribution.limits import MILLISECOND, SECOND
 from rackhub.fleet.distribution.messages import Change, Revision
@@ -24,6 +25,7 @@
 TICKS_A_WORD = 4  # between two words to the other voters of the newest revision held
 UNFINISHED = 1 * SECOND  # how long the register voter holds a value that nobody told was chosen, before it is read
 READ_AGAIN = 1 * SECOND  # between two readings of the register
+LOG_BYTES = 8  # of a new log's identity
 WITHIN = 5 * SECOND  # for one change or reading of the register
 
 
@@ -115,6 +117,15 @@
         self._reading, self._read_at = True, now + READ_AGAIN
         self._proposer.read(self._was_read, WITHIN)
 
+    def _begin_log(self) -> None:
+        """Nothing is held: have the register begin a log where it has none, so that watchers know its identity."""
+        now = self._fleet.clock.now()
+        if self._reading or self._busy() or now < self._read_at:
+            return
+        self._reading, self._read_at = True, now + READ_AGAIN
+        first = encode_tail(Tail(secrets.token_hex(LOG_BYTES)))
+        self._proposer.change(lambda value: (value if value is not None else first, None), self._was_read, WITHIN)
+
     def _was_read(self, outcome: Outcome) -> None:
         self._reading = False
         if outcome.kind != "done" or outcome.value is None:
@@ -132,6 +143,8 @@
             self.say_synced()
         self._ticks += 1
         self._look_for_unfinished()
+        if not self._learner.log:
+            self._begin_log()
         self._cancel = self._fleet.later(TICK, self._tick)
 
     def _look_for_unfinished(self) -> None:
--- a/rackhub/fleet/distribution/voter.py
+++ b/rackhub/fleet/distribution/voter.py
@@ -46,7 +46,9 @@
         self.inbox.route(FROM_WATCHERS, self._endpoint.received)
         self.inbox.route((Report,), self._reported)
         self.history = History(disk, held.revision)
-        self.learner = Learner(self._store, self.history, self._learned, self._catch_up, fleet.tally)
+        self.learner = Learner(
+            self._store, self.history, self._endpoint.hand, self._learned, self._catch_up, fleet.tally
+        )
         self._keys = RuleKeys(self.learner.values(), self._store.fallback)
         others = tuple(Node(name, Role.VOTER) for name in voters if name != identity.name)
         self._catching_up = CatchUp(
--- a/rackhub/fleet/part.py
+++ b/rackhub/fleet/part.py
@@ -4,7 +4,9 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+import msgspec
 
 from rackhub import parts
 from rackhub.address import address
@@ -13,15 +15,23 @@
 from rackhub.core.source import Listing
 from rackhub.fleet.control import fleet as fleet_call
 from rackhub.fleet.control.port import ControlPort
+from rackhub.fleet.disk import open_disk
 from rackhub.fleet.members.part import Membership
 from rackhub.fleet.overload.part import Overload
 from rackhub.fleet.overload.prober import Prober
 from rackhub.fleet.overload.safe import Safe
+from rackhub.fleet.overload.shed import Shed
+from rackhub.fleet.ports import RulePart
+from rackhub.fleet.register.disk import StoreDisk
+from rackhub.fleet.roles import COORDINATOR, RELAY, VOTER
 from rackhub.fleet.rules.part import RuleBook
 from rackhub.fleet.rules.timings import TimingsPart
 from rackhub.fleet.settings import FleetSettings
 from rackhub.timings.table import Table
 
+if TYPE_CHECKING:
+    from rackhub.fleet.distribution.part import Distribution
+
 log = logging.getLogger(__name__)
 
 
@@ -33,8 +43,9 @@
         try:
             if self.told.state:
                 Path(self.told.state).mkdir(parents=True, exist_ok=True)
+            zone_settings = msgspec.structs.replace(self.told, cluster=self.told.zone_cluster)
             self.membership = Membership(
-                host.reactor, self.told, host.config.listen, host.clock, host.config.seed, self._tally
+                host.reactor, zone_settings, host.config.listen, host.clock, host.config.seed, self._tally
             )
         except OSError as fault:
             raise PartUnusable(f"[fleet] state: {fault}") from None
@@ -45,38 +56,49 @@
         self.prober = Prober(host.reactor, host.clock, host.config.limits)
         self.overload = (
             Overload(self.fleet, host.source.settings, host.config.limits, host.core, self.prober, self.told)
-            if self.told.overload
+            if self.told.overload and self.told.role in ("", COORDINATOR)
             else None
         )
-        self.disk: Any = None
-        self.rules = self._book() if self.told.keepers else None
+        self.disk: StoreDisk | None = None
+        self.distribution = self._distribution() if self.told.role else None
+        self.book = self._book() if self.told.keepers and not self.told.role else None
+        self.timings = TimingsPart(lambda: host.source.settings, lambda: host.operator.timings, self._time)
+        for name, part in self._rule_parts().items():
+            if self.rules is not None:
+                self.rules.part(name, part)
+
+    @property
+    def rules(self) -> "RuleBook | Distribution | None":
+        """Whoever holds the rule book here: that of a fleet without relays, or what distribution brings."""
+        return self.book if self.distribution is None else self.distribution
+
+    def _rule_parts(self) -> dict[str, RulePart]:
+        """Those that this part of the daemon has; gathers add theirs. A voter checks the order of shedding, too."""
+        parts: dict[str, RulePart] = {"timings": self.timings}
+        if self.overload is not None:
+            parts["shed"] = self.overload.shed
+        elif self.told.role == VOTER:
+            parts["shed"] = Shed(self.host.source.settings)
+        return parts
+
+    def _distribution(self) -> "Distribution":
+        from rackhub.fleet.distribution.part import Distribution
+
+        if self.told.role != RELAY:
+            self.disk = open_disk(self.host.reactor, self.told.state, "distribution")
+        try:
+            return Distribution(self.host.reactor, self.fleet, self.told, self.control, self.disk)
+        except ValueError as bad:
+            raise PartUnusable(f"[fleet] state: {bad}") from None
 
     def _book(self) -> RuleBook:
-        """The rule book, kept on a store of its own where there is a directory for it."""
+        """The rule book of a fleet without relays, kept on a store of its own where there is a directory for it."""
         if self.told.state:
-            from rackhub.fleet.register.disk import StoreDisk
-
-            try:
-                from rackhub.store import StoreError
-
-                self.disk = StoreDisk(self.host.reactor, Path(self.told.state) / "register")
-            except ImportError as missing:
-                raise PartUnusable(
-                    f"[fleet] state: {missing}: install the extra 'store' (requirements-store.txt)"
-                ) from None
-            except (StoreError, OSError) as fault:
-                raise PartUnusable(f"[fleet] state: {fault}") from None
+            self.disk = open_disk(self.host.reactor, self.told.state, "register")
         try:
-            book = RuleBook(self.fleet, self.told, self.control, self.disk, self._counts)
+            return RuleBook(self.fleet, self.told, self.control, self.disk, self._counts)
         except ValueError as bad:
             raise PartUnusable(f"[fleet] state: {bad}") from None
-        timings = self.timings = TimingsPart(
-            lambda: self.host.source.settings, lambda: self.host.operator.timings, self._time
-        )
-        book.part("timings", timings)
-        if self.overload is not None:
-            book.part("shed", self.overload.shed)
-        return book
 
     def _counts(self) -> tuple[int, int, int]:
         """Requests over, refused, and failed or over time, of all classes since the start."""
@@ -128,9 +150,16 @@
             timed: Any = self.host.parts.get("timings")
             if timed is not None:
                 timed.again = self.timings.again
-            self.rules.start()
+            self._start_rules()
         log.info("member %s of the fleet %s at %s", self.told.name, self.told.cluster, self.told.listen)
 
+    def _start_rules(self) -> None:
+        try:
+            if self.rules is not None:
+                self.rules.start()
+        except OSError as fault:
+            raise PartUnusable(f"[fleet] {fault.strerror or fault}") from None
+
     def listed(self, listing: Listing) -> None:
         self.prober.listed(listing)
         if self.overload is not None:
@@ -139,16 +168,23 @@
     def drain(self) -> None:
         if self.overload is not None:
             self.overload.drain()
-        if self.rules is not None:
-            self.rules.drain()
+        if self.book is not None:
+            self.book.drain()
+        if self.distribution is not None:  # what replaces this process waits for its address and its disk
+            self.distribution.stop()
+            self._end_disk()
         # what replaces this process waits for the address
         self.membership.leave().addCallback(lambda _: self.membership.stop())
 
     def stop(self) -> None:
         if self.rules is not None:
             self.rules.stop()
-        if self.disk is not None:
-            self.disk.end()
+        self._end_disk()
+
+    def _end_disk(self) -> None:
+        disk, self.disk = self.disk, None
+        if disk is not None:
+            disk.end()
 
     def figures(self) -> Mapping[str, float]:
         told: dict[str, float] = dict(self.membership.figures()) | {name: float(n) for name, n in self.counts.items()}
--- a/rackhub/parts.py
+++ b/rackhub/parts.py
@@ -1,6 +1,7 @@
 """The parts that an operator may turn on, in order. One that is off is not imported."""
 
 from importlib import import_module
+from typing import Any
 
 from rackhub.config import Config
 from rackhub.core.part import Host, Part
@@ -22,11 +23,15 @@
     on = {
         "ops": config.operator is not None,
         # the rule book may bring gathers at any time; the check of the file has them refused where peers are
-        "gather": operator.gather is not None or bool((operator.fleet or {}).get("keepers")),
+        "gather": operator.gather is not None or _brings_gathers(operator.fleet or {}),
     }
     return [name for name in ORDER if on.get(name, getattr(operator, name, None) is not None)]
 
 
+def _brings_gathers(fleet: dict[str, Any]) -> bool:
+    return bool(fleet.get("keepers")) or fleet.get("role") == "coordinator"
+
+
 def load(name: str, host: Host) -> Part:
     """Import a part and make it. Raises `PartUnusable`."""
     made = import_module(ORDER[name]).part(host)
--- a/rackhub/trials/processes/rig.py
+++ b/rackhub/trials/processes/rig.py
@@ -56,6 +56,7 @@
             bind,
             self.switch.addresses[name],
             free(host),
+            free(host, udp=True),
         )
 
     def _engine(self, name: str, number: int) -> Engine:
--- a/rackhub/trials/processes/site.py
+++ b/rackhub/trials/processes/site.py
@@ -51,6 +51,7 @@
     probes: bool = False  # whether the site lets gateways probe engines
     fleet: bool = False  # write the gateways' `[fleet]` parts
     keepers: int = 0  # of the rule book: the first so many gateways
+    roles: tuple[str, ...] = ()  # of the gateways in a fleet with relays, all of one zone: voter, relay, coordinator
     tenants: tuple[tuple[str, float], ...] = (("nyarugenge", 0.8), ("huye", 0.2))
     kinds: tuple[Kind, ...] = KINDS
     seed: int = 1
@@ -71,10 +72,16 @@
         ):
             if not least <= value <= most:
                 raise ValueError(f"{name}: {value} is not from {least} to {most}")
+        if self.roles and len(self.roles) != self.gateways:
+            raise ValueError(f"roles: {len(self.roles)} of {self.gateways} gateways")
 
     def gateway_names(self) -> list[str]:
         return [f"g{number}" for number in range(self.gateways)]
 
+    def names_of(self, role: str) -> list[str]:
+        """The gateways of that role."""
+        return [name for name, each in zip(self.gateway_names(), self.roles, strict=False) if each == role]
+
     def engine_names(self) -> list[str]:
         return [f"e{number}" for number in range(self.engines)]
 
@@ -158,6 +165,7 @@
     bind: Address
     advertise: Address
     control: Address
+    watch: Address  # its socket for distribution, where the plan has roles
 
 
 def known(rev: int, engines: Sequence[Engine]) -> dict[str, Any]:
@@ -211,5 +219,32 @@
             "keepers": plan.gateway_names()[: plan.keepers],
             **plan.fleet_more,
         }
+        if plan.roles:
+            part |= _role_part(plan, gateway)
         lines = ["[fleet]", *(f"{key} = {json.dumps(value)}" for key, value in part.items()), ""]
+        if plan.roles:
+            lines += _directory(plan, [gateway, *others])
     return "\n".join(lines) + plan.operator_more
+
+
+ZONE = "z1"
+
+
+def _role_part(plan: Plan, gateway: Gateway) -> dict[str, Any]:
+    return {
+        "role": plan.roles[gateway.number],
+        "zone": ZONE,
+        "watch": text(gateway.watch),
+        "keepers": plan.names_of("voter"),
+    }
+
+
+def _directory(plan: Plan, gateways: Sequence[Gateway]) -> list[str]:
+    """All voters and relays, as `[[fleet.node]]`."""
+    lines = []
+    for gateway in sorted(gateways, key=lambda gateway: gateway.number):
+        role = plan.roles[gateway.number]
+        if role != "coordinator":
+            node = {"name": gateway.name, "role": role, "zone": ZONE, "address": text(gateway.watch)}
+            lines += ["[[fleet.node]]", *(f"{key} = {json.dumps(value)}" for key, value in node.items()), ""]
+    return lines
--- /dev/null
+++ b/tests/test_distribution_processes.py
@@ -0,0 +1,150 @@
+"""Distribution as real processes on loopback: a voter, two relays and two coordinators under light traffic."""
+
+import json
+import subprocess
+import sys
+import time
+
+from twisted.internet import reactor
+
+from rackhub.cli import main
+from rackhub.trials.processes.arrivals import SECOND, Load
+from rackhub.trials.processes.calls import say
+from rackhub.trials.processes.clock import until
+from rackhub.trials.processes.places import text
+from rackhub.trials.processes.rig import Rig
+from rackhub.trials.processes.site import Plan
+from rackhub.trials.processes.trial import Trial
+
+ROLES = ("voter", "relay", "relay", "coordinator", "coordinator")
+VOTER, RELAYS, COORDINATORS = "g0", ("g1", "g2"), ("g3", "g4")
+PATIENCE = 16.0  # seconds in which a change has to be in force
+
+
+class Fleet:
+    """The rig, and calls at control ports that are answered while its reactor turns."""
+
+    def __init__(self, rig):
+        self.rig = rig
+
+    def call(self, name, call, **words):
+        answers = []
+        control = self.rig.gateways[name].control
+        say(reactor, control, {"call": call, **words}, answers.append, PATIENCE)
+        until(reactor, lambda: answers, PATIENCE + 1, f"an answer of {name} to {call}")
+        return answers[0]
+
+    def edit(self, on, attempts, wait_ms=15_000):
+        words = {"author": "ada", "reason": "attempts", "id": f"e{on}-{attempts}", "wait_ms": wait_ms}
+        parts = {"timings": {"route": [{"class": "lookup", "attempts": attempts}]}}
+        return self.call(VOTER, "rules.edit", on=on, parts=parts, **words)
+
+    def status(self, name):
+        return self.call(name, "rules.status")
+
+    def comes_about(self, condition, what):
+        """Asked again as soon as it was answered: each call turns the reactor."""
+        end = time.monotonic() + PATIENCE
+        while not condition():
+            assert time.monotonic() < end, what
+
+    def all_watch(self):
+        """Every coordinator has a relay, and the voter knows how many there are."""
+        voter = self.status(VOTER)
+        if not voter or "error" in voter or voter["expected"] != len(COORDINATORS):
+            return False
+        return all(self.status(name)["upstream"] in RELAYS for name in COORDINATORS)
+
+
+def test_an_edit_is_in_force_at_all_over_a_relay_s_end_and_a_coordinator_s_restart(capsys):
+    plan = Plan(gateways=len(ROLES), engines=2, seed=5, fleet=True, roles=ROLES)
+    with Rig(plan, reactor) as rig:
+        rig.up()
+        fleet = Fleet(rig)
+        trial = Trial(rig, [Load(rate=10.0, end=60 * SECOND, weights=dict.fromkeys(COORDINATORS, 1.0))], 5)
+        trial.start()
+        fleet.comes_about(fleet.all_watch, "the coordinators watch a relay")
+
+        first = fleet.edit(0, 1)
+        assert (first["revision"], first["in_force"], first["lagging"]) == (1, 2, 0) and "error" not in first
+        assert [fleet.status(name)["revision"] for name in COORDINATORS] == [1, 1]
+
+        watched = fleet.status(COORDINATORS[0])["upstream"]
+        rig.processes.by_name[watched].kill()
+        second = fleet.edit(1, 2)
+        assert "error" not in second and (second["revision"], second["in_force"]) == (2, 2)
+        assert fleet.status(COORDINATORS[0])["upstream"] not in ("", watched)
+
+        restarted = rig.processes.by_name[COORDINATORS[1]]
+        restarted.kill()
+        rig.start(COORDINATORS[1])
+        rig.wait_ready([COORDINATORS[1]])
+        assert fleet.status(COORDINATORS[1])["revision"] == 2  # from its disk, whoever it watches by now
+        third = fleet.edit(2, 3)
+        assert "error" not in third and (third["revision"], third["in_force"]) == (3, 2)
+
+        trial.stop()
+        verdict = trial.verdict("distribution")
+        assert not verdict.faults, verdict.examples
+        assert all("Traceback" not in process.said() for process in rig.processes.by_name.values())
+
+
+def test_edits_that_can_t_be_and_the_command_line(capsys):
+    plan = Plan(gateways=3, engines=2, seed=6, fleet=True, roles=("voter", "relay", "coordinator"))
+    with Rig(plan, reactor) as rig:
+        rig.up()
+        fleet = Fleet(rig)
+        fleet.comes_about(lambda: fleet.status(VOTER)["expected"] == 1, "the voter hears of the coordinator")
+        assert fleet.edit(0, 1)["in_force"] == 1
+        words = {"on": 1, "author": "ada", "reason": "r", "id": "x"}
+        for name, more, fault in (
+            (VOTER, {"parts": {"timings": {"route": [{"class": "nobody"}]}}}, "rules/timings/route/"),
+            (VOTER, {"parts": {"timings": {"x" * 300: 1}}}, "more than 256"),
+            (VOTER, {"parts": {"timings": {"note": "x" * 20_000}}}, "rules/timings/note: its value has"),
+            (VOTER, {"parts": {}, "trial_ms": 5_000}, "trial: there are no trials"),
+            ("g1", {"parts": {}}, "g1 is a relay: ask a voter: g0"),
+            ("g2", {"parts": {}}, "g2 is a coordinator: ask a voter: g0"),
+        ):
+            told = fleet.call(name, "rules.edit", **words, **more)
+            assert fault in told["error"] and told["exit"] == 2, told
+        assert "there are no trials" in fleet.call(VOTER, "rules.confirm")["error"]
+        stale = fleet.call(VOTER, "rules.edit", **words | {"on": 0}, parts={"timings": {}})
+        assert "since then there is revision 1 by ada" in stale["error"] and stale["exit"] == 1
+
+        at = {name: text(rig.gateways[name].control) for name in rig.gateways}
+        assert main(["rules", "status", "--at", at[VOTER]]) == 0
+        assert "revision 1 in force at 1 of 1\n" in capsys.readouterr().out
+        assert main(["rules", "status", "--at", at["g1"]]) == 0
+        assert "g1  relay of zone z1  holds revision 1 from g0; 1 watch it, 1 live" in capsys.readouterr().out
+        assert main(["rules", "status", "--at", at["g2"], "--json"]) == 0
+        assert json.loads(capsys.readouterr().out)["upstream"] == "g1"
+        undo = ["rules", "undo", "--author", "ada", "--reason", "back", "--wait", "10s", "--at"]
+        assert main([*undo, at[VOTER]]) == 0
+        assert "revision 2 in force at 1 of 1" in capsys.readouterr().out
+        assert main([*undo, at["g2"]]) == 2
+        assert "g2 is a coordinator: ask a voter" in capsys.readouterr().err
+        assert main(["rules", "show", "1", "--at", at[VOTER]]) == 0
+        assert '"attempts": 1' in capsys.readouterr().out
+        assert main(["rules", "diff", "--at", at[VOTER]]) == 0
+        assert "from version 1 to version 2" in capsys.readouterr().out
+        assert main(["rules", "history", "--at", at[VOTER]]) == 0
+        assert capsys.readouterr().out.count("\n") == 2
+        assert all("Traceback" not in process.said() for process in rig.processes.by_name.values())
+
+
+def test_a_bad_role_ends_with_2_and_names_its_key(tmp_path):
+    plan = Plan(gateways=1, engines=1, fleet=True, roles=("coordinator",))
+    rig = Rig(plan, reactor, tmp_path)
+    try:
+        rig.up(wait=False)
+        process = rig.processes.by_name["g0"]
+        until(reactor, lambda: not process.running(), PATIENCE, "its end")
+        assert "fleet: zone: 'z1' has no relay among node" in process.said()
+        operator = tmp_path / "g0.toml"
+        operator.write_text(operator.read_text().replace('role = "coordinator"', 'role = "boss"'))
+        words = ["serve", "--config", str(tmp_path / "g0.json"), "--operator", str(operator)]
+        ran = subprocess.run([sys.executable, "-m", "rackhub", *words], capture_output=True, text=True)
+        assert ran.returncode == 2
+        assert "operator file: fleet: role: 'boss' is none of voter, relay, coordinator" in ran.stderr
+    finally:
+        rig.close()
