Run hollow coordinators, relays and voters in real time on loopback

Need: the cores are to be shown on real sockets and processes, with faults, not only on a simulated network. Change: the scale run starts a process for each relay and voter and some for hollow coordinators, speaks to them over pipes, cuts zones in their own sending path, stalls and kills relays, restarts coordinators, polls their cost and audits what came into force. Voters decide by the real register.

--- a/rackhub/fleet/distribution/voter.py
+++ b/rackhub/fleet/distribution/voter.py
@@ -97,6 +97,11 @@
         self.register_voter.stop()
         self._endpoint.stop()
 
+    @property
+    def proposer(self) -> Proposer:
+        """Of the register that decides changes."""
+        return self._proposer
+
     def edit(self, request: EditRequest, done: Done) -> None:
         self._editor.edit(request, done)
 
--- a/rackhub/fleet/link/remotes.py
+++ b/rackhub/fleet/link/remotes.py
@@ -4,7 +4,6 @@
 that their first packet begins with, up to a number, and forgotten when they have been silent for long enough.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
@@ -47,7 +46,7 @@
     def __init__(self, name: Name, address: Address, configured: bool, limits: Limits, now: int):
         self.name, self.address, self.configured = name, address, configured
         self.rate = Bucket(limits.packets, limits.burst, now)
-        self.waiting: deque[WaitingMail] = deque()
+        self.waiting: list[WaitingMail] = []
         self.waiting_bytes = 0
         self.begin(0, now)
 
@@ -69,8 +68,7 @@
         return True
 
     def take_waiting(self) -> list[WaitingMail]:
-        mails = list(self.waiting)
-        self.waiting.clear()
+        mails, self.waiting = self.waiting, []
         self.waiting_bytes = 0
         return mails
 
@@ -78,7 +76,7 @@
         """Drop mail that has waited for too long; how many pieces."""
         dropped = 0
         while self.waiting and now >= self.waiting[0].until:
-            self.waiting_bytes -= len(self.waiting.popleft().body)
+            self.waiting_bytes -= len(self.waiting.pop(0).body)
             dropped += 1
         return dropped
 
--- a/rackhub/trials/scale/child.py
+++ b/rackhub/trials/scale/child.py
@@ -22,7 +22,6 @@
     Begun,
     CutOff,
     Edit,
-    Edited,
     Finish,
     Finished,
     Poll,
@@ -96,10 +95,12 @@
                 self.tell(self._finished())
 
     def _begin(self, begin: Begin) -> None:
-        memory = resident_bytes()
         site = self._site = Site(self._reactor, begin)
-        self._occupants = {name: _occupant(site, name) for name in begin.places}
-        pause = site.start_seconds / max(1, len(self._occupants))
+        places = [site.places[name] for name in begin.places]
+        makers = [_occupant_type(place.role) for place in places]
+        memory = resident_bytes()
+        self._occupants = {place.name: make(site, place) for place, make in zip(places, makers, strict=True)}
+        pause = site.start_seconds / len(places)
         for index, occupant in enumerate(self._occupants.values()):
             self._reactor.callLater(index * pause, occupant.start)
         self._lateness = Lateness(self._reactor)
@@ -107,11 +108,7 @@
 
     def _edit(self) -> None:
         voter = next(iter(self._occupants.values()))
-
-        def edited(outcome: Edited) -> None:
-            self.tell(outcome)
-
-        voter.edit(edited)
+        voter.edit(self.tell)
 
     def _polled(self) -> Polled:
         occupants: Sequence[Occupant] = list(self._occupants.values())
@@ -136,19 +133,19 @@
         return Finished(tuple(traces), counters)
 
 
-def _occupant(site: Site, name: str) -> Any:
-    place = site.places[name]
-    if place.role is Role.COORDINATOR:
+def _occupant_type(role: Role) -> Any:
+    """Imported only where it is used, and before memory is measured."""
+    if role is Role.COORDINATOR:
         from rackhub.trials.scale.hollow import HollowCoordinator
 
-        return HollowCoordinator(site, place)
-    if place.role is Role.RELAY:
+        return HollowCoordinator
+    if role is Role.RELAY:
         from rackhub.trials.scale.relay_process import RelayOccupant
 
-        return RelayOccupant(site, place)
+        return RelayOccupant
     from rackhub.trials.scale.voter_process import VoterOccupant
 
-    return VoterOccupant(site, place)
+    return VoterOccupant
 
 
 def main() -> None:
@@ -156,7 +153,7 @@
 
     child: TwistedProtocol = Child(reactor)
     stdio.StandardIO(child)
-    reactor.run()  # type: ignore[attr-defined]
+    reactor.run()  # type: ignore[attr-defined,misc]
 
 
 if __name__ == "__main__":
--- a/rackhub/trials/scale/hollow.py
+++ b/rackhub/trials/scale/hollow.py
@@ -6,7 +6,6 @@
 from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
 from rackhub.fleet.distribution.events import Applied, Apply, CheckWanted, Effect, Persist, Persisted
 from rackhub.fleet.distribution.messages import Checked
-from rackhub.fleet.distribution.ports import Identity
 from rackhub.fleet.distribution.watcher import Watcher
 from rackhub.trials.scale.cases import SLOW_DISK_SECONDS
 from rackhub.trials.scale.layout import Place, scope_of
@@ -80,13 +79,7 @@
     def __init__(self, site: Site, place: Place, boot: int, disk: MemoryDisk, recorder: Recorder):
         self._site, self._place, self._disk, self._recorder = site, place, disk, recorder
         self.station = Station(site, place, site.layout.relays, boot)
-        identity = Identity(
-            name=place.name,
-            zone=place.zone,
-            upstreams=site.layout.upstreams(place.role),
-            scope=scope_of(place.zone),
-            seed=site.settings.seed,
-        )
+        identity = site.identity(place, boot)
         self.watcher = Watcher(identity, disk.held(), site.plan.limits, site.clock.now())
         self._inbox = Inbox(self.station.fleet)
         self._endpoint = Endpoint(self.station.fleet, self._inbox, self.watcher, self._perform)
--- a/rackhub/trials/scale/layout.py
+++ b/rackhub/trials/scale/layout.py
@@ -48,10 +48,12 @@
     def zones_in(self, regions: set[str]) -> list[str]:
         return [zone for zone, region in self.regions.items() if region in regions]
 
-    def upstreams(self, role: Role) -> tuple[Node, ...]:
-        """Whom a process of that role watches: a coordinator all relays, a relay all voters."""
-        places = {Role.COORDINATOR: self.relays, Role.RELAY: self.voters, Role.VOTER: ()}[role]
-        return tuple(place.node() for place in places)
+
+def upstreams(layout: Layout) -> dict[Role, tuple[Node, ...]]:
+    """Whom a process of each role watches: a coordinator all relays, a relay all voters."""
+    relays = tuple(place.node() for place in layout.relays)
+    voters = tuple(place.node() for place in layout.voters)
+    return {Role.COORDINATOR: relays, Role.RELAY: voters, Role.VOTER: ()}
 
 
 def zone_keys(zone: str) -> str:
--- /dev/null
+++ b/rackhub/trials/scale/real.py
@@ -0,0 +1,198 @@
+"""A scale run in real time: processes of hollow coordinators, relays and voters on 127.0.0.1, and their parent."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+from rackhub.trials.scale.addresses import free_base
+from rackhub.trials.scale.audit import Acknowledged, audit
+from rackhub.trials.scale.cases import plan
+from rackhub.trials.scale.editor import Editor, spacing
+from rackhub.trials.scale.layout import layout
+from rackhub.trials.scale.measure import cost, lateness_p99
+from rackhub.trials.scale.orders import Begin, Begun, Edit, Edited, Finish, Finished, Poll, Polled, Restarted
+from rackhub.trials.scale.processes import ChildProcess, ProcessFailed
+from rackhub.trials.scale.real_faults import RealFaults
+from rackhub.trials.scale.result import LATENESS_MOST, Cost, Result, passes
+from rackhub.trials.scale.settings import BadSettings, RunSettings
+from rackhub.trials.scale.trace import Outage
+
+READY_SECONDS = 120.0  # until all coordinators hold what is in force at the start
+SETTLE_SECONDS = 5.0  # after that, before the first change
+SETTLE_MEMBERS_SECONDS = 15.0  # the same where zones have members
+LAST_CHANGE_SECONDS = 20.0  # for the last change after the end
+LOOK_SECONDS = 0.5
+NOTES = (
+    "real time: real sockets on 127.0.0.1, no delay between zones; a hollow coordinator is watcher, link and, unless "
+    "said otherwise, members' core; its disk is in memory and syncs after 2 ms",
+    "decisions were made by the real register of five voters, whose disks are in memory; edits went to it without the "
+    "check by one coordinator of each zone",
+)
+NO_MEMBERS_NOTE = "without the members' core"
+
+
+def real_run(settings: RunSettings) -> Result:
+    """Raises `BadSettings` and `ProcessFailed`. All processes are gone when it returns or raises."""
+    if settings.real:
+        raise BadSettings("--real: real coordinators are not part of this run yet")
+    return asyncio.run(RealRun(settings).run())
+
+
+class RealRun:
+    """One run, from the first process on to the verdict."""
+
+    def __init__(self, settings: RunSettings):
+        self._settings = settings
+        self._layout = layout(settings)
+        self._plan = plan(settings, self._layout)
+        self._initial = Editor(list(self._layout.regions), settings.seed).initial()
+        self._hollow: list[ChildProcess] = []
+        self._relays: list[ChildProcess] = []
+        self._voters: list[ChildProcess] = []
+        self._host_of: dict[str, ChildProcess] = {}
+        self._empty: list[int] = []  # resident bytes of each hollow process before its coordinators
+        self._acknowledged: list[Acknowledged] = []
+        self._failed_edits: list[str] = []
+        self._edits: list[asyncio.Future[None]] = []  # that have no answer yet, oldest first
+        self._faults = RealFaults(self._layout, self._host_of, self._edit)
+
+    async def run(self) -> Result:
+        try:
+            await self._start()
+            await self._ready()
+            return await self._measure()
+        finally:
+            await asyncio.gather(*(child.end() for child in self._all()), return_exceptions=True)
+
+    def _all(self) -> list[ChildProcess]:
+        return self._hollow + self._relays + self._voters
+
+    # ---- start
+
+    async def _start(self) -> None:
+        shared = [place.name for place in self._layout.coordinators]
+        count = self._settings.processes
+        groups: list[tuple[list[ChildProcess], tuple[str, ...]]] = []
+        groups += [(self._voters, (place.name,)) for place in self._layout.voters]
+        groups += [(self._relays, (place.name,)) for place in self._layout.relays]
+        groups += [(self._hollow, tuple(shared[index::count])) for index in range(count) if shared[index::count]]
+        base_port, boot = free_base(self._layout), time.time_ns() // 1_000_000
+        for children, places in groups:
+            child = ChildProcess(places[0], self._told)
+            children.append(child)
+            await child.start()
+            self._host_of.update(dict.fromkeys(places, child))
+        begins = [Begin(self._settings, places, base_port, boot) for _, places in groups]
+        begun = await asyncio.gather(*(self._host_of[begin.places[0]].ask(begin, Begun) for begin in begins))
+        self._empty = [answer.memory for answer in begun[-len(self._hollow) :]]
+
+    async def _ready(self) -> None:
+        if not await self._in_force(self._initial.revision, READY_SECONDS):
+            raise ProcessFailed(f"not all coordinators held revision {self._initial.revision} within {READY_SECONDS} s")
+        await asyncio.sleep(SETTLE_MEMBERS_SECONDS if self._settings.members else SETTLE_SECONDS)
+
+    async def _in_force(self, revision: int, within: float) -> bool:
+        """Whether all hollow coordinators came to that revision in time."""
+        end = time.monotonic() + within
+        while time.monotonic() < end:
+            if min(poll.lowest for poll in await self._poll(self._hollow)) >= revision:
+                return True
+            await asyncio.sleep(LOOK_SECONDS)
+        return False
+
+    async def _poll(self, children: Sequence[ChildProcess]) -> list[Polled]:
+        return list(await asyncio.gather(*(child.ask(Poll(), Polled) for child in children if not child.ended)))
+
+    # ---- changes
+
+    async def _edit(self) -> None:
+        """Returns when the edit is acknowledged or has failed."""
+        answered = asyncio.get_running_loop().create_future()
+        self._edits.append(answered)
+        self._voters[0].send(Edit())
+        await answered
+
+    def _told(self, report: Edited | Restarted) -> None:
+        if isinstance(report, Restarted):
+            self._faults.restarted(report.name, Outage(report.start, report.end))
+            return
+        if report.acknowledged is not None:
+            self._acknowledged.append(report.acknowledged)
+        else:
+            self._failed_edits.append(report.why)
+        self._edits.pop(0).set_result(None)
+
+    async def _edit_for(self, seconds: float) -> None:
+        """Edits at the plan's pace, whether or not those before have been answered."""
+        pause, began, number = spacing(self._plan.rate), time.monotonic(), 1
+        pending = []
+        while number * pause < seconds:
+            await asyncio.sleep(max(0.0, began + number * pause - time.monotonic()))
+            pending.append(asyncio.create_task(self._edit()))
+            number += 1
+        await asyncio.sleep(max(0.0, began + seconds - time.monotonic()))
+        await asyncio.wait_for(asyncio.gather(*pending), LAST_CHANGE_SECONDS)
+
+    # ---- figures
+
+    async def _measure(self) -> Result:
+        before, relays_before = await self._poll(self._hollow), await self._poll(self._relays)
+        await self._poll(self._voters)
+        began = time.monotonic()
+        await asyncio.gather(self._edit_for(self._plan.seconds), self._faults.run(self._plan.actions))
+        after, relays_after = await self._poll(self._hollow), await self._poll(self._relays)
+        voters_after = await self._poll(self._voters)
+        seconds = time.monotonic() - began
+        coordinators = cost(before, after, self._empty, len(self._layout.coordinators), seconds)
+        relay = None
+        if len(relays_before) == len(relays_after):
+            relay = cost(relays_before, relays_after, [0], len(relays_after), seconds)
+        late = lateness_p99(after + relays_after + voters_after)
+        return await self._finish(coordinators, relay, late)
+
+    async def _finish(self, cost: Cost, relay: Cost | None, late: float) -> Result:
+        newest = self._acknowledged[-1].change.revision if self._acknowledged else self._initial.revision
+        await self._in_force(newest, LAST_CHANGE_SECONDS)
+        alive = [child for child in self._all() if not child.ended]
+        finished = await asyncio.gather(*(child.ask(Finish(), Finished) for child in alive))
+        traces = [trace for one in finished for trace in one.traces]
+        ordered = sorted(self._acknowledged, key=lambda acknowledged: acknowledged.change.revision)
+        verdict = audit(self._initial, ordered, traces, self._faults.outages)
+        return Result(
+            case=self._settings.case,
+            time="real",
+            seed=self._settings.seed,
+            coordinators=len(self._layout.coordinators),
+            zones=self._settings.zones,
+            relays=len(self._layout.relays),
+            voters=len(self._layout.voters),
+            processes=self._settings.processes,
+            real=0,
+            rate=self._plan.rate,
+            seconds=self._plan.seconds,
+            verdict=verdict,
+            cost=cost,
+            lateness_p99=late,
+            keeps_up=late <= LATENESS_MOST,
+            relay_bytes_out=relay.bytes_out if relay is not None else None,
+            relay_cpu_percent=relay.cpu_percent if relay is not None else None,
+            counters=_sum(finished),
+            notes=self._notes(),
+            passed=passes(verdict) and cost.within_budget and late <= LATENESS_MOST and not self._failed_edits,
+        )
+
+    def _notes(self) -> tuple[str, ...]:
+        notes = list(NOTES)
+        if not self._settings.members:
+            notes.append(NO_MEMBERS_NOTE)
+        if self._failed_edits:
+            notes.append(f"{len(self._failed_edits)} edits failed, the first: {self._failed_edits[0]}")
+        return tuple(notes)
+
+
+def _sum(finished: Sequence[Finished]) -> dict[str, int]:
+    counters: dict[str, int] = {}
+    for one in finished:
+        for name, count in one.counters.items():
+            counters[name] = counters.get(name, 0) + count
+    return dict(sorted(counters.items()))
--- a/rackhub/trials/scale/relay_process.py
+++ b/rackhub/trials/scale/relay_process.py
@@ -1,6 +1,5 @@
 """A relay of a run: the relay's own shell on a link and members of its zone."""
 
-from rackhub.fleet.distribution.ports import Identity
 from rackhub.fleet.distribution.relay_shell import RelayShell
 from rackhub.trials.scale.layout import Place
 from rackhub.trials.scale.station import Site, Station, Traffic
@@ -12,12 +11,7 @@
 
     def __init__(self, site: Site, place: Place):
         self._station = Station(site, place, site.layout.voters + site.layout.relays, site.begin.boot)
-        identity = Identity(
-            name=place.name,
-            zone=place.zone,
-            upstreams=site.layout.upstreams(place.role),
-            seed=site.settings.seed,
-        )
+        identity = site.identity(place, site.begin.boot)
         nodes = frozenset(node.name for node in site.layout.voters + site.layout.relays)
         self._shell = RelayShell(self._station.fleet, identity, nodes, site.plan.limits)
 
--- a/rackhub/trials/scale/settings.py
+++ b/rackhub/trials/scale/settings.py
@@ -5,7 +5,7 @@
 import msgspec
 from docopt import docopt
 
-USAGE = """python -m rackhub.trials.scale run: distribution of configuration to hollow coordinators, in real or in virtual time.
+USAGE = """Distribution of configuration to hollow coordinators, in real or in virtual time.
 
 A hollow coordinator is the real watcher, link and members' core without requests. In real time they are many to a
 process, beside relays and voters in processes of their own, on 127.0.0.1; in virtual time all is in one process.
--- a/rackhub/trials/scale/station.py
+++ b/rackhub/trials/scale/station.py
@@ -5,19 +5,22 @@
 from functools import partial
 from typing import Any, NamedTuple
 
+from rackhub.fleet.distribution.events import Role
+from rackhub.fleet.distribution.ports import Identity
 from rackhub.fleet.link.mail_link import MailLink, Monotonic
 from rackhub.fleet.link.port import UdpPort
 from rackhub.fleet.members.part import Membership
-from rackhub.fleet.ports import Address, Fleet, Member, Members, Name
+from rackhub.fleet.ports import Address, Fleet, Member, Members, Name, State
 from rackhub.fleet.settings import FleetSettings
 from rackhub.trials.scale.addresses import Addresses
 from rackhub.trials.scale.cases import Plan, plan
 from rackhub.trials.scale.filtered_port import CutFilter, FilteredPort
-from rackhub.trials.scale.layout import Layout, Place, layout
+from rackhub.trials.scale.layout import Layout, Place, layout, scope_of, upstreams
 from rackhub.trials.scale.orders import Begin
 
 CLUSTER = "scale"
 SEEDS = 3  # members of the zone that each calls at the start
+START_RATE, START_MOST = 150.0, 25.0  # coordinators a second, and seconds at the most
 HEADERS = 28  # bytes of IP and UDP for each datagram
 
 
@@ -40,8 +43,24 @@
         self.places: Mapping[str, Place] = self.layout.by_name()
         self.addresses = Addresses(self.layout, begin.base_port)
         self.filter = CutFilter(self.layout, self.addresses)
+        self.upstreams = upstreams(self.layout)
         self.counters = Counter[str]()
 
+    @property
+    def start_seconds(self) -> float:
+        """Over which the places of a process start: all at once they would need more of the machine than later."""
+        return min(START_MOST, len(self.layout.coordinators) / START_RATE)
+
+    def identity(self, place: Place, boot: int) -> Identity:
+        return Identity(
+            name=place.name,
+            zone=place.zone,
+            upstreams=self.upstreams[place.role],
+            scope=scope_of(place.zone) if place.role is Role.COORDINATOR else ("",),
+            seed=self.settings.seed,
+            boot=boot,
+        )
+
     def tally(self, name: str, by: int) -> None:
         self.counters[name] += by
 
@@ -73,7 +92,11 @@
             port=partial(FilteredPort, site.filter, place.zone),
         )
         self.membership = self._membership() if site.settings.members else None
-        members: Members = OneMember(place.name) if self.membership is None else self.membership.members
+        members: Members = (
+            OneMember(place.name, site.addresses.members(place), boot)
+            if self.membership is None
+            else self.membership.members
+        )
         board: Any = None if self.membership is None else self.membership.board
         self.fleet = Fleet(members, board, self.link, site.clock, site.tally, site.later, site.settings.seed)
 
@@ -124,11 +147,12 @@
 class OneMember:
     """`ports.Members` of a place that runs without a members' core: it knows of nobody else."""
 
-    def __init__(self, me: Name):
+    def __init__(self, me: Name, address: Address, boot: int):
         self.me = me
+        self._all = {me: Member(me, address, boot, 0, State.ALIVE, 0)}
 
     def all(self) -> Mapping[Name, Member]:
-        return {}
+        return self._all
 
     def living(self) -> frozenset[Name]:
         return frozenset({self.me})
--- a/rackhub/trials/scale/virtual.py
+++ b/rackhub/trials/scale/virtual.py
@@ -11,6 +11,7 @@
     MembersChanged,
     Persist,
     Persisted,
+    Role,
     Send,
 )
 from rackhub.fleet.distribution.ports import Identity
@@ -20,7 +21,7 @@
 from rackhub.trials.scale.audit import audit
 from rackhub.trials.scale.cases import SLOW_DISK_SECONDS, Plan, plan
 from rackhub.trials.scale.editor import Editor
-from rackhub.trials.scale.layout import Layout, Place, layout, scope_of
+from rackhub.trials.scale.layout import Layout, Place, layout, scope_of, upstreams
 from rackhub.trials.scale.memory_disk import MemoryDisk
 from rackhub.trials.scale.result import Cost, Result, passes
 from rackhub.trials.scale.settings import RunSettings
@@ -65,6 +66,7 @@
         self._make_watcher = watcher
         self._disks: dict[str, MemoryDisk] = {}
         self._places = self.layout.by_name()
+        self._upstreams = upstreams(self.layout)
 
     def run(self) -> Result:
         """Everything from the first process on to the verdict."""
@@ -140,9 +142,10 @@
         return Identity(
             name=place.name,
             zone=place.zone,
-            upstreams=self.layout.upstreams(place.role),
-            scope=scope_of(place.zone) if place in self.layout.coordinators else ("",),
+            upstreams=self._upstreams[place.role],
+            scope=scope_of(place.zone) if place.role is Role.COORDINATOR else ("",),
             seed=self.settings.seed,
+            boot=self.network.boot(place.name),
         )
 
     def _perform(self, name: str, effect: Effect) -> None:
--- a/rackhub/trials/scale/virtual_network.py
+++ b/rackhub/trials/scale/virtual_network.py
@@ -79,6 +79,11 @@
         self.processes[process.place.name] = process
         self.hand(process, process.boot, Tick())
 
+    def boot(self, name: str) -> int:
+        """Of the process that goes by that name now, or will be the first."""
+        process = self.processes.get(name)
+        return process.boot if process is not None else 1
+
     def end(self, name: str) -> None:
         process = self.processes[name]
         process.up = False
--- a/rackhub/trials/scale/virtual_register.py
+++ b/rackhub/trials/scale/virtual_register.py
@@ -25,7 +25,9 @@
         self._told = {voter.name: 0 for voter in voters}  # changes that each voter has been told of
 
     def start(self) -> None:
-        self._network.at(self._network.now + LOOK, self._look)
+        """Each voter looks at its own times."""
+        for index, voter in enumerate(self._voters):
+            self._network.at(self._network.now + LOOK * (index + 1) * 3 // 17, self._look, voter)
 
     def edit_until(self, end: int, rate: float) -> None:
         """Edits at that multiple of the target's pace."""
@@ -54,10 +56,9 @@
         entries = tuple(type(entry)(entry.key, entry.value, revision) for entry in change.entries)
         return Change(revision, entries, change.id, change.author, change.reason)
 
-    def _look(self) -> None:
-        for voter in self._voters:
-            self._tell(voter)
-        self._network.at(self._network.now + LOOK, self._look)
+    def _look(self, voter: Place) -> None:
+        self._tell(voter)
+        self._network.at(self._network.now + LOOK, self._look, voter)
 
     def _tell(self, voter: Place) -> None:
         first, known = self._voters[0], self._told[voter.name]
