--- a/rackhub/fleet/distribution/applying.py
+++ b/rackhub/fleet/distribution/applying.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -12,6 +13,7 @@
 from rackhub.fleet.ports import RulePart
 
 log = logging.getLogger(__name__)
+KNOWN_KEYS = 16_384  # whose parts are remembered
 MOST_PASSES = 3  # over the keys of a part that can't be taken as a whole; each finds what rests on the one before
 
 Values = dict[str, bytes]
@@ -142,6 +144,7 @@
     return sorted(key for key in old.keys() | new.keys() if old.get(key) != new.get(key))
 
 
+@lru_cache(KNOWN_KEYS)
 def _part_name(key: str) -> str:
     """Empty for a key that is none of the rule book's."""
     try:
--- a/rackhub/fleet/distribution/editing.py
+++ b/rackhub/fleet/distribution/editing.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from rackhub.fleet.distribution.decisions import EditRefused, InvalidEdit
+from rackhub.fleet.distribution.decisions import Edit, EditRefused, InvalidEdit, check_edit
 from rackhub.fleet.distribution.history import History
 from rackhub.fleet.distribution.messages import Change, Revision
-from rackhub.fleet.distribution.rules import PREFIX, Values, assemble, check_bounds, difference, flatten, part_of
+from rackhub.fleet.distribution.rules import PREFIX, Values, assemble, difference, flatten, part_of
 
 Changed = Mapping[str, bytes | None]
 
@@ -39,7 +39,7 @@
     changed = {key: value for key, value in changed.items() if rule_values.get(key) != value}
     if not changed:
         raise EditRefused(f"it changes nothing: revision {history.newest} says the same")
-    check_bounds(changed)
+    check_edit(Edit(request.id, changed, request.author, request.reason))
     return changed
 
 
--- a/rackhub/fleet/distribution/rules.py
+++ b/rackhub/fleet/distribution/rules.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from rackhub.fleet.distribution.limits import CHANGE_BYTES, CHANGE_ENTRIES, KEY_BYTES, VALUE_BYTES
+from rackhub.fleet.distribution.limits import KEY_BYTES, VALUE_BYTES
 
 PREFIX = "rules/"
 RANK_DIGITS = 12  # hexadecimal
@@ -44,7 +44,7 @@
         if not isinstance(part, Mapping):
             raise RuleKeyError(part_key, f"{part!r:.{SHOWN}} is not a table")
         if not part:
-            values[part_key] = encode_value({})
+            values[part_key] = _checked(part_key, {})
         for name, setting in part.items():
             key = f"{part_key}/{quote(name, safe='')}"
             if _is_array_of_tables(setting):
@@ -118,6 +118,9 @@
         value = encode_value(setting)
     except (TypeError, ValueError, OverflowError) as bad:
         raise RuleKeyError(key, f"can't be written: {bad}") from None
+    key_bytes = len(key.encode())
+    if key_bytes > KEY_BYTES:
+        raise RuleKeyError(key, f"the key has {key_bytes} bytes, more than {KEY_BYTES}")
     if len(value) > VALUE_BYTES:
         raise RuleKeyError(key, f"its value has {len(value)} bytes, more than {VALUE_BYTES}")
     return value
@@ -167,20 +170,3 @@
     changed: dict[str, bytes | None] = {key: None for key in old if key not in new}
     changed |= {key: value for key, value in new.items() if old.get(key) != value}
     return dict(sorted(changed.items()))
-
-
-def check_bounds(changed: Mapping[str, bytes | None]) -> None:
-    """Raises `RuleKeyError` for a change that is over a bound of distribution, naming the key."""
-    size = 0
-    for key, value in changed.items():
-        key_bytes, value_bytes = len(key.encode()), len(value or b"")
-        if key_bytes > KEY_BYTES:
-            raise RuleKeyError(key, f"the key has {key_bytes} bytes, more than {KEY_BYTES}")
-        if value_bytes > VALUE_BYTES:
-            raise RuleKeyError(key, f"its value has {value_bytes} bytes, more than {VALUE_BYTES}")
-        size += key_bytes + value_bytes
-        if size > CHANGE_BYTES:
-            raise RuleKeyError(key, f"with it the change has more than {CHANGE_BYTES} bytes: make it in several edits")
-    if len(changed) > CHANGE_ENTRIES:
-        key = list(changed)[CHANGE_ENTRIES]
-        raise RuleKeyError(key, f"the change has {len(changed)} keys, more than {CHANGE_ENTRIES}: make several edits")
--- a/rackhub/fleet/distribution/voter.py
+++ b/rackhub/fleet/distribution/voter.py
@@ -2,6 +2,7 @@
 
 from rackhub.fleet.distribution.applying import RuleKeys
 from rackhub.fleet.distribution.catching_up import CatchUp
+from rackhub.fleet.distribution.decisions import EditRefused
 from rackhub.fleet.distribution.editing import EditRequest
 from rackhub.fleet.distribution.editor import Done, Editor
 from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
@@ -69,6 +70,7 @@
         self._editor = Editor(
             self.learner, self.history, self._keys, self.replication, self._proposer, self._endpoint.hand
         )
+        self._ended = False
         self._refused: dict[Name, tuple[KeyFault, ...]] = {}  # by the relay that last reported them
 
     @property
@@ -93,6 +95,7 @@
         self.replication.start()
 
     def stop(self) -> None:
+        self._ended = True
         self.replication.stop()
         self._catching_up.stop()
         self._proposer.stop()
@@ -105,6 +108,9 @@
         return self._proposer
 
     def edit(self, request: EditRequest, done: Done) -> None:
+        """`done` once. Raises `EditRefused`, `RuleKeyError` and `NotKept` where it can't come to anything."""
+        if self._ended:
+            raise EditRefused("this process ends: ask another voter")
         self._editor.edit(request, done)
 
     def status(self, revision: Revision | None = None) -> FleetStatus:
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -10,7 +10,7 @@
 from rackhub.cli import main
 from rackhub.trials.processes.arrivals import SECOND, Load
 from rackhub.trials.processes.calls import say
-from rackhub.trials.processes.clock import until
+from rackhub.trials.processes.clock import turn, until
 from rackhub.trials.processes.places import text
 from rackhub.trials.processes.rig import Rig
 from rackhub.trials.processes.site import Plan
@@ -129,7 +129,10 @@
         assert "from version 1 to version 2" in capsys.readouterr().out
         assert main(["rules", "history", "--at", at[VOTER]]) == 0
         assert capsys.readouterr().out.count("\n") == 2
-        assert all("Traceback" not in process.said() for process in rig.processes.by_name.values())
+
+        assert not rig.processes.end_in_order(lambda: turn(reactor))
+        for process in rig.processes.by_name.values():
+            assert "Traceback" not in process.said() and not process.crashed
 
 
 def test_a_bad_role_ends_with_2_and_names_its_key(tmp_path):
--- a/tests/test_distribution_rules.py
+++ b/tests/test_distribution_rules.py
@@ -6,9 +6,13 @@
 
 from rackhub.fleet.distribution import rules
 from rackhub.fleet.distribution.applying import RuleKeys, settle
+from rackhub.fleet.distribution.decisions import InvalidEdit
+from rackhub.fleet.distribution.editing import EditRequest, plan
+from rackhub.fleet.distribution.history import History
 from rackhub.fleet.distribution.limits import FAULT_LETTERS, KEY_BYTES, VALUE_BYTES
 from rackhub.fleet.distribution.messages import Entry
-from rackhub.fleet.distribution.rules import RuleKeyError, assemble, check_bounds, difference, flatten
+from rackhub.fleet.distribution.rules import RuleKeyError, assemble, difference, flatten
+from rackhub.fleet.register.disk import MemoryDisk
 
 names = st.text(min_size=1, max_size=8)
 scalars = (
@@ -81,19 +85,30 @@
         flatten(content, {})
 
 
+def planned(parts, standing=(), **words):
+    request = {"kind": "edit", "author": "ann", "reason": "r", "id": "e1", "on": 0, "parts": parts} | words
+    history = History(MemoryDisk(lambda delay, call: None, "d"), 0)
+    return plan(EditRequest(**request), dict(standing), history)
+
+
 @pytest.mark.parametrize(
-    "changed, fault",
+    "parts, words, fault",
     [
-        ({"rules/" + "k" * KEY_BYTES: b""}, "rules/kkk.*the key has 262 bytes, more than 256"),
-        ({"rules/a/b": b"x" * (VALUE_BYTES + 1)}, "rules/a/b: its value has 16385 bytes"),
-        ({f"rules/a/{n}": b"x" * VALUE_BYTES for n in range(5)}, "rules/a/3: with it the change has more than"),
-        ({f"rules/a/{n:03}": b"" for n in range(257)}, "rules/a/256: the change has 257 keys, more than 256"),
+        ({"a": {"k" * KEY_BYTES: 1}}, {}, "rules/a/kkk.*the key has 264 bytes, more than 256"),
+        ({"k" * KEY_BYTES: {}}, {}, "rules/kkk.*the key has 262 bytes, more than 256"),
+        ({"a": {"b": "x" * VALUE_BYTES}}, {}, "rules/a/b: its value has 16387 bytes, more than 16384"),
+        ({"a": {f"{n}": "x" * 16_000 for n in range(5)}}, {}, "key 'rules/a/0': it is the largest of an edit of"),
+        ({"a": {f"{n:03}": n for n in range(257)}}, {}, "an edit has 1 to 256 keys, not 257"),
+        ({"a": {"b": 1}}, {"id": "i" * 65}, "id and author have at most 64 letters"),
+        ({"a": {"b": 1}}, {"author": "a" * 65}, "id and author have at most 64 letters"),
+        ({"a": {"b": 1}}, {"reason": "r" * 201}, "a reason 200"),
+        ({"a": {"b": 1}}, {"reason": ""}, "reason: '' is empty"),
     ],
 )
-def test_a_change_over_a_bound_is_refused_naming_the_key(changed, fault):
-    with pytest.raises(RuleKeyError, match=fault):
-        check_bounds(changed)
-    check_bounds({"rules/a/b": b"x" * VALUE_BYTES, "rules/a/c": None})
+def test_an_edit_over_a_bound_is_refused_naming_the_key(parts, words, fault):
+    with pytest.raises((RuleKeyError, InvalidEdit), match=fault):
+        planned(parts, **words)
+    assert planned({"a": {"b": "x" * (VALUE_BYTES - 3)}})
 
 
 @pytest.mark.parametrize(
--- a/tests/test_distribution_voter.py
+++ b/tests/test_distribution_voter.py
@@ -286,6 +286,31 @@
     assert stand.content("v1") == {"p": {"a": 4}}
 
 
+def test_where_all_voters_lost_their_disks_others_keep_what_they_have_until_theirs_are_taken_away():
+    stand = Stand()
+    stand.edit("e1", 0, a=1)
+    stand.wait(lambda: stand.everywhere(1))
+    for name in VOTERS:
+        stand.kill(name)
+        stand.disks[name].wipe(f"new {name}")
+    for name in VOTERS:
+        stand.restart(name)
+    stand.wait(lambda: all(stand.processes[name].register_voter.state.voting for name in VOTERS), 30)
+    stand.edit("e2", 0, a=2)
+    stand.edit("e3", 1, a=3)
+    stand.net.time.run(30 * SECOND)
+    assert all(stand.parts[name].held[-1] == (1, {"a": 1}) for name in COORDINATORS)
+    assert stand.processes["v0"].status().in_force == 0
+    assert any(stand.net.nodes[name].counts["distribution_other_logs"] for name in (*RELAYS, *COORDINATORS))
+    for name in (*RELAYS, *COORDINATORS):
+        stand.kill(name)
+        if name in COORDINATORS:
+            stand.disks[name].wipe(f"new {name}")
+        stand.restart(name)
+    stand.wait(lambda: stand.everywhere(2))
+    assert stand.parts["c1"].held[-1] == (2, {"a": 3})
+
+
 def test_a_change_whose_editor_s_voter_ended_before_it_told_anybody_is_finished_by_the_others():
     stand = Stand()
     stand.edit("e1", 0, a=1)
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -30,6 +30,8 @@
             rig, lambda: "error" not in (ask_all(rig, edit(), whom=("g0",), patience=10.0)["g0"] or {"error": 1}), 20
         )
         assert comes_about(rig, lambda: held(rig, 1), 20)
+        figures = ask_all(rig, {"call": "figures"}, whom=("g0",))["g0"]["figures"]
+        assert not [name for name in figures if name.startswith("distribution")]  # none without a role
         process = rig.processes.by_name["g2"]
         process.kill()
         rig.start("g2")
