Model distribution over a faulty transport, with four planted mistakes that it finds

Need: what holds of a watch has to hold over loss, doubles, delay, cuts, restarts and processes that stand still. Change: tests/test_distribution_model.py, stateful, always the same steps; the watcher's search for an upstream has its own module; Limits.update_bytes bounds a message.

--- a/rackhub/fleet/distribution/limits.py
+++ b/rackhub/fleet/distribution/limits.py
@@ -31,6 +31,7 @@
     session: int = 8 * SECOND  # without a word from a watcher after which its session ends
     history: int = 4_096  # changes kept for watchers that resume; older revisions need a snapshot
     history_bytes: int = 8 << 20
+    update_bytes: int = UPDATE_BYTES  # in one update or part of a snapshot; one change may be more
     newcomers: float = 50.0  # watches that a server answers a second, and their burst
     snapshots: float = 20.0  # snapshots among them a second, and their burst
     guests: int = 200  # watchers of other zones that one relay takes at the same time
--- a/rackhub/fleet/distribution/server.py
+++ b/rackhub/fleet/distribution/server.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from rackhub.fleet.distribution.admission import Admission
-from rackhub.fleet.distribution.agenda import NEVER, Agenda
+from rackhub.fleet.distribution.agenda import Agenda
 from rackhub.fleet.distribution.events import Counted, Effect, Send
 from rackhub.fleet.distribution.limits import MILLISECOND, Limits
 from rackhub.fleet.distribution.messages import (
@@ -95,7 +95,7 @@
             self._end(known)
         if self._refused(now, sender, watch):
             return
-        session = Session(sender, watch, now)
+        session = Session(sender, watch, self._limits.credit, now)
         self.sessions[sender] = session
         self.progress += 1
         self._guests += self._admission.is_guest(session.zone)
@@ -189,7 +189,6 @@
             self._send_updates(now, session)
         if session.transfer is not None:
             self._send_parts(now, session, session.transfer)
-        self._note_behind(now, session, waited)
         if session.waits and not waited:
             self._schedule(session)
 
@@ -228,13 +227,6 @@
             transfer.next_part += 1
             session.heartbeat_at = now + self._limits.heartbeat
 
-    def _note_behind(self, now: int, session: Session, waited: bool) -> None:
-        behind = session.waits or session.position < self._state.revision
-        if not behind:
-            session.behind_since = NEVER
-        elif session.behind_since == NEVER or not waited:
-            session.behind_since = now
-
     # ---- effects
 
     def _send(self, to: Name, message: AnyMessage) -> None:
--- a/rackhub/fleet/distribution/session.py
+++ b/rackhub/fleet/distribution/session.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+import msgspec
+
 from rackhub.fleet.distribution.agenda import NEVER
 from rackhub.fleet.distribution.limits import Limits
 from rackhub.fleet.distribution.messages import KeyFault, Name, Revision, Watch
@@ -33,19 +35,26 @@
         self.confirmed = min(self.confirmed, self.next_part)
 
 
+class SentUpdate(msgspec.Struct, frozen=True):
+    """Where an update ended, and when it was sent."""
+
+    revision: Revision
+    sent_at: int
+
+
 class Session:
     """One watch. `position`: all in scope up to it was sent. `chain`: where the last update sent ended, or what the
     watcher has acknowledged since; the next one is marked as following on it."""
 
-    def __init__(self, name: Name, watch: Watch, now: int) -> None:
+    def __init__(self, name: Name, watch: Watch, most_credit: int, now: int) -> None:
         self.name = name
         self.number = watch.session
         self.scope = watch.scope
         self.zone = watch.zone
-        self.credit = self.window = watch.credit
+        self.credit = self.window = min(watch.credit, most_credit)
         held = watch.revision if watch.log else 0
         self.acknowledged = self.position = self.chain = held
-        self.in_flight: deque[Revision] = deque()  # where the updates end that are not acknowledged
+        self.in_flight: deque[SentUpdate] = deque()  # not acknowledged
         self.holds_nothing = not watch.log
         self.transfer: SnapshotTransfer | None = None
         self.faults: tuple[KeyFault, ...] = ()
@@ -72,24 +81,28 @@
     def sent_update(self, revision: Revision, now: int) -> None:
         if not self.waits:
             self.progress_at = now
-        self.in_flight.append(revision)
+        self.in_flight.append(SentUpdate(revision, now))
         self.position = self.chain = revision
+        self.behind_since = min(self.behind_since, now)
 
     def begin_transfer(self, snapshot: Snapshot, now: int) -> None:
         self.transfer = SnapshotTransfer(snapshot)
         self.in_flight.clear()
         self.progress_at = now
+        self.behind_since = min(self.behind_since, now)
 
     def acknowledge(self, revision: Revision, now: int) -> None:
         """The watcher has `revision` on its disk and in force."""
         if self.transfer is not None and revision >= self.transfer.snapshot.revision:
-            self.transfer, self.holds_nothing = None, False
+            self.transfer, self.holds_nothing, self.behind_since = None, False, NEVER
         if revision <= self.acknowledged:
             return
         self.acknowledged = revision
         self.position, self.chain = max(self.position, revision), max(self.chain, revision)
-        while self.in_flight and self.in_flight[0] <= revision:
+        while self.in_flight and self.in_flight[0].revision <= revision:
             self.in_flight.popleft()
+        if self.transfer is None:
+            self.behind_since = self.in_flight[0].sent_at if self.in_flight else NEVER
         self._progress(now)
 
     def confirm_parts(self, parts: int, now: int) -> None:
--- a/rackhub/fleet/distribution/state.py
+++ b/rackhub/fleet/distribution/state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rackhub.fleet.distribution.limits import UPDATE_BYTES, Limits
+from rackhub.fleet.distribution.limits import Limits
 from rackhub.fleet.distribution.messages import Change, Entry, LogId, Revision
 
 ENTRY_OVERHEAD = 16  # bytes that an entry takes in a message beside its key and value, at most
@@ -102,7 +102,7 @@
         self._revisions: list[Revision] = []  # of the steps, for the search
         self._first = 0  # index of the oldest step that still counts
         self._log_bytes = 0
-        self._batches: dict[tuple[Revision, tuple[str, ...], int], Batch] = {}  # answers at this revision
+        self._batches: dict[tuple[Revision, tuple[str, ...]], Batch] = {}  # answers at this revision
         self._snapshots: dict[tuple[str, ...], Snapshot] = {}
 
     # ---- writing
@@ -160,27 +160,24 @@
 
     # ---- reading
 
-    def since(
-        self, revision: Revision, scope: tuple[str, ...] = EVERYTHING, most_bytes: int = UPDATE_BYTES
-    ) -> Batch | Compacted:
-        """What changed in scope after `revision`, as far as it fits in so many bytes: whole steps, one at the least.
+    def since(self, revision: Revision, scope: tuple[str, ...] = EVERYTHING) -> Batch | Compacted:
+        """What changed in scope after `revision`, as far as it fits in one message: whole steps, one at the least.
         With nothing left in scope it reaches to the newest revision. Watchers that ask the same share the answer."""
         if revision < self.oldest:
             return Compacted(self.oldest)
-        asked = (revision, scope, most_bytes)
-        batch = self._batches.get(asked)
+        batch = self._batches.get((revision, scope))
         if batch is None:
-            batch = self._batches[asked] = self._collect(revision, scope, most_bytes)
+            batch = self._batches[revision, scope] = self._collect(revision, scope)
         return batch
 
-    def _collect(self, revision: Revision, scope: tuple[str, ...], most_bytes: int) -> Batch:
+    def _collect(self, revision: Revision, scope: tuple[str, ...]) -> Batch:
         newest: dict[str, Entry] = {}
         size, reached = 0, revision
         for index in range(bisect_right(self._revisions, revision, lo=self._first), len(self._steps)):
             step = self._steps[index]
             found = [entry for entry in in_scope(step.entries, scope) if entry.revision > revision]
             added = sum(map(entry_size, found))
-            if newest and found and size + added > most_bytes:
+            if newest and found and size + added > self._limits.update_bytes:
                 break
             for entry in found:
                 replaced = newest.pop(entry.key, None)
@@ -194,6 +191,6 @@
         """All that holds now in scope: references to entries that never change, so later changes don't touch it."""
         snapshot = self._snapshots.get(scope)
         if snapshot is None:
-            parts = split(in_scope(self.entries.values(), scope), UPDATE_BYTES)
+            parts = split(in_scope(self.entries.values(), scope), self._limits.update_bytes)
             snapshot = self._snapshots[scope] = Snapshot(self.revision, parts)
         return snapshot
--- a/rackhub/fleet/distribution/watcher.py
+++ b/rackhub/fleet/distribution/watcher.py
@@ -7,9 +7,6 @@
 import random
 from collections.abc import Sequence
 
-import msgspec
-
-from rackhub.fleet.distribution.agenda import NEVER
 from rackhub.fleet.distribution.delivery import Delivery, DiskDelivery
 from rackhub.fleet.distribution.events import (
     Applied,
@@ -22,7 +19,7 @@
     Received,
     Send,
 )
-from rackhub.fleet.distribution.limits import MILLISECOND, SECOND, Limits
+from rackhub.fleet.distribution.limits import MILLISECOND, Limits
 from rackhub.fleet.distribution.messages import (
     Acknowledge,
     AnyMessage,
@@ -37,27 +34,7 @@
 )
 from rackhub.fleet.distribution.ports import Identity
 from rackhub.fleet.distribution.receiver import Content, Receiver, UnusableUpstream
-from rackhub.fleet.distribution.selection import Candidates
-
-RETURN_HOME = (10 * SECOND, 30 * SECOND)  # until a guest asks at home again, drawn anew each time
-RETURN_FIRST = (60 * SECOND, 180 * SECOND)  # until one at home asks its first choice again
-
-
-class Stream(msgspec.Struct):
-    """The upstream that changes are taken from. `confirmed_at`: as of when it knew that it had the newest."""
-
-    name: Name
-    session: Number
-    heard_at: int
-    confirmed_at: int
-
-
-class Attempt(msgspec.Struct, frozen=True):
-    """A watch that is not answered yet."""
-
-    name: Name
-    session: Number
-    until: int
+from rackhub.fleet.distribution.upstream import Attempt, Search, Stream
 
 
 class Watcher:
@@ -68,20 +45,17 @@
     ) -> None:
         """`delivery`: where what is received goes instead of disk and shell."""
         self._identity, self._limits = identity, limits
-        self._chance = random.Random(f"{identity.seed} watcher {identity.name}")
         same_scope = held.scope == identity.scope
         disk = DiskDelivery(held if same_scope else Held(scope=identity.scope), identity.scope)
         self._disk = disk
         self._delivery: Delivery = delivery if delivery is not None else disk
         self._receiver = Receiver(self._delivery, identity.scope, 0 if same_scope else held.revision)
         self._known_log = held.log  # also where the scope has changed
-        self._candidates = Candidates(identity.name, identity.zone, identity.upstreams, limits, self._chance)
+        chance = random.Random(f"{identity.seed} watcher {identity.name}")
+        self._search = Search(identity, limits, chance, now)
         self._session: Number = identity.boot
         self._stream: Stream | None = None
         self._attempt: Attempt | None = None
-        self._retry_at = now
-        self._retries = 0
-        self._return_at = NEVER
         self._effects: list[Effect] = []
         self._expected_at = now  # when the next step is due at the latest
         self.confirmed_at = now  # as of when what is held was known to be the newest
@@ -124,7 +98,7 @@
         """The process did not run for a while: what is queued from before says nothing of now. Watch anew."""
         self._count("distribution_stood_still")
         self._stream = self._attempt = None
-        self._retry_at = now
+        self._search.at_once(now)
 
     # ---- messages
 
@@ -153,12 +127,11 @@
             return self._refused(now, attempt.name, message)
         if self._is_stale(message) and self._stream is not None:
             self._send(attempt.name, Unwatch(attempt.session))
-            return self._failed(now, attempt.name)
+            return self._search.failed(now, attempt.name, self._stream)
         if self._stream is not None:
             self._send(self._stream.name, Unwatch(self._stream.session))
-        self._candidates.served(attempt.name)
+        self._search.served(now, attempt.name)
         stream = self._stream = Stream(attempt.name, attempt.session, now, now)
-        self._plan_return(now)
         self._receiver.begin_session()
         self._from_stream(now, stream, message)
 
@@ -188,7 +161,7 @@
         stream.confirmed_at = now - age
         self.confirmed_at = max(self.confirmed_at, stream.confirmed_at)
         if not self._is_stale(message):
-            self._retries = 0
+            self._search.fresh()
 
     def _is_stale(self, message: Content) -> bool:
         return isinstance(message, Heartbeat) and message.age * MILLISECOND > self._limits.stale
@@ -221,35 +194,15 @@
     def _refused(self, now: int, name: Name, message: Unavailable) -> None:
         if message.log and self._known_log and message.log != self._known_log:
             self._count("distribution_other_logs", name)
-            return self._failed(now, name)
-        self._candidates.refused(name, now, message.retry_after * MILLISECOND)
-        self._retry(now)
-
-    def _failed(self, now: int, name: Name) -> None:
-        self._candidates.silent(name, now)
-        self._retry(now)
-
-    def _retry(self, now: int) -> None:
-        most = self._limits.retry_most if self._stream is None else self._limits.silence
-        wait = min(self._limits.retry_least << min(self._retries, 16), most)
-        self._retry_at = now + int(wait * self._chance.uniform(0.5, 1.0))
-        self._retries += 1
+            return self._search.failed(now, name, self._stream)
+        self._search.refused(now, name, message.retry_after * MILLISECOND, self._stream)
 
     def _leave(self, now: int) -> None:
         """End the stream and look for another one at once."""
         stream, self._stream = self._stream, None
         if stream is not None:
             self._send(stream.name, Unwatch(stream.session))
-            self._candidates.silent(stream.name, now)
-            self._retry_at = now
-
-    def _plan_return(self, now: int) -> None:
-        name = self.upstream
-        if name is None or self._candidates.rank(name) == 0:
-            self._return_at = NEVER
-        else:
-            span = RETURN_FIRST if self._candidates.is_home(name) else RETURN_HOME
-            self._return_at = now + self._chance.randint(*span)
+            self._search.left(now, stream.name)
 
     # ---- time
 
@@ -259,7 +212,7 @@
             self._attempt = None
             self._count("distribution_unanswered", attempt.name)
             self._send(attempt.name, Unwatch(attempt.session))
-            self._failed(now, attempt.name)
+            self._search.failed(now, attempt.name, stream)
         if stream is not None and now >= stream.heard_at + self._limits.silence:
             self._count("distribution_silences", stream.name)
             self._leave(now)
@@ -269,41 +222,18 @@
             self._stream = None
             self._watch(now, stream.name)
         if self._attempt is None:
-            self._look_for_upstream(now)
-
-    def _look_for_upstream(self, now: int) -> None:
-        stream = self._stream
-        if stream is None:
-            if now >= self._retry_at:
-                self._try(now, self._candidates.choose(now))
-        elif now >= stream.confirmed_at + self._limits.stale:
-            if now >= self._retry_at:
-                self._try(now, self._candidates.choose_other(now, stream.name))
-        elif now >= self._return_at:
-            better = self._candidates.choose_better(now, stream.name)
-            self._plan_return(now)
-            if better is not None:
-                self._watch(now, better)
-
-    def _try(self, now: int, name: Name | None) -> None:
-        if name is not None:
-            self._watch(now, name)
-        else:
-            self._retry_at = max(now + MILLISECOND, self._candidates.waits(now))
+            name = self._search.next(now, self._stream)
+            if name is not None:
+                self._watch(now, name)
 
     def _next_due(self, now: int) -> int:
         """At least once each heartbeat, so that a process that stood still notices."""
         due = now + self._limits.heartbeat
+        if self._stream is not None:
+            due = min(due, self._stream.heard_at + self._limits.silence, self._receiver.gap_until)
         if self._attempt is not None:
-            due = min(due, self._attempt.until)
-        stream = self._stream
-        if stream is None:
-            return due if self._attempt is not None else min(due, self._retry_at)
-        due = min(due, stream.heard_at + self._limits.silence, self._receiver.gap_until)
-        if self._attempt is None:
-            stale_at = max(stream.confirmed_at + self._limits.stale, self._retry_at)
-            due = min(due, stale_at, max(self._return_at, now + MILLISECOND))
-        return due
+            return min(due, self._attempt.until)
+        return min(due, max(self._search.due(now, self._stream), now + MILLISECOND))
 
     # ---- effects
 
--- a/tests/distribution_fleet.py
+++ b/tests/distribution_fleet.py
@@ -95,6 +95,10 @@
         self.still_until = self.fleet.now + duration
         self.fleet.at(self.still_until, self.catch_up)
 
+    def wake_up(self):
+        self.still_until = self.fleet.now
+        self.catch_up()
+
     def catch_up(self):
         backlog, self.backlog = self.backlog, []
         for event in backlog:
--- /dev/null
+++ b/tests/test_distribution_model.py
@@ -0,0 +1,213 @@
+"""Random steps of a faulty fleet (hypothesis, always the same ones) against the history of decided changes.
+
+Whatever is lost, doubled, late, cut, restarted or stands still: a watcher holds what the source had at its revision, in
+its scope, and never goes back; what is acknowledged is on its disk; after the faults all get the newest revision.
+"""
+
+import pytest
+from distribution_fleet import Faults, Fleet
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule, run_state_machine_as_test
+from msgspec.structs import replace
+
+from rackhub.fleet.distribution.delivery import DiskDelivery
+from rackhub.fleet.distribution.limits import MILLISECOND, SECOND, Limits
+from rackhub.fleet.distribution.receiver import Receiver
+from rackhub.fleet.distribution.server import WatchServer
+from rackhub.fleet.distribution.state import KeyValueState
+
+STEPS = settings(
+    derandomize=True,
+    max_examples=30,
+    stateful_step_count=25,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+FINDING = settings(STEPS, max_examples=150, phases=[Phase.generate])  # without making the example smaller
+CONVERGED = 16 * SECOND  # the bound that the design note derives
+SCOPES = {"all": ("",), "first": ("a/",), "second": ("b/", "c/1"), "none": ("z/",)}
+KEYS = [f"{prefix}/{number}" for prefix in "abc" for number in range(3)]
+LIMITS = Limits(history=6, update_bytes=64)  # so that revisions are compacted, and snapshots in parts of three keys
+
+
+class CheckedFleet(Fleet):
+    """Looks at each change that is put in force, each acknowledgement and each message to a coordinator."""
+
+    broken = False  # something did not hold: what comes after it means nothing
+
+    def require(self, holds, why):
+        self.broken = self.broken or not holds
+        assert holds, why
+
+    def on_apply(self, coordinator, effect):
+        before = coordinator.highest
+        self.require(effect.revision >= before, f"{coordinator.name} goes back from {before} to {effect.revision}")
+        coordinator.highest = effect.revision
+        expected = self.history.at(effect.revision, coordinator.scope)
+        self.require(coordinator.in_force.entries == expected, f"{coordinator.name} at {effect.revision}")
+
+    def on_acknowledge(self, coordinator, message):
+        on_disk, in_force = coordinator.disk.held.revision, coordinator.in_force.revision
+        self.require(message.revision <= on_disk, f"{coordinator.name} acknowledges {message.revision}, has {on_disk}")
+        self.require(
+            message.revision <= in_force, f"{coordinator.name} acknowledges {message.revision}, runs {in_force}"
+        )
+
+    def send(self, sender, to, message):
+        scope = getattr(self.processes.get(to), "scope", None)
+        if scope is not None:
+            outside = [entry.key for entry in getattr(message, "entries", ()) if not entry.key.startswith(scope)]
+            self.require(not outside, f"{sender} sends {outside} to {to}")
+        super().send(sender, to, message)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Two voters, two zones with two relays each, and a coordinator for each scope."""
+
+    @initialize(seed=st.integers(0, 1 << 16))
+    def begin(self, seed):
+        self.fleet = CheckedFleet(sources=2, limits=LIMITS, seed=seed)
+        for number, (name, scope) in enumerate(SCOPES.items()):
+            zone = "a" if number % 2 else "b"
+            coordinator = self.fleet.coordinator(f"coordinator-{name}", zone, scope)
+            coordinator.highest = 0
+        self.names = list(self.fleet.processes)
+        self.fleet.run(SECOND)
+
+    @rule(keys=st.lists(st.sampled_from(KEYS), min_size=1, max_size=3, unique=True), value=st.integers(0, 4))
+    def edit(self, keys, value):
+        self.fleet.decide({key: b"%d" % value if value else None for key in keys})
+
+    @rule(pace=st.sampled_from([0, 20, 300]), many=st.integers(2, 12))
+    def many_edits(self, pace, many):
+        for number in range(many):
+            self.fleet.decide({KEYS[number % len(KEYS)]: b"%d" % self.fleet.history.revision})
+            self.fleet.run(pace * MILLISECOND)
+
+    @rule(tenths=st.sampled_from([1, 3, 10, 30, 70, 120]))
+    def time_passes(self, tenths):
+        self.fleet.run(tenths * SECOND // 10)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]), double=st.sampled_from([0.0, 0.3]), jitter=st.sampled_from([0, 50, 900])
+    )
+    def transport(self, loss, double, jitter):
+        self.fleet.faults = Faults(loss=loss, double=double, jitter=jitter * MILLISECOND)
+
+    @rule(which=st.integers(0, 63))
+    def restart(self, which):
+        process = self.process(which)
+        process.restart()
+        kept = not hasattr(process, "in_force") or process.in_force.revision >= process.highest
+        self.fleet.require(kept, f"{process.name} goes back by its restart")
+
+    @rule(which=st.integers(0, 63))
+    def stop(self, which):
+        self.process(which).stop()
+
+    @rule(which=st.integers(0, 63), seconds=st.sampled_from([1, 5, 30]))
+    def stand_still(self, which, seconds):
+        self.process(which).stand_still(seconds * SECOND)
+
+    @rule(some=st.sets(st.integers(0, 63), min_size=1, max_size=5))
+    def cut(self, some):
+        cut_off = {self.process(number).name for number in some}
+        self.fleet.cut(cut_off, set(self.names) - cut_off)
+
+    @rule()
+    def heal(self):
+        self.fleet.heal()
+
+    @rule(which=st.integers(0, 63), write=st.sampled_from([1, 400, 3_000]))
+    def disk(self, which, write):
+        coordinators = self.fleet.coordinators()
+        coordinators[which % len(coordinators)].disk.write = write * MILLISECOND
+
+    @invariant()
+    def disks_hold_the_history(self):
+        for coordinator in self.fleet.coordinators() if hasattr(self, "fleet") else ():
+            held, core = coordinator.disk.held, coordinator.core
+            expected = self.fleet.history.at(held.revision, coordinator.scope)
+            self.fleet.require(held.entries == expected, f"the disk of {coordinator.name}")
+            self.fleet.require(core is None or core.revision <= held.revision, f"{coordinator.name} runs ahead")
+
+    def teardown(self):
+        if not hasattr(self, "fleet") or self.fleet.broken:
+            return
+        fleet = self.fleet
+        fleet.heal()
+        fleet.faults = Faults()
+        for name in self.names:
+            process = fleet.processes[name]
+            process.wake_up()
+            if process.core is None:
+                process.restart()
+        for coordinator in fleet.coordinators():
+            coordinator.disk.write = 3 * MILLISECOND
+        for node in fleet.voters:
+            fleet.tell(node.name)
+        fleet.run_until(fleet.converged, CONVERGED)
+        self.disks_hold_the_history()
+
+    def process(self, which):
+        return self.fleet.processes[self.names[which % len(self.names)]]
+
+
+def test_no_fault_breaks_what_holds():
+    run_state_machine_as_test(FleetMachine, settings=STEPS)
+
+
+def must_be_found(match):
+    with pytest.raises(AssertionError, match=match):
+        run_state_machine_as_test(FleetMachine, settings=FINDING)
+
+
+def test_finds_a_revision_from_a_relay_that_lags(monkeypatch):
+    watch_of = WatchServer._watch
+
+    def serves_those_ahead(self, now, sender, watch):
+        if watch.revision > self._state.revision and self._state.log:
+            watch = replace(watch, log="", revision=0)
+        watch_of(self, now, sender, watch)
+
+    def takes_older_ones(self, part):
+        return bool(self._delivery.log) and part.revision == self._delivery.newest
+
+    monkeypatch.setattr(WatchServer, "_watch", serves_those_ahead)
+    monkeypatch.setattr(Receiver, "_is_behind", takes_older_ones)
+    must_be_found("goes back")
+
+
+def test_finds_an_acknowledgement_before_the_disk(monkeypatch):
+    take = DiskDelivery.take
+
+    def counts_at_once(self, received):
+        effects = take(self, received)
+        self.revision = self.newest
+        return effects
+
+    monkeypatch.setattr(DiskDelivery, "take", counts_at_once)
+    must_be_found("acknowledges")
+
+
+def test_finds_a_compacted_gap_passed_over(monkeypatch):
+    since = KeyValueState.since
+
+    def passes_over(self, revision, scope=("",)):
+        return since(self, max(revision, self.oldest), scope)
+
+    monkeypatch.setattr(KeyValueState, "since", passes_over)
+    must_be_found("coordinator-.* at ")
+
+
+def test_finds_a_heartbeat_that_hides_a_lost_change(monkeypatch):
+    def trusts(self, heartbeat):
+        self.acknowledge = True
+        if heartbeat.revision > self._delivery.newest and self._delivery.log:
+            return self._deliver(heartbeat.log, heartbeat.revision, ())
+        return []
+
+    monkeypatch.setattr(Receiver, "_take_heartbeat", trusts)
+    must_be_found("coordinator-.* at ")
