--- a/rackhub/fleet/distribution/session.py
+++ b/rackhub/fleet/distribution/session.py
@@ -27,7 +27,8 @@
         return self.next_part == len(self.snapshot.parts)
 
     def confirm(self, parts: int) -> None:
-        self.confirmed = max(self.confirmed, min(parts, self.next_part))
+        self.confirmed = max(self.confirmed, min(parts, len(self.snapshot.parts)))
+        self.next_part = max(self.next_part, self.confirmed)
 
     def rewind(self) -> None:
         """Send again from the first part that is missing; the last one where none is, to have the watcher answer."""
