Let a voter tell how long ago it heard of a majority, so that relays leave one cut off

Need: a voter that is cut off from the others, but not from relays, would pass for fresh for ever. Change: event Confirmed, optional: a source that is told so says its age in heartbeats. Answers that a state remembers are bounded.

--- a/rackhub/fleet/distribution/events.py
+++ b/rackhub/fleet/distribution/events.py
@@ -81,6 +81,13 @@
     snapshot: bool
 
 
+class Confirmed(msgspec.Struct, frozen=True):
+    """To a source: `age` microseconds ago a majority of the voters had nothing newer than what it holds. A source that
+    was told so once says in its heartbeats how long ago it was; relays leave a voter that is cut off or stood still."""
+
+    age: int = 0
+
+
 class MembersChanged(msgspec.Struct, frozen=True):
     """To a relay: so many coordinators live in its zone now."""
 
@@ -94,7 +101,7 @@
     entries: tuple[Entry, ...]
 
 
-Event = Tick | Received | Persisted | Applied | Decided | CaughtUp | MembersChanged | CheckAsked
+Event = Tick | Received | Persisted | Applied | Decided | CaughtUp | Confirmed | MembersChanged | CheckAsked
 
 
 # ---- effects
--- a/rackhub/fleet/distribution/messages.py
+++ b/rackhub/fleet/distribution/messages.py
@@ -107,7 +107,7 @@
 class Heartbeat(Message, frozen=True, array_like=True, tag="heartbeat"):
     """Nothing in scope changed after `previous` up to `revision`. It moves on only a watcher that holds `previous`: one
     that holds less has lost an update, and watches anew. `age`: since the sender itself last heard from above that
-    `revision` is the newest; 0 at a voter."""
+    `revision` is the newest; at a voter since it knew so of a majority, 0 where it does not look after that."""
 
     session: Number
     log: LogId
--- a/rackhub/fleet/distribution/selection.py
+++ b/rackhub/fleet/distribution/selection.py
@@ -33,6 +33,8 @@
 
 
 class _Candidate:
+    __slots__ = ("node", "rank", "home", "until", "refusals")
+
     def __init__(self, node: Node, rank: int, home: bool) -> None:
         self.node, self.rank, self.home = node, rank, home
         self.until = 0  # not asked before
--- a/rackhub/fleet/distribution/source.py
+++ b/rackhub/fleet/distribution/source.py
@@ -4,7 +4,17 @@
 from collections.abc import Sequence
 
 from rackhub.fleet.distribution.checks import CheckRounds
-from rackhub.fleet.distribution.events import CaughtUp, CheckAsked, Counted, Decided, Effect, Event, Held, Received
+from rackhub.fleet.distribution.events import (
+    CaughtUp,
+    CheckAsked,
+    Confirmed,
+    Counted,
+    Decided,
+    Effect,
+    Event,
+    Held,
+    Received,
+)
 from rackhub.fleet.distribution.limits import Limits
 from rackhub.fleet.distribution.messages import (
     Acknowledge,
@@ -32,10 +42,11 @@
         self._state = KeyValueState(limits)
         self._state.restore(held.log, held.revision, held.entries.values())
         chance = random.Random(f"{identity.seed} source {identity.name}")
-        self._server = WatchServer(self._state, limits, "", chance, now, lambda _: 0)
+        self._server = WatchServer(self._state, limits, "", chance, now, self._age)
         self._checks = CheckRounds(limits)
         self._reports = Reports(limits)
         self._started_at = now
+        self._confirmed_at: int | None = None
         self._decided_at: dict[Revision, int] = {}  # of recent revisions, oldest first
 
     @property
@@ -68,6 +79,8 @@
             effects += self._decided(now, event.log, event.changes)
         elif isinstance(event, CaughtUp):
             effects += self._caught_up(now, event)
+        elif isinstance(event, Confirmed):
+            self._confirmed_at = max(now - event.age, self._confirmed_at or 0)
         elif isinstance(event, CheckAsked):
             effects += self._checks.begin(now, event, self._reports.relays(now))
         if now >= self._server.due():
@@ -119,3 +132,7 @@
         self._decided_at[revision] = now
         if len(self._decided_at) > self._limits.history:
             del self._decided_at[next(iter(self._decided_at))]
+
+    def _age(self, now: int) -> int:
+        """Since a majority of the voters was known to have nothing newer; 0 where the shell does not tell."""
+        return 0 if self._confirmed_at is None else max(0, now - self._confirmed_at)
--- a/rackhub/fleet/distribution/state.py
+++ b/rackhub/fleet/distribution/state.py
@@ -14,6 +14,7 @@
 
 ENTRY_OVERHEAD = 16  # bytes that an entry takes in a message beside its key and value, at most
 EVERYTHING = ("",)  # the scope that holds every key
+REMEMBERED_ANSWERS, REMEMBERED_SNAPSHOTS = 4_096, 64  # for others that ask the same before the next change
 FORGOTTEN_STEPS = 1_024  # steps before the oldest kept that are let stand until the lists are cut
 
 
@@ -167,6 +168,8 @@
             return Compacted(self.oldest)
         batch = self._batches.get((revision, scope))
         if batch is None:
+            if len(self._batches) >= REMEMBERED_ANSWERS:
+                self._batches.clear()
             batch = self._batches[revision, scope] = self._collect(revision, scope)
         return batch
 
@@ -191,6 +194,8 @@
         """All that holds now in scope: references to entries that never change, so later changes don't touch it."""
         snapshot = self._snapshots.get(scope)
         if snapshot is None:
+            if len(self._snapshots) >= REMEMBERED_SNAPSHOTS:
+                self._snapshots.clear()
             parts = split(in_scope(self.entries.values(), scope), self._limits.update_bytes)
             snapshot = self._snapshots[scope] = Snapshot(self.revision, parts)
         return snapshot
--- a/tests/test_distribution_faults.py
+++ b/tests/test_distribution_faults.py
@@ -5,7 +5,7 @@
 import pytest
 from distribution_fleet import LOG, CheckedFleet, Faults
 
-from rackhub.fleet.distribution import messages
+from rackhub.fleet.distribution import events, messages
 from rackhub.fleet.distribution.limits import MILLISECOND, SECOND, Limits
 from rackhub.fleet.distribution.messages import Heartbeat, SnapshotPart, Unavailable, Update
 
@@ -222,3 +222,26 @@
     fleet.run(30 * SECOND)
     size = sum(len(messages.encode(m)) for _, s, r, m in fleet.sent if "coordinator-7" in (s, r))
     assert size / 30 < 100, "bytes a second, in and out, without the link's"
+
+
+def test_a_voter_cut_off_from_the_others_is_left_by_its_relays():
+    fleet = started(sources=3)
+
+    def confirm():
+        for node in fleet.voters:
+            if node.name not in fleet.uninformed:
+                fleet.processes[node.name].handle(events.Confirmed())
+
+    for _ in range(5):
+        confirm()
+        fleet.run(SECOND)
+    watched = Counter(relay.core.upstream for relay in fleet.relay_processes())
+    (cut_off, relays), *_ = watched.most_common()
+    fleet.uninformed.add(cut_off)
+    fleet.decide({"k": b"1"})
+    began = fleet.now
+    while not fleet.converged():
+        confirm()
+        fleet.run(SECOND)
+        assert fleet.now - began <= IN_FORCE
+    assert relays > 0 and cut_off not in {relay.core.upstream for relay in fleet.relay_processes()}
