--- a/tests/test_distribution_model.py
+++ b/tests/test_distribution_model.py
@@ -19,7 +19,7 @@
 
 STEPS = settings(
     derandomize=True,
-    max_examples=80,
+    max_examples=120,
     stateful_step_count=40,
     deadline=None,
     database=None,
