--- a/rackhub/fleet/distribution/messages.py
+++ b/rackhub/fleet/distribution/messages.py
@@ -129,11 +129,13 @@
 
 class Acknowledge(Message, frozen=True, array_like=True, tag="acknowledge"):
     """`revision` is on the watcher's disk and in force there. `faults`: keys that it could not take. `parts`: so many
-    parts of a snapshot under way, from the first on, are in its memory; it gives credit for further ones, no more."""
+    parts of the snapshot at revision `snapshot`, from the first on, are in its memory; it gives credit for further
+    ones, no more."""
 
     session: Number
     revision: Revision
     faults: Annotated[tuple[KeyFault, ...], Meta(max_length=FAULT_KEYS)] = ()
+    snapshot: Revision = 0
     parts: Annotated[int, Meta(ge=0, le=4_096)] = 0
 
 
--- a/rackhub/fleet/distribution/receiver.py
+++ b/rackhub/fleet/distribution/receiver.py
@@ -26,7 +26,7 @@
 
 
 class Receiver:
-    """Takes what an upstream sends. `acknowledge`: the last message is to be answered, with `parts` of a snapshot."""
+    """Takes what an upstream sends. `acknowledge`: the last message is to be answered, with `parts` of `snapshot`."""
 
     def __init__(self, delivery: Delivery, scope: tuple[str, ...], floor: Revision) -> None:
         """`floor`: a snapshot below it is refused, also where nothing is held any more."""
@@ -36,6 +36,7 @@
         self._follows: Revision = 0  # what a heartbeat said that was sent
         self.gap_until = NEVER
         self.acknowledge = False
+        self.snapshot: Revision = 0
         self.parts = 0
 
     def begin_session(self) -> None:
@@ -44,10 +45,11 @@
         self._waiting.clear()
         self._follows = 0
         self.gap_until = NEVER
+        self.snapshot, self.parts = 0, 0
 
     def take(self, now: int, message: Content) -> list[Effect]:
         """Raises `UnusableUpstream`."""
-        self.acknowledge, self.parts = False, 0
+        self.acknowledge, self.snapshot, self.parts = False, 0, 0
         self.check_log(message.log)
         if isinstance(message, Update):
             effects = self._take_update(message)
@@ -92,12 +94,15 @@
         if not assembly.fits(part):
             return [Counted("distribution_damaged")]
         assembly.add(part)
-        self.acknowledge, self.parts = True, assembly.contiguous
+        self._confirm(part.revision, assembly.contiguous)
         if not assembly.is_complete:
             return []
         self._assembly = None
         return self._deliver(part.log, part.revision, assembly.entries(), snapshot=True)
 
+    def _confirm(self, snapshot: Revision, parts: int) -> None:
+        self.acknowledge, self.snapshot, self.parts = True, snapshot, parts
+
     def _is_behind(self, part: SnapshotPart) -> bool:
         """Whether a snapshot is no news for what is held or under way."""
         return part.revision < self._floor or bool(self._delivery.log) and part.revision <= self._delivery.newest
@@ -105,7 +110,7 @@
     def _refuse_snapshot(self, part: SnapshotPart) -> list[Effect]:
         if part.revision < self._floor:
             raise UnusableUpstream("distribution_snapshots_refused")
-        self.acknowledge, self.parts = True, part.parts  # no more of it is needed
+        self._confirm(part.revision, part.parts)  # no more of it is needed
         return [Counted("distribution_snapshots_refused")] if part.revision < self._delivery.newest else []
 
     def _take_heartbeat(self, heartbeat: Heartbeat) -> list[Effect]:
--- a/rackhub/fleet/distribution/server.py
+++ b/rackhub/fleet/distribution/server.py
@@ -148,7 +148,7 @@
             self.progress += 1
         session.faults = message.faults
         if message.parts:
-            session.confirm_parts(message.parts, now)
+            session.confirm_parts(message.snapshot, message.parts, now)
         session.acknowledge(acknowledged, now)
         self._pump(now, session)
 
@@ -158,7 +158,7 @@
         if now >= session.heard_at + self._limits.session:
             self._count("distribution_sessions_expired", session.name)
             return self._end(session)
-        if session.waits and now >= session.progress_at + self._limits.acknowledge:
+        if session.waits and now >= session.asked_at + self._limits.acknowledge:
             self._count("distribution_resent")
             heartbeat_at = session.heartbeat_at
             session.rewind(now)
@@ -174,11 +174,13 @@
 
     def _heartbeat(self, now: int, session: Session) -> None:
         """While a snapshot is under way, one that moves nothing on: what it ends at is not known to have come."""
-        age = self._age(now) // MILLISECOND
         whole = session.transfer is None
         previous = session.chain if whole else session.acknowledged
         revision = session.position if whole else session.acknowledged
-        self._send(session.name, Heartbeat(session.number, self._state.log, previous, revision, age))
+        age = self._age(now)
+        if revision < self._state.revision:  # the watcher lags: it is not to pass for fresh while it does not get on
+            age = max(age, now - session.progress_at)
+        self._send(session.name, Heartbeat(session.number, self._state.log, previous, revision, age // MILLISECOND))
         session.heartbeat_at = now + self._limits.heartbeat
         self._schedule(session)
 
--- a/rackhub/fleet/distribution/session.py
+++ b/rackhub/fleet/distribution/session.py
@@ -59,7 +59,9 @@
         self.holds_nothing = not watch.log
         self.transfer: SnapshotTransfer | None = None
         self.faults: tuple[KeyFault, ...] = ()
-        self.heard_at = self.progress_at = now
+        self.heard_at = now
+        self.progress_at = now  # when the watcher last got on, or fell behind
+        self.asked_at = now  # since when an acknowledgement is awaited
         self.heartbeat_at = now  # when the next heartbeat is to go out
         self.behind_since = now if not watch.log else NEVER  # since when something in scope lacks an acknowledgement
 
@@ -77,20 +79,20 @@
     def due(self, limits: Limits) -> int:
         """When this session is to be looked at next."""
         due = min(self.heartbeat_at, self.heard_at + limits.session)
-        return min(due, self.progress_at + limits.acknowledge) if self.waits else due
+        return min(due, self.asked_at + limits.acknowledge) if self.waits else due
 
     def sent_update(self, revision: Revision, now: int) -> None:
         if not self.waits:
-            self.progress_at = now
+            self.asked_at = now
+        self._note_behind(now)
         self.in_flight.append(SentUpdate(revision, now))
         self.position = self.chain = revision
-        self.behind_since = min(self.behind_since, now)
 
     def begin_transfer(self, snapshot: Snapshot, now: int) -> None:
         self.transfer = SnapshotTransfer(snapshot)
         self.in_flight.clear()
-        self.progress_at = now
-        self.behind_since = min(self.behind_since, now)
+        self.asked_at = now
+        self._note_behind(now)
 
     def acknowledge(self, revision: Revision, now: int) -> None:
         """The watcher has `revision` on its disk and in force."""
@@ -106,19 +108,25 @@
             self.behind_since = self.in_flight[0].sent_at if self.in_flight else NEVER
         self._progress(now)
 
-    def confirm_parts(self, parts: int, now: int) -> None:
-        """The watcher has so many parts of the snapshot in memory."""
-        if self.transfer is not None:
+    def confirm_parts(self, revision: Revision, parts: int, now: int) -> None:
+        """The watcher has so many parts of the snapshot at `revision` in memory. It may be late, of an earlier one."""
+        if self.transfer is not None and revision == self.transfer.snapshot.revision:
+            before = self.transfer.confirmed
             self.transfer.confirm(parts)
-            self._progress(now)
+            if self.transfer.confirmed > before:
+                self._progress(now)
+
+    def _note_behind(self, now: int) -> None:
+        if self.behind_since == NEVER:
+            self.behind_since = self.progress_at = now
 
     def _progress(self, now: int) -> None:
-        self.progress_at = now
+        self.progress_at = self.asked_at = now
         self.window = min(self.window + 1, self.credit)
 
     def rewind(self, now: int) -> None:
         """No acknowledgement came: go back to the last one, with one message at a time until the next one comes."""
-        self.window, self.progress_at = 1, now
+        self.window, self.asked_at = 1, now
         if self.transfer is not None:
             self.transfer.rewind()
         else:
--- a/rackhub/fleet/distribution/watcher.py
+++ b/rackhub/fleet/distribution/watcher.py
@@ -158,6 +158,8 @@
 
     def _confirm(self, now: int, stream: Stream, message: Content) -> None:
         age = message.age * MILLISECOND if isinstance(message, Heartbeat) else 0
+        if self._delivery.newest > self._delivery.revision:
+            age = 0  # the upstream waits for the disk here: another one would do so, too
         stream.confirmed_at = now - age
         self.confirmed_at = max(self.confirmed_at, stream.confirmed_at)
         if not self._is_stale(message):
@@ -167,7 +169,8 @@
         return isinstance(message, Heartbeat) and message.age * MILLISECOND > self._limits.stale
 
     def _acknowledge(self, stream: Stream) -> None:
-        acknowledge = Acknowledge(stream.session, self._delivery.revision, self._delivery.faults, self._receiver.parts)
+        delivery, receiver = self._delivery, self._receiver
+        acknowledge = Acknowledge(stream.session, delivery.revision, delivery.faults, receiver.snapshot, receiver.parts)
         self._send(stream.name, acknowledge)
 
     def _applied(self, event: Applied) -> None:
@@ -178,7 +181,6 @@
             self._count("distribution_faults")
         self._effects += effects
         if self._stream is not None:
-            self._receiver.parts = 0
             self._acknowledge(self._stream)
 
     # ---- upstreams
--- a/tests/test_distribution_server.py
+++ b/tests/test_distribution_server.py
@@ -179,12 +179,12 @@
     parts = one.watch(log="", credit=2)
     assert [(p.part, p.parts, p.revision) for p in parts] == [(0, 6, 1), (1, 6, 1)]
     assert one.change(k5=b"later") == []
-    more = one.acknowledge(0, parts=2)
+    more = one.acknowledge(0, snapshot=1, parts=2)
     assert [p.part for p in more] == [2, 3]
-    last = one.acknowledge(0, parts=4)
+    last = one.acknowledge(0, snapshot=1, parts=4)
     assert [p.part for p in last] == [4, 5]
     assert last[-1].entries == (Entry("k5", b"", 1),)
-    assert one.acknowledge(0, parts=6) == [], "changes wait until the snapshot is in force"
+    assert one.acknowledge(0, snapshot=1, parts=6) == [], "changes wait until the snapshot is in force"
     assert [(u.previous, u.revision) for u in one.acknowledge(1)] == [(1, 2)]
 
 
@@ -192,14 +192,44 @@
     one = Served(update_bytes=20)
     one.change(**{f"k{number}": b"" for number in range(3)})
     one.watch(log="", credit=3)
-    one.acknowledge(0, parts=1)
+    one.acknowledge(0, snapshot=1, parts=1)
     again = [m.part for m in one.passes(one.limits.acknowledge) if isinstance(m, SnapshotPart)]
     assert again == [1], "one at a time after a loss"
-    assert [p.part for p in one.acknowledge(0, parts=3)] == []
+    assert [p.part for p in one.acknowledge(0, snapshot=1, parts=3)] == []
     again = [m.part for m in one.passes(one.limits.acknowledge) if isinstance(m, SnapshotPart)]
     assert again == [2], "all have come: the last one asks for the acknowledgement"
 
 
+def test_a_late_answer_to_an_earlier_snapshot_does_not_count_for_the_next():
+    one = Served(update_bytes=20, history=3)
+    one.change(**{f"k{number}": b"" for number in range(3)})
+    one.watch(log="", credit=1)
+    one.acknowledge(1, snapshot=1, parts=3)
+    for _ in range(10):
+        one.change(**{f"k{number}": b"x" for number in range(3)})
+    (part,) = one.acknowledge(2)
+    assert (part.revision, part.part) == (11, 0)
+    assert one.acknowledge(2, snapshot=1, parts=3) == []
+    assert [p.part for p in one.acknowledge(2, snapshot=11, parts=1)] == [1]
+
+
+def test_one_that_does_not_get_on_is_not_told_that_it_is_fresh():
+    one = served(session=60 * SECOND, update_bytes=10)
+    one.watch(revision=1)
+    one.change(b=b"2")
+    ages = []
+    for _ in range(4):
+        one.acknowledge(1)
+        ages += [m.age for m in one.passes(one.limits.heartbeat) if isinstance(m, Heartbeat)]
+    assert ages == [0, 0, 0, 0], "all was sent: the heartbeat shows what is missing"
+    one.change(c=b"3")  # there is no credit for it
+    one.acknowledge(1)
+    ages = [m.age for m in one.passes(3 * one.limits.heartbeat) if isinstance(m, Heartbeat)]
+    assert ages == [10_000, 12_000, 14_000]
+    one.acknowledge(3)
+    assert [m.age for m in one.passes(one.limits.heartbeat) if isinstance(m, Heartbeat)] == [0]
+
+
 def test_a_heartbeat_moves_nothing_on_while_a_snapshot_is_under_way():
     one = served()
     one.watch(log="")
