--- a/tests/test_distribution_watcher.py
+++ b/tests/test_distribution_watcher.py
@@ -311,6 +311,17 @@
     assert Send(driven.upstream, Unwatch(driven.session)) in effects
 
 
+def test_a_disk_that_is_slow_here_does_not_make_the_upstream_stale():
+    driven = Driven().connect()
+    driven.update(5, 6, b=b"6")
+    stale = driven.limits.stale // 1_000 + 1
+    effects = driven.received(Heartbeat(driven.session, LOG, 5, 5, stale))
+    assert not watched([*effects, *driven.passes(SECOND)])
+    driven.step(events.Persisted(6))
+    driven.step(events.Applied(6))
+    assert watched(driven.received(Heartbeat(driven.session, LOG, 6, 6, stale)))
+
+
 def test_a_process_that_stood_still_trusts_nothing_from_before():
     driven = Driven().connect()
     driven.now += 30 * SECOND
