--- a/rackhub/fleet/distribution/ports.py
+++ b/rackhub/fleet/distribution/ports.py
@@ -49,7 +49,7 @@
 
 # The constructors that the cores have:
 #   watcher.Watcher(identity: Identity, held: Held, limits: Limits, now: int)
-#       .held: Held, .revision: Revision (in force), .upstream: Name | None
+#       .held: Held, .revision: Revision (in force), .upstream: Name | None; its shell puts `held` in force before
 #   relay.Relay(identity: Identity, limits: Limits, now: int)
 #       .revision: Revision (held), .watchers: int
 #   source.Source(identity: Identity, held: Held, limits: Limits, now: int)
