--- a/rackhub/fleet/distribution/server.py
+++ b/rackhub/fleet/distribution/server.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from rackhub.fleet.distribution.admission import Admission
-from rackhub.fleet.distribution.agenda import NEVER, Agenda
+from rackhub.fleet.distribution.agenda import Agenda
 from rackhub.fleet.distribution.events import Counted, Effect, Send
 from rackhub.fleet.distribution.limits import MILLISECOND, Limits
 from rackhub.fleet.distribution.messages import (
@@ -95,7 +95,7 @@
             self._end(known)
         if self._refused(now, sender, watch):
             return
-        session = Session(sender, watch, now)
+        session = Session(sender, watch, self._limits.credit, now)
         self.sessions[sender] = session
         self.progress += 1
         self._guests += self._admission.is_guest(session.zone)
@@ -148,7 +148,7 @@
             self.progress += 1
         session.faults = message.faults
         if message.parts:
-            session.confirm_parts(message.parts, now)
+            session.confirm_parts(message.snapshot, message.parts, now)
         session.acknowledge(acknowledged, now)
         self._pump(now, session)
 
@@ -158,7 +158,7 @@
         if now >= session.heard_at + self._limits.session:
             self._count("distribution_sessions_expired", session.name)
             return self._end(session)
-        if session.waits and now >= session.progress_at + self._limits.acknowledge:
+        if session.waits and now >= session.asked_at + self._limits.acknowledge:
             self._count("distribution_resent")
             heartbeat_at = session.heartbeat_at
             session.rewind(now)
@@ -174,11 +174,13 @@
 
     def _heartbeat(self, now: int, session: Session) -> None:
         """While a snapshot is under way, one that moves nothing on: what it ends at is not known to have come."""
-        age = self._age(now) // MILLISECOND
         whole = session.transfer is None
         previous = session.chain if whole else session.acknowledged
         revision = session.position if whole else session.acknowledged
-        self._send(session.name, Heartbeat(session.number, self._state.log, previous, revision, age))
+        age = self._age(now)
+        if revision < self._state.revision:  # the watcher lags: it is not to pass for fresh while it does not get on
+            age = max(age, now - session.progress_at)
+        self._send(session.name, Heartbeat(session.number, self._state.log, previous, revision, age // MILLISECOND))
         session.heartbeat_at = now + self._limits.heartbeat
         self._schedule(session)
 
@@ -189,7 +191,6 @@
             self._send_updates(now, session)
         if session.transfer is not None:
             self._send_parts(now, session, session.transfer)
-        self._note_behind(now, session, waited)
         if session.waits and not waited:
             self._schedule(session)
 
@@ -228,13 +229,6 @@
             transfer.next_part += 1
             session.heartbeat_at = now + self._limits.heartbeat
 
-    def _note_behind(self, now: int, session: Session, waited: bool) -> None:
-        behind = session.waits or session.position < self._state.revision
-        if not behind:
-            session.behind_since = NEVER
-        elif session.behind_since == NEVER or not waited:
-            session.behind_since = now
-
     # ---- effects
 
     def _send(self, to: Name, message: AnyMessage) -> None:
--- a/rackhub/fleet/distribution/session.py
+++ b/rackhub/fleet/distribution/session.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+import msgspec
+
 from rackhub.fleet.distribution.agenda import NEVER
 from rackhub.fleet.distribution.limits import Limits
 from rackhub.fleet.distribution.messages import KeyFault, Name, Revision, Watch
@@ -25,7 +27,8 @@
         return self.next_part == len(self.snapshot.parts)
 
     def confirm(self, parts: int) -> None:
-        self.confirmed = max(self.confirmed, min(parts, self.next_part))
+        self.confirmed = max(self.confirmed, min(parts, len(self.snapshot.parts)))
+        self.next_part = max(self.next_part, self.confirmed)
 
     def rewind(self) -> None:
         """Send again from the first part that is missing; the last one where none is, to have the watcher answer."""
@@ -33,23 +36,32 @@
         self.confirmed = min(self.confirmed, self.next_part)
 
 
+class SentUpdate(msgspec.Struct, frozen=True):
+    """Where an update ended, and when it was sent."""
+
+    revision: Revision
+    sent_at: int
+
+
 class Session:
     """One watch. `position`: all in scope up to it was sent. `chain`: where the last update sent ended, or what the
     watcher has acknowledged since; the next one is marked as following on it."""
 
-    def __init__(self, name: Name, watch: Watch, now: int) -> None:
+    def __init__(self, name: Name, watch: Watch, most_credit: int, now: int) -> None:
         self.name = name
         self.number = watch.session
         self.scope = watch.scope
         self.zone = watch.zone
-        self.credit = self.window = watch.credit
+        self.credit = self.window = min(watch.credit, most_credit)
         held = watch.revision if watch.log else 0
         self.acknowledged = self.position = self.chain = held
-        self.in_flight: deque[Revision] = deque()  # where the updates end that are not acknowledged
+        self.in_flight: deque[SentUpdate] = deque()  # not acknowledged
         self.holds_nothing = not watch.log
         self.transfer: SnapshotTransfer | None = None
         self.faults: tuple[KeyFault, ...] = ()
-        self.heard_at = self.progress_at = now
+        self.heard_at = now
+        self.progress_at = now  # when the watcher last got on, or fell behind
+        self.asked_at = now  # since when an acknowledgement is awaited
         self.heartbeat_at = now  # when the next heartbeat is to go out
         self.behind_since = now if not watch.log else NEVER  # since when something in scope lacks an acknowledgement
 
@@ -67,44 +79,54 @@
     def due(self, limits: Limits) -> int:
         """When this session is to be looked at next."""
         due = min(self.heartbeat_at, self.heard_at + limits.session)
-        return min(due, self.progress_at + limits.acknowledge) if self.waits else due
+        return min(due, self.asked_at + limits.acknowledge) if self.waits else due
 
     def sent_update(self, revision: Revision, now: int) -> None:
         if not self.waits:
-            self.progress_at = now
-        self.in_flight.append(revision)
+            self.asked_at = now
+        self._note_behind(now)
+        self.in_flight.append(SentUpdate(revision, now))
         self.position = self.chain = revision
 
     def begin_transfer(self, snapshot: Snapshot, now: int) -> None:
         self.transfer = SnapshotTransfer(snapshot)
         self.in_flight.clear()
-        self.progress_at = now
+        self.asked_at = now
+        self._note_behind(now)
 
     def acknowledge(self, revision: Revision, now: int) -> None:
         """The watcher has `revision` on its disk and in force."""
         if self.transfer is not None and revision >= self.transfer.snapshot.revision:
-            self.transfer, self.holds_nothing = None, False
+            self.transfer, self.holds_nothing, self.behind_since = None, False, NEVER
         if revision <= self.acknowledged:
             return
         self.acknowledged = revision
         self.position, self.chain = max(self.position, revision), max(self.chain, revision)
-        while self.in_flight and self.in_flight[0] <= revision:
+        while self.in_flight and self.in_flight[0].revision <= revision:
             self.in_flight.popleft()
+        if self.transfer is None:
+            self.behind_since = self.in_flight[0].sent_at if self.in_flight else NEVER
         self._progress(now)
 
-    def confirm_parts(self, parts: int, now: int) -> None:
-        """The watcher has so many parts of the snapshot in memory."""
-        if self.transfer is not None:
+    def confirm_parts(self, revision: Revision, parts: int, now: int) -> None:
+        """The watcher has so many parts of the snapshot at `revision` in memory. It may be late, of an earlier one."""
+        if self.transfer is not None and revision == self.transfer.snapshot.revision:
+            before = self.transfer.confirmed
             self.transfer.confirm(parts)
-            self._progress(now)
+            if self.transfer.confirmed > before:
+                self._progress(now)
+
+    def _note_behind(self, now: int) -> None:
+        if self.behind_since == NEVER:
+            self.behind_since = self.progress_at = now
 
     def _progress(self, now: int) -> None:
-        self.progress_at = now
+        self.progress_at = self.asked_at = now
         self.window = min(self.window + 1, self.credit)
 
     def rewind(self, now: int) -> None:
         """No acknowledgement came: go back to the last one, with one message at a time until the next one comes."""
-        self.window, self.progress_at = 1, now
+        self.window, self.asked_at = 1, now
         if self.transfer is not None:
             self.transfer.rewind()
         else:
