Judge a scale run's budget in cases without faults alone

Change: the verdict takes the budget of bytes, CPU and memory for quiet, pace, tenfold; faults, the time in force, failed edits and late timers count in all cases. The result says whether the budget was met in each.

--- a/rackhub/trials/scale/cases.py
+++ b/rackhub/trials/scale/cases.py
@@ -68,6 +68,11 @@
     slow: frozenset[str] = frozenset()
     limits: Limits = Limits()
 
+    @property
+    def steady(self) -> bool:
+        """Whether nothing but changes happens."""
+        return not self.actions and not self.slow
+
 
 class Context(msgspec.Struct, frozen=True):
     """What a case is made from."""
--- a/rackhub/trials/scale/real.py
+++ b/rackhub/trials/scale/real.py
@@ -13,7 +13,7 @@
 from rackhub.trials.scale.orders import Begin, Begun, Edit, Edited, Finish, Finished, Poll, Polled, Restarted
 from rackhub.trials.scale.processes import ChildProcess, ProcessFailed
 from rackhub.trials.scale.real_faults import RealFaults
-from rackhub.trials.scale.result import LATENESS_MOST, Cost, Result, passes
+from rackhub.trials.scale.result import LATENESS_MOST, Cost, Result, judged
 from rackhub.trials.scale.settings import BadSettings, RunSettings
 from rackhub.trials.scale.trace import Outage
 
@@ -158,7 +158,7 @@
         traces = [trace for one in finished for trace in one.traces]
         ordered = sorted(self._acknowledged, key=lambda acknowledged: acknowledged.change.revision)
         verdict = audit(self._initial, ordered, traces, self._faults.outages)
-        return Result(
+        result = Result(
             case=self._settings.case,
             time="real",
             seed=self._settings.seed,
@@ -177,9 +177,10 @@
             relay_bytes_out=relay.bytes_out if relay is not None else None,
             relay_cpu_percent=relay.cpu_percent if relay is not None else None,
             counters=_sum(finished),
+            failed_edits=len(self._failed_edits),
             notes=self._notes(),
-            passed=passes(verdict) and cost.within_budget and late <= LATENESS_MOST and not self._failed_edits,
         )
+        return judged(result, self._plan.steady)
 
     def _notes(self) -> tuple[str, ...]:
         notes = list(NOTES)
--- a/rackhub/trials/scale/result.py
+++ b/rackhub/trials/scale/result.py
@@ -45,19 +45,26 @@
     seconds: float
     verdict: Verdict
     cost: Cost
+    failed_edits: int = 0
     lateness_p99: float | None = None
     keeps_up: bool = True
     relay_bytes_out: float | None = None  # of one relay, a second
     relay_cpu_percent: float | None = None
     counters: dict[str, int] = {}
     notes: tuple[str, ...] = ()
+    within_budget: bool = False
     passed: bool = False
 
 
-def passes(verdict: Verdict) -> bool:
-    """No fault, and all in force within the target's time."""
-    worst = max(verdict.everywhere.worst, verdict.after_outage.worst)
-    return verdict.faultless and worst <= IN_FORCE_SECONDS
+def judged(result: Result, steady: bool) -> Result:
+    """With its verdict in one word: no fault, all in force within the target's time, timers in time and, in a `steady`
+    case without faults, the cost within the target's budget. A fault's cost in a short run is no cost of a day."""
+    verdict = result.verdict
+    in_time = max(verdict.everywhere.worst, verdict.after_outage.worst) <= IN_FORCE_SECONDS
+    within_budget = result.cost.within_budget
+    passed = verdict.faultless and in_time and result.keeps_up and not result.failed_edits
+    passed = passed and (within_budget or not steady)
+    return msgspec.structs.replace(result, within_budget=within_budget, passed=passed)
 
 
 def lines(result: Result) -> list[str]:
@@ -73,7 +80,8 @@
         _spread_line("in force at each", verdict.each),
         _spread_line("after an outage", verdict.after_outage),
         f"each coordinator: {_figure(cost.bytes_in, 'B/s in')}, {_figure(cost.bytes_out, 'B/s out')}, "
-        f"{_figure(cost.cpu_percent, '% of a core')}, {_figure(cost.memory_megabytes, 'MB')}",
+        f"{_figure(cost.cpu_percent, '% of a core')}, {_figure(cost.memory_megabytes, 'MB')}; of these bytes "
+        f"{_figure(cost.members_bytes, 'B/s members')}; within budget: {'yes' if result.within_budget else 'no'}",
     ]
     told += [f"note: {note}" for note in result.notes]
     told.append("passed" if result.passed else "FAILED")
--- a/rackhub/trials/scale/virtual.py
+++ b/rackhub/trials/scale/virtual.py
@@ -23,7 +23,7 @@
 from rackhub.trials.scale.editor import Editor
 from rackhub.trials.scale.layout import Layout, Place, layout, scope_of, upstreams
 from rackhub.trials.scale.memory_disk import MemoryDisk
-from rackhub.trials.scale.result import Cost, Result, passes
+from rackhub.trials.scale.result import Cost, Result, judged
 from rackhub.trials.scale.settings import RunSettings
 from rackhub.trials.scale.trace import Recorder
 from rackhub.trials.scale.virtual_faults import VirtualFaults
@@ -86,7 +86,7 @@
     def _result(self, cost: Cost, relay: Cost) -> Result:
         traces = [recorder.finish() for recorder in self.recorders.values()]
         verdict = audit(self.initial, self.register.acknowledged, traces, self.faults.outages)
-        return Result(
+        result = Result(
             case=self.settings.case,
             time="virtual",
             seed=self.settings.seed,
@@ -104,8 +104,8 @@
             relay_cpu_percent=relay.cpu_percent,
             counters=dict(sorted(self.counters.items())),
             notes=NOTES,
-            passed=passes(verdict) and cost.within_budget,
         )
+        return judged(result, self.plan.steady)
 
     # ---- processes
 
