--- a/rackhub/trials/scale/real.py
+++ b/rackhub/trials/scale/real.py
@@ -18,8 +18,6 @@
 from rackhub.trials.scale.trace import Outage
 
 READY_SECONDS = 120.0  # until all coordinators hold what is in force at the start
-SETTLE_SECONDS = 5.0  # after that, before the first change
-SETTLE_MEMBERS_SECONDS = 15.0  # the same where zones have members
 LAST_CHANGE_SECONDS = 20.0  # for the last change after the end
 LOOK_SECONDS = 0.5
 NOTES = (
@@ -89,7 +87,7 @@
     async def _ready(self) -> None:
         if not await self._in_force(self._initial.revision, READY_SECONDS):
             raise ProcessFailed(f"not all coordinators held revision {self._initial.revision} within {READY_SECONDS} s")
-        await asyncio.sleep(SETTLE_MEMBERS_SECONDS if self._settings.members else SETTLE_SECONDS)
+        await asyncio.sleep(self._settings.settle)
 
     async def _in_force(self, revision: int, within: float) -> bool:
         """Whether all hollow coordinators came to that revision in time."""
--- a/rackhub/trials/scale/settings.py
+++ b/rackhub/trials/scale/settings.py
@@ -25,6 +25,7 @@
   --rate=X           changes, as a multiple of the target's pace, in place of the case's
   --seed=S           [default: 1]
   --virtual          the same cores on a simulated network in virtual time
+  --settle=SECONDS   in real time, between the start and the first change [default: 15]
   --no-members       hollow coordinators without the members' core
   --json             print the result as one JSON object
   --write=NAME       write it to docs/capacity/runs/NAME.json, too
@@ -60,6 +61,7 @@
     rate: float | None = None
     seed: int = 1
     virtual: bool = False
+    settle: float = 15.0
     members: bool = True
     json: bool = False
     write: str = ""
@@ -80,6 +82,7 @@
         rate=_number(words, "--rate", float, 0.0) if words["--rate"] else None,
         seed=_number(words, "--seed", int, 0),
         virtual=words["--virtual"],
+        settle=_number(words, "--settle", float, 0.0),
         members=not words["--no-members"],
         json=words["--json"],
         write=words["--write"] or "",
