Run real coordinators in a scale run, with distribution and beside them without

Need: what distribution costs a real coordinator has to be held against one without it, at the same time and under the same requests. Edits of the run include the rule book's, which the real ones put in force.

--- a/rackhub/trials/scale/audit.py
+++ b/rackhub/trials/scale/audit.py
@@ -121,6 +121,11 @@
     ]
 
 
+def newest_in_scope(changes: Sequence[Acknowledged], scope: tuple[str, ...]) -> int:
+    """The revision of the last change of a key in that scope; 0: there was none."""
+    return max((changes[index].change.revision for index in _in_scope(changes, scope)), default=0)
+
+
 def _expected(initial: Held, changes: Sequence[Acknowledged], scope: tuple[str, ...]) -> str:
     """The digest of what a coordinator of that scope should have in force after all changes."""
     entries: dict[str, Entry] = {key: entry for key, entry in initial.entries.items() if key.startswith(scope)}
--- a/rackhub/trials/scale/orders.py
+++ b/rackhub/trials/scale/orders.py
@@ -24,6 +24,14 @@
     boot: int
 
 
+class BeginReal(Order, frozen=True):
+    """Be real coordinators under light traffic, with distribution or, to compare, without."""
+
+    settings: RunSettings
+    base_port: int
+    distribution: bool
+
+
 class CutOff(Order, frozen=True):
     """From now on nothing passes between these zones and all others; none: all is healed."""
 
@@ -49,7 +57,7 @@
     """Tell all that happened; the process ends when its pipe does."""
 
 
-AnyOrder = Begin | CutOff | RestartCoordinator | Edit | Poll | Finish
+AnyOrder = Begin | BeginReal | CutOff | RestartCoordinator | Edit | Poll | Finish
 
 
 class Report(msgspec.Struct, frozen=True, tag=True):
@@ -97,7 +105,20 @@
     counters: dict[str, int] = {}
 
 
-AnyReport = Begun | Edited | Polled | Restarted | Finished
+class FinishedReal(Report, frozen=True, kw_only=True):
+    """What clients saw of real coordinators. `cpu`: seconds of their processes. `faults`: requests lost, doubled and
+    the like, by kind. `revisions`: in force at each at the end."""
+
+    requests: int
+    served: int
+    refused: int
+    failed: int
+    cpu: float
+    faults: dict[str, int] = {}
+    revisions: tuple[int, ...] = ()
+
+
+AnyReport = Begun | Edited | Polled | Restarted | Finished | FinishedReal
 
 encode = msgspec.json.Encoder().encode
 decode_order = msgspec.json.Decoder(AnyOrder).decode
--- a/rackhub/trials/scale/sizes.py
+++ b/rackhub/trials/scale/sizes.py
@@ -9,11 +9,11 @@
 MOST_PROCESSES = 200
 PARENT = 1
 PROCESS_BYTES = 45 * MEGABYTE  # of one Python process with the program loaded, as measured, rounded up
-SERVE_BYTES = 100 * MEGABYTE  # of a real coordinator with its engines and clients
+SERVE_BYTES = 100 * MEGABYTE  # of a real coordinator
 COORDINATOR_BYTES = 300 * 1024  # of a hollow one without its members' table
 MEMBER_PAIR_BYTES = 3 * 1024  # for each other member of the zone that one holds
 VIRTUAL_COORDINATOR_BYTES = 200 * 1024
-SERVE_PROCESSES = 3  # of each real coordinator: itself, its engines, its clients
+SERVE_SIDES = 2  # real coordinators are run with distribution and, beside them, without
 SOCKETS_A_PROCESS = 18_000  # of hollow coordinators: two each
 
 
@@ -35,8 +35,10 @@
     a_zone = -(-settings.coordinators // settings.zones)
     pairs = settings.coordinators * a_zone if settings.members else 0
     memory = processes * PROCESS_BYTES + settings.coordinators * COORDINATOR_BYTES + pairs * MEMBER_PAIR_BYTES
-    memory += settings.real * SERVE_BYTES
-    return Need(memory, processes + settings.real * SERVE_PROCESSES)
+    if settings.real:
+        memory += SERVE_SIDES * (settings.real * SERVE_BYTES + PROCESS_BYTES)
+        processes += SERVE_SIDES * (settings.real + 1)  # with one process of engines and clients
+    return Need(memory, processes)
 
 
 def refuse_too_large(settings: RunSettings) -> Need:
