Leave voters and relays out of the members that share the fleet's load

Cause: overload splits the engines' threads evenly over all living members. Voters and relays are members of their zone and serve nothing, so that coordinators left their part unused and refused requests. Change: overload sees the members without the directory's voters and relays.

--- a/rackhub/fleet/part.py
+++ b/rackhub/fleet/part.py
@@ -17,11 +17,12 @@
 from rackhub.fleet.control.port import ControlPort
 from rackhub.fleet.disk import open_disk
 from rackhub.fleet.members.part import Membership
+from rackhub.fleet.members.subset import MembersWithout
 from rackhub.fleet.overload.part import Overload
 from rackhub.fleet.overload.prober import Prober
 from rackhub.fleet.overload.safe import Safe
 from rackhub.fleet.overload.shed import Shed
-from rackhub.fleet.ports import RulePart
+from rackhub.fleet.ports import Fleet, RulePart
 from rackhub.fleet.register.disk import StoreDisk
 from rackhub.fleet.roles import COORDINATOR, RELAY, VOTER
 from rackhub.fleet.rules.part import RuleBook
@@ -55,7 +56,7 @@
         )
         self.prober = Prober(host.reactor, host.clock, host.config.limits)
         self.overload = (
-            Overload(self.fleet, host.source.settings, host.config.limits, host.core, self.prober, self.told)
+            Overload(self._serving(), host.source.settings, host.config.limits, host.core, self.prober, self.told)
             if self.told.overload and self.told.role in ("", COORDINATOR)
             else None
         )
@@ -67,6 +68,13 @@
             if self.rules is not None:
                 self.rules.part(name, part)
 
+    def _serving(self) -> Fleet:
+        """The fleet as overload counts it: voters and relays are members of a zone, and take no part of its load."""
+        nodes = frozenset(node.name for node in self.told.node)
+        if not nodes:
+            return self.fleet
+        return self.fleet._replace(members=MembersWithout(self.fleet.members, nodes))
+
     @property
     def rules(self) -> "RuleBook | Distribution | None":
         """Whoever holds the rule book here: that of a fleet without relays, or what distribution brings."""
--- /dev/null
+++ b/tests/test_fleet_subset.py
@@ -0,0 +1,55 @@
+"""Members of a fleet with some names left out."""
+
+from rackhub.fleet.members.subset import MembersWithout
+from rackhub.fleet.ports import Member, State
+
+
+class Three:
+    """`a`, the own one, hears `b` and `r`; `b` and `r` hear one another."""
+
+    me = "a"
+
+    def __init__(self):
+        self.calls = []
+
+    def all(self):
+        return {name: member(name) for name in "abr"}
+
+    def living(self):
+        return frozenset("abr")
+
+    def heard(self):
+        return frozenset("abr")
+
+    def hears(self, one, other):
+        return True
+
+    def follow(self, call):
+        self.calls.append(call)
+
+
+def member(name):
+    return Member(name, ("127.0.0.1", 1), 1, 0, State.ALIVE, 0)
+
+
+def test_the_names_are_in_nothing_that_is_told():
+    members = MembersWithout(Three(), frozenset("r"))
+    assert (members.me, set(members.all()), members.living(), members.heard()) == (
+        "a",
+        {"a", "b"},
+        {"a", "b"},
+        {"a", "b"},
+    )
+    assert members.hears("a", "b") is True and members.hears("a", "r") is None and members.hears("r", "b") is None
+
+
+def test_changes_of_those_names_are_not_passed_on():
+    three, told = Three(), []
+    MembersWithout(three, frozenset("r")).follow(told.append)
+    for name in "br":
+        three.calls[0](member(name))
+    assert [each.name for each in told] == ["b"]
+
+
+def test_the_own_name_is_never_left_out():
+    assert MembersWithout(Three(), frozenset("ab")).living() == {"a", "r"}
