Take the expected content of a scale run from a voter, and wait for its sum

Cause: an edit whose outcome is not known may have been decided; content made from acknowledged edits alone then differs from what is in force. A run also began before the voters had let one another in on a busy machine. Change: the first voter tells the digest of what it holds for each zone, the run waits until the voters vote, and at the end until the voter's own sum says that all have the newest revision; the result has that line.

--- a/rackhub/trials/scale/child.py
+++ b/rackhub/trials/scale/child.py
@@ -45,10 +45,20 @@
     def revision(self) -> int:
         """In force, or held."""
 
+    def ready(self) -> bool: ...
+
+    def lagging(self) -> int: ...
+
     def traffic(self) -> Traffic: ...
 
     def counts(self) -> dict[str, int]: ...
 
+    def traces(self) -> list[Trace]: ...
+
+    def content(self) -> dict[str, str]: ...
+
+    def status(self) -> str: ...
+
 
 def resident_bytes() -> int:
     """Of this process."""
@@ -115,6 +125,8 @@
         traffics = [occupant.traffic() for occupant in occupants]
         return Polled(
             lowest=min(occupant.revision() for occupant in occupants),
+            ready=all(occupant.ready() for occupant in occupants),
+            lagging=sum(occupant.lagging() for occupant in occupants),
             bytes_in=sum(traffic.bytes_in for traffic in traffics),
             bytes_out=sum(traffic.bytes_out for traffic in traffics),
             members_bytes=sum(traffic.members for traffic in traffics),
@@ -125,12 +137,16 @@
 
     def _finished(self) -> Finished:
         traces: list[Trace] = []
+        content: dict[str, str] = {}
+        status = ""
         counters = dict(self._site.counters) if self._site is not None else {}
         for occupant in self._occupants.values():
             traces += occupant.traces()
+            content |= occupant.content()
+            status = status or occupant.status()
             for name, count in occupant.counts().items():
                 counters[name] = counters.get(name, 0) + count
-        return Finished(tuple(traces), counters)
+        return Finished(tuple(traces), content, status, counters)
 
 
 def _occupant_type(role: Role) -> Any:
--- a/rackhub/trials/scale/hollow.py
+++ b/rackhub/trials/scale/hollow.py
@@ -69,6 +69,18 @@
             counts[f"coordinator_{name}"] = counts.get(f"coordinator_{name}", 0) + count
         return counts
 
+    def ready(self) -> bool:
+        return True
+
+    def lagging(self) -> int:
+        return 0
+
+    def content(self) -> dict[str, str]:
+        return {}
+
+    def status(self) -> str:
+        return ""
+
     def traces(self) -> list[Trace]:
         return [self._recorder.finish()]
 
--- a/rackhub/trials/scale/orders.py
+++ b/rackhub/trials/scale/orders.py
@@ -78,10 +78,13 @@
 
 
 class Polled(Report, frozen=True, kw_only=True):
-    """`lowest`: of the revisions in force or held here. `lateness`: seconds by which timers were late since the poll
-    before. Bytes are with the heads of IP and UDP, `cpu` is seconds of this process."""
+    """`lowest`: of the revisions in force or held here. `ready`: a voter here has been let in, and votes; `lagging`:
+    coordinators that it counts as behind the newest revision. `lateness`: seconds by which timers were late since the
+    poll before. Bytes are with the heads of IP and UDP, `cpu` is seconds of this process."""
 
     lowest: int
+    ready: bool
+    lagging: int
     bytes_in: int
     bytes_out: int
     members_bytes: int
@@ -99,9 +102,12 @@
 
 
 class Finished(Report, frozen=True):
-    """`counters` of all places of this process together."""
+    """`counters` of all places of this process together. `content`: of a voter, the digest of what it holds in the
+    scope of each zone; `status`: what it tells an operator."""
 
     traces: tuple[Trace, ...] = ()
+    content: dict[str, str] = {}
+    status: str = ""
     counters: dict[str, int] = {}
 
 
--- a/rackhub/trials/scale/relay_process.py
+++ b/rackhub/trials/scale/relay_process.py
@@ -28,5 +28,17 @@
     def counts(self) -> dict[str, int]:
         return {f"relay_{name}": count for name, count in self._station.link.association.counts.items()}
 
+    def ready(self) -> bool:
+        return True
+
+    def lagging(self) -> int:
+        return 0
+
+    def content(self) -> dict[str, str]:
+        return {}
+
+    def status(self) -> str:
+        return ""
+
     def traces(self) -> list[Trace]:
         return []
--- a/rackhub/trials/scale/result.py
+++ b/rackhub/trials/scale/result.py
@@ -73,6 +73,7 @@
     verdict: Verdict
     cost: Cost
     failed_edits: int = 0
+    status: str = ""  # what the first voter tells of the newest revision at the end, in real time
     lateness_p99: float | None = None
     keeps_up: bool = True
     relay_bytes_out: float | None = None  # of one relay, a second
@@ -116,6 +117,8 @@
         f"{_figure(cost.cpu_percent, '% of a core')}, {_figure(cost.memory_megabytes, 'MB')}; of these bytes "
         f"{_figure(cost.members_bytes, 'B/s members')}; within budget: {'yes' if result.within_budget else 'no'}",
     ]
+    if result.status:
+        told.append(f"the first voter's status: {result.status}")
     if result.lateness_p99 is not None:
         told.append(f"timers late: p99 {result.lateness_p99:g} s; keeps up: {'yes' if result.keeps_up else 'no'}")
     if result.real_coordinators is not None:
--- a/rackhub/trials/scale/virtual.py
+++ b/rackhub/trials/scale/virtual.py
@@ -18,7 +18,7 @@
 from rackhub.fleet.distribution.relay import Relay
 from rackhub.fleet.distribution.source import Source
 from rackhub.fleet.distribution.watcher import Watcher
-from rackhub.trials.scale.audit import audit
+from rackhub.trials.scale.audit import audit, content_after
 from rackhub.trials.scale.cases import SLOW_DISK_SECONDS, Plan, plan
 from rackhub.trials.scale.editor import Editor
 from rackhub.trials.scale.layout import Layout, Place, layout, scope_of, upstreams
@@ -85,7 +85,8 @@
 
     def _result(self, cost: Cost, relay: Cost) -> Result:
         traces = [recorder.finish() for recorder in self.recorders.values()]
-        verdict = audit(self.initial, self.register.acknowledged, traces, self.faults.outages)
+        content = content_after(self.initial, self.register.acknowledged, self.layout.regions)
+        verdict = audit(content, self.register.acknowledged, traces, self.faults.outages)
         result = Result(
             case=self.settings.case,
             time="virtual",
--- a/rackhub/trials/scale/voter_process.py
+++ b/rackhub/trials/scale/voter_process.py
@@ -17,10 +17,10 @@
 from rackhub.fleet.register.proposer import Outcome
 from rackhub.trials.scale.audit import Acknowledged
 from rackhub.trials.scale.editor import Editor
-from rackhub.trials.scale.layout import Place
+from rackhub.trials.scale.layout import Place, scope_of
 from rackhub.trials.scale.orders import Edited
 from rackhub.trials.scale.station import Site, Station, Traffic
-from rackhub.trials.scale.trace import Trace
+from rackhub.trials.scale.trace import Trace, digest
 
 DISK = 2_000  # microseconds until a write is synced
 
@@ -90,10 +90,24 @@
     def counts(self) -> dict[str, int]:
         return {f"voter_{name}": count for name, count in self._station.link.association.counts.items()}
 
-    def status_line(self) -> str:
-        """What the voter tells an operator of the newest revision."""
-        status = self._voter.status()
-        return f"revision {status.revision} in force at {status.in_force} of {status.expected}, {status.lagging} lag"
+    def ready(self) -> bool:
+        return self._voter.register_voter.state.voting
+
+    def lagging(self) -> int:
+        return self._voter.status().lagging
 
     def traces(self) -> list[Trace]:
         return []
+
+    def content(self) -> dict[str, str]:
+        """The digest of what is decided, by zone: what its coordinators should have in force."""
+        entries = self._voter.learner.entries.values()
+        scopes = {zone: scope_of(zone) for zone in self._site.layout.regions}
+        return {
+            zone: digest(entry for entry in entries if entry.key.startswith(scope)) for zone, scope in scopes.items()
+        }
+
+    def status(self) -> str:
+        """As `rules status` has it, of the newest revision."""
+        status = self._voter.status()
+        return f"revision {status.revision} in force at {status.in_force} of {status.expected}, {status.lagging} lag"
