Tell sources in virtual time how long ago they were confirmed

Need: a source now says in its heartbeats how long ago a majority had nothing newer, so that relays leave a voter that is cut off; the model of the register did not tell it.

--- a/rackhub/trials/scale/virtual_register.py
+++ b/rackhub/trials/scale/virtual_register.py
@@ -1,10 +1,11 @@
 """A model of the register in virtual time: edits are decided by a majority and told to each voter.
 
 An edit is acknowledged one way there and back to the third nearest voter after it was made. Each voter is told one way
-later; one that is cut off from the first voter finds what it missed at its next look after the cut.
+later; one that is cut off from the first voter finds what it missed at its next look after the cut, and is told only
+then that a majority has nothing newer.
 """
 
-from rackhub.fleet.distribution.events import Decided, Held
+from rackhub.fleet.distribution.events import Confirmed, Decided, Held
 from rackhub.fleet.distribution.messages import Change
 from rackhub.trials.scale.audit import Acknowledged
 from rackhub.trials.scale.editor import Editor, spacing
@@ -58,6 +59,10 @@
 
     def _look(self, voter: Place) -> None:
         self._tell(voter)
+        if not self._network.parted(self._voters[0], voter):
+            way = self._network.latency(self._voters[0], voter)
+            process = self._network.processes[voter.name]
+            self._network.hand(process, process.boot, Confirmed(way))
         self._network.at(self._network.now + LOOK, self._look, voter)
 
     def _tell(self, voter: Place) -> None:
