--- a/rackhub/trials/scale/real.py
+++ b/rackhub/trials/scale/real.py
@@ -5,23 +5,35 @@
 from collections.abc import Sequence
 
 from rackhub.trials.scale.addresses import free_base
-from rackhub.trials.scale.audit import Acknowledged, audit
+from rackhub.trials.scale.audit import audit, newest_in_scope
 from rackhub.trials.scale.cases import plan
-from rackhub.trials.scale.editor import Editor, spacing
-from rackhub.trials.scale.layout import layout
+from rackhub.trials.scale.editor import Editor
+from rackhub.trials.scale.layout import RULE_KEYS, layout
 from rackhub.trials.scale.measure import cost, lateness_p99
-from rackhub.trials.scale.orders import Begin, Begun, Edit, Edited, Finish, Finished, Poll, Polled, Restarted
+from rackhub.trials.scale.orders import (
+    Begin,
+    BeginReal,
+    Begun,
+    Edit,
+    Edited,
+    Finish,
+    Finished,
+    FinishedReal,
+    Poll,
+    Polled,
+    Restarted,
+)
 from rackhub.trials.scale.processes import ChildProcess, ProcessFailed
+from rackhub.trials.scale.real_edits import RealEdits
 from rackhub.trials.scale.real_faults import RealFaults
-from rackhub.trials.scale.result import LATENESS_MOST, Cost, Result, passes
-from rackhub.trials.scale.settings import BadSettings, RunSettings
+from rackhub.trials.scale.result import LATENESS_MOST, Cost, Real, Result, Side, judged
+from rackhub.trials.scale.settings import RunSettings
 from rackhub.trials.scale.trace import Outage
 
 READY_SECONDS = 120.0  # until all coordinators hold what is in force at the start
-SETTLE_SECONDS = 5.0  # after that, before the first change
-SETTLE_MEMBERS_SECONDS = 15.0  # the same where zones have members
 LAST_CHANGE_SECONDS = 20.0  # for the last change after the end
 LOOK_SECONDS = 0.5
+REAL_MODULE = "rackhub.trials.scale.real_coordinators"
 NOTES = (
     "real time: real sockets on 127.0.0.1, no delay between zones; a hollow coordinator is watcher, link and, unless "
     "said otherwise, members' core; its disk is in memory and syncs after 2 ms",
@@ -32,9 +44,7 @@
 
 
 def real_run(settings: RunSettings) -> Result:
-    """Raises `BadSettings` and `ProcessFailed`. All processes are gone when it returns or raises."""
-    if settings.real:
-        raise BadSettings("--real: real coordinators are not part of this run yet")
+    """Raises `ProcessFailed`. All processes are gone when it returns or raises."""
     return asyncio.run(RealRun(settings).run())
 
 
@@ -49,12 +59,11 @@
         self._hollow: list[ChildProcess] = []
         self._relays: list[ChildProcess] = []
         self._voters: list[ChildProcess] = []
+        self._real: list[ChildProcess] = []  # with distribution, then without
         self._host_of: dict[str, ChildProcess] = {}
         self._empty: list[int] = []  # resident bytes of each hollow process before its coordinators
-        self._acknowledged: list[Acknowledged] = []
-        self._failed_edits: list[str] = []
-        self._edits: list[asyncio.Future[None]] = []  # that have no answer yet, oldest first
-        self._faults = RealFaults(self._layout, self._host_of, self._edit)
+        self._edits = RealEdits(lambda: self._voters[0].send(Edit()))
+        self._faults = RealFaults(self._layout, self._host_of, self._edits.edit)
 
     async def run(self) -> Result:
         try:
@@ -65,7 +74,7 @@
             await asyncio.gather(*(child.end() for child in self._all()), return_exceptions=True)
 
     def _all(self) -> list[ChildProcess]:
-        return self._hollow + self._relays + self._voters
+        return self._hollow + self._relays + self._voters + self._real
 
     # ---- start
 
@@ -84,12 +93,25 @@
             self._host_of.update(dict.fromkeys(places, child))
         begins = [Begin(self._settings, places, base_port, boot) for _, places in groups]
         begun = await asyncio.gather(*(self._host_of[begin.places[0]].ask(begin, Begun) for begin in begins))
+        if self._settings.real:
+            await self._start_real(base_port)
         self._empty = [answer.memory for answer in begun[-len(self._hollow) :]]
 
+    async def _start_real(self, base_port: int) -> None:
+        for distribution in (True, False):
+            name = "real coordinators " + ("with distribution" if distribution else "without")
+            child = ChildProcess(name, self._told, REAL_MODULE)
+            self._real.append(child)
+            await child.start()
+        orders = [BeginReal(self._settings, base_port, distribution) for distribution in (True, False)]
+        await asyncio.gather(*(child.ask(order, Begun) for child, order in zip(self._real, orders, strict=True)))
+
     async def _ready(self) -> None:
         if not await self._in_force(self._initial.revision, READY_SECONDS):
             raise ProcessFailed(f"not all coordinators held revision {self._initial.revision} within {READY_SECONDS} s")
-        await asyncio.sleep(SETTLE_MEMBERS_SECONDS if self._settings.members else SETTLE_SECONDS)
+        while not all(poll.ready for poll in await self._poll(self._voters)):
+            await asyncio.sleep(LOOK_SECONDS)
+        await asyncio.sleep(self._settings.settle)
 
     async def _in_force(self, revision: int, within: float) -> bool:
         """Whether all hollow coordinators came to that revision in time."""
@@ -100,38 +122,20 @@
             await asyncio.sleep(LOOK_SECONDS)
         return False
 
+    async def _counted_in_force(self) -> None:
+        """Until the first voter's sum says so, too."""
+        end = time.monotonic() + LAST_CHANGE_SECONDS
+        while time.monotonic() < end and (await self._poll(self._voters[:1]))[0].lagging:
+            await asyncio.sleep(LOOK_SECONDS)
+
     async def _poll(self, children: Sequence[ChildProcess]) -> list[Polled]:
         return list(await asyncio.gather(*(child.ask(Poll(), Polled) for child in children if not child.ended)))
 
-    # ---- changes
-
-    async def _edit(self) -> None:
-        """Returns when the edit is acknowledged or has failed."""
-        answered = asyncio.get_running_loop().create_future()
-        self._edits.append(answered)
-        self._voters[0].send(Edit())
-        await answered
-
     def _told(self, report: Edited | Restarted) -> None:
         if isinstance(report, Restarted):
             self._faults.restarted(report.name, Outage(report.start, report.end))
-            return
-        if report.acknowledged is not None:
-            self._acknowledged.append(report.acknowledged)
         else:
-            self._failed_edits.append(report.why)
-        self._edits.pop(0).set_result(None)
-
-    async def _edit_for(self, seconds: float) -> None:
-        """Edits at the plan's pace, whether or not those before have been answered."""
-        pause, began, number = spacing(self._plan.rate), time.monotonic(), 1
-        pending = []
-        while number * pause < seconds:
-            await asyncio.sleep(max(0.0, began + number * pause - time.monotonic()))
-            pending.append(asyncio.create_task(self._edit()))
-            number += 1
-        await asyncio.sleep(max(0.0, began + seconds - time.monotonic()))
-        await asyncio.wait_for(asyncio.gather(*pending), LAST_CHANGE_SECONDS)
+            self._edits.answered(report)
 
     # ---- figures
 
@@ -139,7 +143,8 @@
         before, relays_before = await self._poll(self._hollow), await self._poll(self._relays)
         await self._poll(self._voters)
         began = time.monotonic()
-        await asyncio.gather(self._edit_for(self._plan.seconds), self._faults.run(self._plan.actions))
+        edits = self._edits.edit_for(self._plan.seconds, self._plan.rate)
+        await asyncio.gather(edits, self._faults.run(self._plan.actions))
         after, relays_after = await self._poll(self._hollow), await self._poll(self._relays)
         voters_after = await self._poll(self._voters)
         seconds = time.monotonic() - began
@@ -151,14 +156,17 @@
         return await self._finish(coordinators, relay, late)
 
     async def _finish(self, cost: Cost, relay: Cost | None, late: float) -> Result:
-        newest = self._acknowledged[-1].change.revision if self._acknowledged else self._initial.revision
+        ordered = self._edits.in_order()
+        newest = ordered[-1].change.revision if ordered else self._initial.revision
         await self._in_force(newest, LAST_CHANGE_SECONDS)
-        alive = [child for child in self._all() if not child.ended]
+        real = await self._finish_real(newest_in_scope(ordered, (RULE_KEYS,))) if self._real else None
+        await self._counted_in_force()
+        decided = await self._voters[0].ask(Finish(), Finished)
+        alive = [child for child in self._hollow + self._relays + self._voters[1:] if not child.ended]
         finished = await asyncio.gather(*(child.ask(Finish(), Finished) for child in alive))
         traces = [trace for one in finished for trace in one.traces]
-        ordered = sorted(self._acknowledged, key=lambda acknowledged: acknowledged.change.revision)
-        verdict = audit(self._initial, ordered, traces, self._faults.outages)
-        return Result(
+        verdict = audit(decided.content, ordered, traces, self._faults.outages)
+        result = Result(
             case=self._settings.case,
             time="real",
             seed=self._settings.seed,
@@ -167,7 +175,8 @@
             relays=len(self._layout.relays),
             voters=len(self._layout.voters),
             processes=self._settings.processes,
-            real=0,
+            real=self._settings.real,
+            real_coordinators=real,
             rate=self._plan.rate,
             seconds=self._plan.seconds,
             verdict=verdict,
@@ -176,20 +185,45 @@
             keeps_up=late <= LATENESS_MOST,
             relay_bytes_out=relay.bytes_out if relay is not None else None,
             relay_cpu_percent=relay.cpu_percent if relay is not None else None,
-            counters=_sum(finished),
+            counters=_sum([decided, *finished]),
+            status=decided.status,
+            failed_edits=len(self._edits.failed),
             notes=self._notes(),
-            passed=passes(verdict) and cost.within_budget and late <= LATENESS_MOST and not self._failed_edits,
+        )
+        return judged(result, self._plan.steady)
+
+    async def _finish_real(self, newest: int) -> Real:
+        with_it, without = await asyncio.gather(*(child.ask(Finish(), FinishedReal) for child in self._real))
+        sides = [_side(one) for one in (with_it, without)]
+        ratio = sides[0].served_a_cpu_second / max(sides[1].served_a_cpu_second, 1e-9)
+        return Real(
+            with_distribution=sides[0],
+            without=sides[1],
+            ratio=round(ratio, 3),
+            revisions=with_it.revisions,
+            current=min(with_it.revisions) >= newest,
         )
 
     def _notes(self) -> tuple[str, ...]:
         notes = list(NOTES)
         if not self._settings.members:
             notes.append(NO_MEMBERS_NOTE)
-        if self._failed_edits:
-            notes.append(f"{len(self._failed_edits)} edits failed, the first: {self._failed_edits[0]}")
+        if self._edits.failed:
+            notes.append(f"{len(self._edits.failed)} edits failed, the first: {self._edits.failed[0]}")
         return tuple(notes)
 
 
+def _side(finished: FinishedReal) -> Side:
+    return Side(
+        finished.requests,
+        finished.served,
+        finished.refused,
+        finished.failed,
+        round(finished.cpu, 3),
+        finished.faults,
+    )
+
+
 def _sum(finished: Sequence[Finished]) -> dict[str, int]:
     counters: dict[str, int] = {}
     for one in finished:
--- a/rackhub/trials/scale/virtual.py
+++ b/rackhub/trials/scale/virtual.py
@@ -18,12 +18,12 @@
 from rackhub.fleet.distribution.relay import Relay
 from rackhub.fleet.distribution.source import Source
 from rackhub.fleet.distribution.watcher import Watcher
-from rackhub.trials.scale.audit import audit
+from rackhub.trials.scale.audit import audit, content_after
 from rackhub.trials.scale.cases import SLOW_DISK_SECONDS, Plan, plan
 from rackhub.trials.scale.editor import Editor
 from rackhub.trials.scale.layout import Layout, Place, layout, scope_of, upstreams
 from rackhub.trials.scale.memory_disk import MemoryDisk
-from rackhub.trials.scale.result import Cost, Result, passes
+from rackhub.trials.scale.result import Cost, Result, judged
 from rackhub.trials.scale.settings import RunSettings
 from rackhub.trials.scale.trace import Recorder
 from rackhub.trials.scale.virtual_faults import VirtualFaults
@@ -85,8 +85,9 @@
 
     def _result(self, cost: Cost, relay: Cost) -> Result:
         traces = [recorder.finish() for recorder in self.recorders.values()]
-        verdict = audit(self.initial, self.register.acknowledged, traces, self.faults.outages)
-        return Result(
+        content = content_after(self.initial, self.register.acknowledged, self.layout.regions)
+        verdict = audit(content, self.register.acknowledged, traces, self.faults.outages)
+        result = Result(
             case=self.settings.case,
             time="virtual",
             seed=self.settings.seed,
@@ -104,8 +105,8 @@
             relay_cpu_percent=relay.cpu_percent,
             counters=dict(sorted(self.counters.items())),
             notes=NOTES,
-            passed=passes(verdict) and cost.within_budget,
         )
+        return judged(result, self.plan.steady)
 
     # ---- processes
 
