--- a/rackhub/cli/relayed_rules.py
+++ b/rackhub/cli/relayed_rules.py
@@ -20,7 +20,7 @@
         _print_coordinator(told)
     if told.get("damage"):
         print(f"damage: {told['damage']}")
-    for row in told["dropped"]:
+    for row in told["by_sender"]:
         print(f"  {row['counter']} of {row['sender']}: {row['count']}")
 
 
--- a/rackhub/fleet/distribution/queries.py
+++ b/rackhub/fleet/distribution/queries.py
@@ -56,7 +56,7 @@
         "role": settings.role,
         "zone": settings.zone,
         "revision": shell.version,
-        "dropped": shell.inbox.sender_counts.rows(),
+        "by_sender": shell.inbox.sender_counts.rows(),
     }
     match shell:
         case Voter():
