--- a/rackhub/fleet/distribution/ports.py
+++ b/rackhub/fleet/distribution/ports.py
@@ -26,6 +26,7 @@
     upstreams: tuple[Node, ...] = ()
     scope: tuple[str, ...] = ("",)
     seed: int = 0
+    boot: int = 0  # greater at each start of the process: session numbers begin above it
 
 
 class FleetStatus(msgspec.Struct, frozen=True):
@@ -48,7 +49,7 @@
 
 # The constructors that the cores have:
 #   watcher.Watcher(identity: Identity, held: Held, limits: Limits, now: int)
-#       .held: Held, .revision: Revision (in force), .upstream: Name | None
+#       .held: Held, .revision: Revision (in force), .upstream: Name | None; its shell puts `held` in force before
 #   relay.Relay(identity: Identity, limits: Limits, now: int)
 #       .revision: Revision (held), .watchers: int
 #   source.Source(identity: Identity, held: Held, limits: Limits, now: int)
