Have a voter tell how long ago a majority of the voters had nothing newer than it

Cause (seen on reading the shells beside the cores): the source's age stayed 0 as no shell handed in Confirmed, so a voter cut off from the others passed for fresh and its relays stayed with it: with regions apart their coordinators would get nothing. Change: Replication reckons the age from the other voters' words of what they hold (once a second now, two seconds before); the voter hands it to its source at each tick and word; until a majority has spoken it is as old as the clock.

--- a/rackhub/fleet/distribution/replication.py
+++ b/rackhub/fleet/distribution/replication.py
@@ -18,11 +18,12 @@
 from rackhub.fleet.ports import Fleet, Name
 from rackhub.fleet.register.keeper import Keeper
 from rackhub.fleet.register.proposer import Outcome, Proposer
+from rackhub.fleet.register.words import majority
 
 log = logging.getLogger(__name__)
 
 TICK = 500 * MILLISECOND
-TICKS_A_WORD = 4  # between two words to the other voters of the newest revision held
+TICKS_A_WORD = 2  # between two words to the other voters of the newest revision held
 UNFINISHED = 1 * SECOND  # how long the register voter holds a value that nobody told was chosen, before it is read
 READ_AGAIN = 1 * SECOND  # between two readings of the register
 LOG_BYTES = 8  # of a new log's identity
@@ -37,7 +38,8 @@
 
 
 class Replication:
-    """`busy`: whether the voter is catching up, when nothing may be learned otherwise."""
+    """`busy`: whether the voter is catching up, when nothing may be learned otherwise. `confirmed` is called with the
+    microseconds since a majority of the voters had nothing newer than this one, as far as they have said."""
 
     def __init__(
         self,
@@ -47,9 +49,11 @@
         proposer: Proposer,
         learner: Learner,
         busy: Callable[[], bool],
+        confirmed: Callable[[int], None],
     ):
         self._fleet, self._voters, self._proposer = fleet, voters, proposer
         self._register_voter, self._learner, self._busy = register_voter, learner, busy
+        self._confirmed = confirmed
         self._mail = VoterMail(fleet, voters, self._mailed)
         self.heard: dict[Name, VoterRevision] = {}
         self._reading = False
@@ -74,6 +78,17 @@
         others = [heard.revision for heard in self.heard.values()]
         return majority_revision([self._learner.synced, *others], len(self._voters))
 
+    def confirmed_age(self) -> int | None:
+        """Microseconds since a majority of the voters, this one too, had nothing newer than what is on the disk here;
+        None where not so many have said so. A word that is under way, or a change that its voter has not announced yet,
+        is not in it: the age is a lower bound."""
+        now, own = self._fleet.clock.now(), self._learner.synced
+        ages = sorted(now - heard.heard_at for heard in self.heard.values() if heard.revision <= own)
+        needed = majority(self._voters) - 1
+        if len(ages) < needed:
+            return None
+        return ages[needed - 1] if needed else 0
+
     def learn(self, tail: Tail) -> None:
         """A majority has chosen this."""
         if not self._busy() and not self._ended:
@@ -100,6 +115,12 @@
                 self.heard[sender] = VoterRevision(revision, self._fleet.clock.now())
                 if revision > self._learner.revision:
                     self._read()
+                self._tell_confirmed()
+
+    def _tell_confirmed(self) -> None:
+        age = self.confirmed_age()
+        if age is not None:
+            self._confirmed(age)
 
     def _chosen(self, log_id: str, changes: tuple[Change, ...]) -> None:
         if self._busy():
@@ -142,6 +163,7 @@
         if self._ticks % TICKS_A_WORD == 0:
             self.say_synced()
         self._ticks += 1
+        self._tell_confirmed()
         self._look_for_unfinished()
         if not self._learner.log:
             self._begin_log()
--- a/rackhub/fleet/distribution/voter.py
+++ b/rackhub/fleet/distribution/voter.py
@@ -6,7 +6,7 @@
 from rackhub.fleet.distribution.editing import EditRequest
 from rackhub.fleet.distribution.editor import Done, Editor
 from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
-from rackhub.fleet.distribution.events import Apply, CaughtUp, CheckDone, Decided, Effect, Node, Role
+from rackhub.fleet.distribution.events import Apply, CaughtUp, CheckDone, Confirmed, Decided, Effect, Node, Role
 from rackhub.fleet.distribution.history import History
 from rackhub.fleet.distribution.learning import Learner
 from rackhub.fleet.distribution.limits import Limits
@@ -65,7 +65,13 @@
         self.register_voter = Keeper(fleet, voters, disk, identity.boot, REGISTER)
         self._proposer = Proposer(fleet, voters, identity.boot, self.register_voter, REGISTER)
         self.replication = Replication(
-            fleet, voters, self.register_voter, self._proposer, self.learner, lambda: self._catching_up.running
+            fleet,
+            voters,
+            self.register_voter,
+            self._proposer,
+            self.learner,
+            lambda: self._catching_up.running,
+            lambda age: self._endpoint.hand(Confirmed(age)),
         )
         self._editor = Editor(
             self.learner, self.history, self._keys, self.replication, self._proposer, self._endpoint.hand
@@ -90,6 +96,7 @@
         self._keys.start(self.version)
         self.inbox.start()
         self._endpoint.start()
+        self._endpoint.hand(Confirmed(self._fleet.clock.now()))  # not yet: as old as the clock can tell
         self._proposer.start()
         self.register_voter.start()
         self.replication.start()
--- a/tests/test_distribution_voter.py
+++ b/tests/test_distribution_voter.py
@@ -337,6 +337,34 @@
     assert stand.processes["v0"].version == 1
 
 
+def test_relays_leave_a_voter_that_the_other_voters_no_longer_reach():
+    """It is up and answers; only that nothing newer can reach it tells it apart from one in a quiet fleet."""
+    stand = Stand()
+    stand.edit("e1", 0, a=1)
+    stand.wait(lambda: stand.everywhere(1))
+    cut_off = stand.processes["r0"].upstream
+    others = set(VOTERS) - {cut_off}
+    stand.net.cut({cut_off}, others)
+    stand.edit("e2", 1, voter=min(others), a=2)
+    stand.wait(lambda: all(stand.processes[name].version == 2 for name in COORDINATORS))
+    stand.wait(lambda: all(stand.processes[name].upstream in others for name in RELAYS))
+    assert stand.processes[cut_off].version == 1
+
+
+def test_a_voter_alone_is_fresh_only_by_the_word_of_a_majority():
+    stand = Stand()
+    stand.edit("e1", 0, a=1)
+    stand.wait(lambda: stand.everywhere(1))
+    replication = stand.processes["v0"].replication
+    stand.net.time.run(3 * SECOND)
+    assert replication.confirmed_age() <= 2 * SECOND
+    stand.net.cut({"v0"}, {"v1", "v2"})
+    stand.net.time.run(10 * SECOND)
+    assert replication.confirmed_age() >= 9 * SECOND
+    stand.net.heal()
+    stand.wait(lambda: replication.confirmed_age() <= SECOND, 3)
+
+
 def test_lost_and_doubled_mail_loses_no_change_and_no_revision_goes_back():
     stand = Stand(seed=11)
     stand.net.lose = stand.net.double = 0.15
