--- a/rackhub/trials/scale/virtual.py
+++ b/rackhub/trials/scale/virtual.py
@@ -153,6 +153,7 @@
         process = self.network.processes[name]
         match effect:
             case Send(to, message):
+                self._count(f"{process.place.role.value}_sent_{type(message).__name__}")
                 self.network.send(process, to, message)
             case Persist(revision=revision):
                 disk = self._disks[name]
@@ -161,8 +162,10 @@
                 self.recorders[name].apply(self.network.now, effect)
                 self.network.at(self.network.now, self.network.hand, process, process.boot, Applied(revision))
             case Counted(counter):
-                key = f"{process.place.role.value}_{counter}"
-                self.counters[key] = self.counters.get(key, 0) + 1
+                self._count(f"{process.place.role.value}_{counter}")
+
+    def _count(self, name: str) -> None:
+        self.counters[name] = self.counters.get(name, 0) + 1
 
     def _synced(self, process: Process, boot: int, persist: Persist) -> None:
         if process.up and process.boot == boot:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -321,7 +321,8 @@
     assert VirtualRun(tiny("zone-cut")).run().verdict.after_outage.count > 0
     assert VirtualRun(tiny("zone-restart")).run().verdict.coordinators == 20
     run = VirtualRun(tiny("compacted"))
-    run.run()
+    sent = run.run().counters
+    assert sent["voter_sent_SnapshotPart"] >= 4 + 2 and sent["relay_sent_SnapshotPart"] >= 20 + 10
     assert run.plan.limits.history == 16 and any(outages for outages in run.faults.outages.values())
     run = VirtualRun(tiny("relay-killed-sending"))
     run.run()
