--- /dev/null
+++ b/rackhub/trials/scale/__init__.py
@@ -0,0 +1,1 @@
+"""What the program costs by size: measured slopes, scale runs, and the capacity page that is filled from both."""
--- /dev/null
+++ b/rackhub/trials/scale/distribution_messages.py
@@ -0,0 +1,59 @@
+"""Bytes of the messages of `rackhub.fleet.distribution`, as they are encoded: what a watch through relays carries.
+
+Mail goes in pages over the existing link; the head of a packet and the acknowledgement of a page are counted for each
+message, as they are on a wire.
+"""
+
+from collections.abc import Sequence
+
+from rackhub.fleet.distribution.messages import Acknowledge, AnyMessage, Entry, Heartbeat, Update, encode
+from rackhub.fleet.link import frames
+from rackhub.fleet.link.limits import Limits
+from rackhub.fleet.link.packing import HEAD
+from rackhub.trials.scale.measurement import Measurement, measured
+
+VALUE_SIZES = (50, 200, 1_000, 4_000, 16_000)
+QUICK_VALUE_SIZES = (50, 100, 200, 400)
+SESSION, REVISION = 1 << 40, 1_000_000
+LOG = "0" * 32
+KEY = "routes/region-3/zone-12/lookup"
+NAMES = sum(len(name) + 2 for name in ("cluster", "coordinator-3800", "relay-12-a"))
+UDP_HEAD = 28  # of IPv4 and UDP
+ACKNOWLEDGE_FRAME = 12  # of a page, in the packet that acknowledges it
+
+
+def packet_head() -> int:
+    return HEAD + NAMES + UDP_HEAD
+
+
+def wire_bytes(message: AnyMessage) -> int:
+    """With the heads of all its packets, and the packets that acknowledge its pages."""
+    body = len(encode(message))
+    pages = -(-body // Limits().chunk)
+    return body + pages * (2 * packet_head() + ACKNOWLEDGE_FRAME)
+
+
+def update(value_bytes: int) -> Update:
+    entry = Entry(KEY, bytes(value_bytes), REVISION)
+    return Update(SESSION, LOG, REVISION - 1, REVISION, (entry,))
+
+
+def heartbeat_bytes() -> int:
+    return wire_bytes(Heartbeat(SESSION, LOG, REVISION, REVISION, 1_000))
+
+
+def acknowledge_bytes() -> int:
+    return wire_bytes(Acknowledge(SESSION, REVISION))
+
+
+def measure(quick: bool = False) -> list[Measurement]:
+    sizes: Sequence[int] = QUICK_VALUE_SIZES if quick else VALUE_SIZES
+    heads = f"encoded by the message types, with packet heads and page acknowledgements (version {frames.VERSION})"
+    per_update = [wire_bytes(update(size)) + acknowledge_bytes() for size in sizes]
+    per_heartbeat = [heartbeat_bytes() for _ in sizes]
+    return [
+        measured(
+            "messages.update_bytes", "bytes", "bytes of value", sizes, per_update, f"an update and its answer; {heads}"
+        ),
+        measured("messages.heartbeat_bytes", "bytes", "bytes of value", sizes, per_heartbeat, heads),
+    ]
