--- a/rackhub/trials/scale/__main__.py
+++ b/rackhub/trials/scale/__main__.py
@@ -30,7 +30,7 @@
 
 
 def run_command(arguments: list[str]) -> int:
-    from rackhub.trials.scale import run
+    from rackhub.trials.scale import run  # type: ignore[attr-defined]
 
     return run.main(arguments)
 
--- a/rackhub/trials/scale/distribution_messages.py
+++ b/rackhub/trials/scale/distribution_messages.py
@@ -6,7 +6,17 @@
 
 from collections.abc import Sequence
 
-from rackhub.fleet.distribution.messages import Acknowledge, AnyMessage, Entry, Heartbeat, Update, encode
+from rackhub.fleet.distribution.messages import (
+    Acknowledge,
+    AnyMessage,
+    Entry,
+    Heartbeat,
+    Lagging,
+    Report,
+    RevisionCount,
+    Update,
+    encode,
+)
 from rackhub.fleet.link import frames
 from rackhub.fleet.link.limits import Limits
 from rackhub.fleet.link.packing import HEAD
@@ -14,6 +24,7 @@
 
 VALUE_SIZES = (50, 200, 1_000, 4_000, 16_000)
 QUICK_VALUE_SIZES = (50, 100, 200, 400)
+LAGGING_NAMES = (0, 1, 3, 5)
 SESSION, REVISION = 1 << 40, 1_000_000
 LOG = "0" * 32
 KEY = "routes/region-3/zone-12/lookup"
@@ -46,6 +57,13 @@
     return wire_bytes(Acknowledge(SESSION, REVISION))
 
 
+def report(lagging: int) -> Report:
+    """What a relay tells of its watchers, so many of them named."""
+    worst = tuple(Lagging(f"coordinator-{number:04}", REVISION - 1, 5_000) for number in range(lagging))
+    counts = (RevisionCount(REVISION, 86), RevisionCount(REVISION - 1, lagging))
+    return Report("region-3/zone-12", LOG, REVISION, 86, 173, counts, worst)
+
+
 def measure(quick: bool = False) -> list[Measurement]:
     sizes: Sequence[int] = QUICK_VALUE_SIZES if quick else VALUE_SIZES
     heads = f"encoded by the message types, with packet heads and page acknowledgements (version {frames.VERSION})"
@@ -56,4 +74,12 @@
             "messages.update_bytes", "bytes", "bytes of value", sizes, per_update, f"an update and its answer; {heads}"
         ),
         measured("messages.heartbeat_bytes", "bytes", "bytes of value", sizes, per_heartbeat, heads),
+        measured(
+            "messages.report_bytes",
+            "bytes",
+            "names that lag",
+            LAGGING_NAMES,
+            [wire_bytes(report(count)) for count in LAGGING_NAMES],
+            f"a relay's report; {heads}",
+        ),
     ]
--- a/rackhub/trials/scale/members.py
+++ b/rackhub/trials/scale/members.py
@@ -25,7 +25,7 @@
     resident_bytes,
 )
 
-SIZES = (25, 50, 100, 200, 400)
+SIZES = (4, 8, 25, 50, 100, 200, 400)
 QUICK_SIZES = (4, 6, 8, 10)
 PROCESSES = 5
 WINDOWS, QUICK_WINDOWS = 3, 1
--- /dev/null
+++ b/rackhub/trials/scale/page_data.py
@@ -0,0 +1,64 @@
+"""Everything that the tables of the capacity page are worked out from, and what several of them need."""
+
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+
+from rackhub.limits import SECOND, Limits
+from rackhub.trials.scale import run_files, slopes, target
+from rackhub.trials.scale.measurement import Measurement, SlopesFile
+from rackhub.trials.scale.run_files import NamedRun
+from rackhub.trials.scale.target import Target
+
+REPOSITORY = Path(__file__).parents[3]
+PAGE = REPOSITORY / "docs" / "CAPACITY.md"
+FOLDER = REPOSITORY / "docs" / "capacity"
+
+
+class Status(Enum):
+    """Of a mechanism."""
+
+    BUILT = "built"
+    PARTLY = "measured in part"
+    MISSING = "missing"
+
+
+class PageData(msgspec.Struct, frozen=True):
+    target: Target
+    slopes: SlopesFile
+    runs: tuple[NamedRun, ...] = ()
+
+    def slope(self, name: str) -> Measurement:
+        return self.slopes.find(name)
+
+    def at(self, name: str, size: float) -> float:
+        """A measurement's line at that size."""
+        return self.slopes.find(name).at(size)
+
+    @property
+    def largest_real_run(self) -> NamedRun | None:
+        """With the most coordinators, of those in real time that passed."""
+        real = [each for each in self.runs if each.run.time == "real" and each.run.passed]
+        return max(real, key=lambda each: each.run.coordinators or 0, default=None)
+
+    @property
+    def distribution(self) -> Status:
+        """Of the relays: measured in part as soon as a run of theirs is kept."""
+        return Status.PARTLY if any(each.run.passed for each in self.runs) else Status.MISSING
+
+    @property
+    def poll_seconds(self) -> float:
+        """Between two questions of one coordinator for the list, at the target: as `rackhub.config` sets it."""
+        limits = Limits()
+        shared = self.target["coordinators"] / limits.fleet_polls
+        return min(max(shared, limits.poll / SECOND), limits.poll_again_most / SECOND)
+
+
+def read(folder: Path = FOLDER) -> PageData:
+    """Raises `OSError`, `msgspec.MsgspecError` or `ValueError` where a file can't be used."""
+    return PageData(
+        target.read(folder / "target.toml"),
+        slopes.read(folder / "slopes.json"),
+        run_files.read_all(folder / "runs"),
+    )
