--- a/rackhub/trials/scale/data_path.py
+++ b/rackhub/trials/scale/data_path.py
@@ -13,7 +13,7 @@
 
 from rackhub.trials.processes.clock import pass_time, until
 from rackhub.trials.processes.rig import Rig
-from rackhub.trials.processes.site import Plan
+from rackhub.trials.processes.site import KINDS, SECOND, Plan
 from rackhub.trials.scale.measurement import (
     Measurement,
     cpu_seconds,
@@ -23,20 +23,20 @@
     reference_seconds,
     resident_bytes,
 )
-from rackhub.trials.scale.statements import Connections
+from rackhub.trials.scale.statements import CLASS, Connections
 
 IDLE_CONNECTIONS = (40, 80, 120, 160, 200)
 BUSY_CONNECTIONS = (25, 50, 100, 200)
 STATEMENT_RATES = (20, 40, 80, 160)  # a second, on a fixed number of connections
 HELD_STATEMENTS = (50, 100, 200, 400)
 QUICK = (2, 4, 6, 8)
+MEMORY_ROUNDS = 1  # the process keeps what it once had, so sizes only grow
 RATE_CONNECTIONS = 16
 HELD_CONNECTIONS = 25
-LIGHT_WORK, HELD_WORK = 1_000, 3_600_000  # microseconds of an engine
+HELD_WINDOW = 0.1  # seconds: memory is read after it, CPU is not used
+THREADS = next(kind.threads for kind in KINDS if kind.name == CLASS)  # among which an engine shares a statement's work
+LIGHT_WORK = 1_000  # microseconds of an engine
 CONNECT_AT_MOST, ANSWER_AT_MOST = 10.0, 12.0  # seconds
-CALM = 0.3  # seconds after connecting, before CPU is read
-IDLE_WINDOW = 1.0  # shorter than the time after which crowded idle connections are closed
-HELD_AFTER = 0.8  # seconds after sending, while the statements run
 PLAN = Plan(gateways=1, engines=16, cores=64.0, seed=34)
 
 
@@ -44,12 +44,15 @@
     """How long and how often the loads are taken; times are seconds."""
 
     rounds: int = 3
+    calm: float = 0.3  # after connecting and closing, before CPU is read
+    idle_window: float = 0.7  # with `calm` less than the second after which crowded idle connections are closed
     warm: float = 1.5  # of a load before it is measured: each busy connection has sent a statement or more
     window: float = 2.0
+    held_work: float = 1.2  # of an engine, for a statement that is to be open while it is looked at
+    held_after: float = 0.8
 
 
-QUICK_PACE = Pace(rounds=1, warm=0.2, window=0.2)
-MEMORY_PACE = Pace(rounds=1)  # the process keeps what it once had: sizes only grow
+QUICK_PACE = Pace(rounds=1, calm=0.05, idle_window=0.1, warm=0.1, window=0.15, held_work=0.5, held_after=0.1)
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -64,8 +67,8 @@
 class Bench:
     """One coordinator under measurement."""
 
-    def __init__(self, rig: Rig):
-        self.rig, self.reactor = rig, rig.reactor
+    def __init__(self, rig: Rig, pace: Pace):
+        self.rig, self.reactor, self.pace = rig, rig.reactor, pace
         self.gateway = next(iter(rig.gateways.values()))
         self.pid = rig.processes.by_name[self.gateway.name].pid
 
@@ -82,7 +85,7 @@
             CONNECT_AT_MOST,
             "connections that close",
         )
-        pass_time(self.reactor, CALM)
+        pass_time(self.reactor, self.pace.calm)
 
     def window(self, seconds: float) -> Load:
         reference = reference_seconds()
@@ -114,12 +117,12 @@
     return lambda: running.__setitem__(0, False)
 
 
-def loaded(bench: Bench, connections: int, rate: float, warm: float, seconds: float) -> Load:
+def loaded(bench: Bench, connections: int, rate: float) -> Load:
     """One window with this rate over so many connections."""
     group = bench.connect(connections)
     stop = start_sending(bench.reactor, group, rate)
-    pass_time(bench.reactor, warm)
-    found = bench.window(seconds)
+    pass_time(bench.reactor, bench.pace.warm)
+    found = bench.window(bench.pace.window)
     stop()
     bench.answered(group)
     bench.close(group)
@@ -128,8 +131,8 @@
 
 def idle(bench: Bench, connections: int) -> Load:
     group = bench.connect(connections)
-    pass_time(bench.reactor, CALM)
-    found = bench.window(IDLE_WINDOW - CALM)
+    pass_time(bench.reactor, bench.pace.calm)
+    found = bench.window(bench.pace.idle_window)
     if group.totals.closed:
         raise AssertionError(f"{group.totals.closed} of {connections} idle connections were closed too early")
     bench.close(group)
@@ -139,21 +142,22 @@
 def held(bench: Bench, statements: int) -> Load:
     """With so many statements out at engines, or waiting for one, at the same time."""
     group = bench.connect(min(HELD_CONNECTIONS, statements))
+    work = int(bench.pace.held_work * THREADS * SECOND)
     for connection in itertools.islice(itertools.cycle(group.all), statements):
-        connection.statement(HELD_WORK)
-    pass_time(bench.reactor, HELD_AFTER)
+        connection.statement(work)
+    pass_time(bench.reactor, bench.pace.held_after)
     if group.totals.answered > statements // 10:
         raise AssertionError(f"{group.totals.answered} of {statements} were answered before they were looked at")
-    found = bench.window(0.1)
+    found = bench.window(HELD_WINDOW)
     bench.answered(group)
     bench.close(group)
     return found
 
 
-def in_turn(sizes: Sequence[int], pace: Pace, take: Callable[[int], Load]) -> list[list[Load]]:
+def in_turn(sizes: Sequence[int], rounds: int, take: Callable[[int], Load]) -> list[list[Load]]:
     """The loads by size and round, the sizes in turn."""
     by_size: list[list[Load]] = [[] for _ in sizes]
-    for _ in range(pace.rounds):
+    for _ in range(rounds):
         for size, found in zip(sizes, by_size, strict=True):
             found.append(take(size))
     return by_size
@@ -181,8 +185,8 @@
     return measured(f"data_path.{name}", "descriptors", "connections", sizes, values, how)
 
 
-def idle_connections(bench: Bench, sizes: Sequence[int], pace: Pace) -> list[Measurement]:
-    loads = in_turn(sizes, pace, lambda size: idle(bench, size))
+def idle_connections(bench: Bench, sizes: Sequence[int]) -> list[Measurement]:
+    loads = in_turn(sizes, bench.pace.rounds, lambda size: idle(bench, size))
     how = "client connections with nothing open"
     return [
         cpu_measurement("idle_connection_cpu", "connections", sizes, loads, how),
@@ -191,8 +195,8 @@
     ]
 
 
-def busy_connections(bench: Bench, sizes: Sequence[int], pace: Pace) -> list[Measurement]:
-    loads = in_turn(sizes, pace, lambda size: loaded(bench, size, size, pace.warm, pace.window))
+def busy_connections(bench: Bench, sizes: Sequence[int]) -> list[Measurement]:
+    loads = in_turn(sizes, bench.pace.rounds, lambda size: loaded(bench, size, size))
     how = "client connections with one statement a second each"
     return [
         cpu_measurement("busy_connection_cpu", "connections", sizes, loads, how),
@@ -201,14 +205,14 @@
     ]
 
 
-def statements(bench: Bench, rates: Sequence[int], pace: Pace) -> Measurement:
-    loads = in_turn(rates, pace, lambda rate: loaded(bench, RATE_CONNECTIONS, rate, CALM, pace.window))
+def statements(bench: Bench, rates: Sequence[int]) -> Measurement:
+    loads = in_turn(rates, bench.pace.rounds, lambda rate: loaded(bench, RATE_CONNECTIONS, rate))
     how = f"light statements over {RATE_CONNECTIONS} connections"
     return cpu_measurement("statement_cpu", "statements a second", rates, loads, how)
 
 
-def statement_memory(bench: Bench, sizes: Sequence[int], pace: Pace) -> Measurement:
-    loads = in_turn(sizes, pace, lambda size: held(bench, size))
+def statement_memory(bench: Bench, sizes: Sequence[int]) -> Measurement:
+    loads = in_turn(sizes, MEMORY_ROUNDS, lambda size: held(bench, size))
     how = f"statements open at the same time over {HELD_CONNECTIONS} connections"
     return memory_measurement("statement_memory", "open statements", sizes, loads, how)
 
@@ -219,11 +223,11 @@
     pace = QUICK_PACE if quick else Pace()
     with Rig(PLAN, reactor) as rig:
         rig.up()
-        bench = Bench(rig)
-        pass_time(reactor, CALM)
+        bench = Bench(rig, pace)
+        pass_time(reactor, pace.calm)
         return [
-            *idle_connections(bench, QUICK if quick else IDLE_CONNECTIONS, pace),
-            *busy_connections(bench, QUICK if quick else BUSY_CONNECTIONS, pace),
-            statements(bench, QUICK if quick else STATEMENT_RATES, pace),
-            statement_memory(bench, QUICK if quick else HELD_STATEMENTS, MEMORY_PACE),
+            *idle_connections(bench, QUICK if quick else IDLE_CONNECTIONS),
+            *busy_connections(bench, QUICK if quick else BUSY_CONNECTIONS),
+            statements(bench, QUICK if quick else STATEMENT_RATES),
+            statement_memory(bench, QUICK if quick else HELD_STATEMENTS),
         ]
--- a/rackhub/trials/scale/fit.py
+++ b/rackhub/trials/scale/fit.py
@@ -42,3 +42,11 @@
     slope = together / spread
     intercept = mean_value - slope * mean_size
     return Line(intercept, slope, residual([intercept + slope * size for size in sizes], values))
+
+
+def growth_exponent(sizes: Sequence[float], values: Sequence[float]) -> float | None:
+    """The power of the size that the values grow by: 1 for a line through the origin, 2 for a square. None where a
+    value or size is not above 0."""
+    if min((*sizes, *values)) <= 0:
+        return None
+    return fit_line([math.log(size) for size in sizes], [math.log(value) for value in values]).slope
--- a/rackhub/trials/scale/roles.py
+++ b/rackhub/trials/scale/roles.py
@@ -429,9 +429,9 @@
         ),
         Row(
             figure="today's way: bytes everywhere together",
-            value=data.at("rules.total_bytes", coordinators) / 1_000_000,
+            value=data.at("rules.receiver_bytes", coordinators) * coordinators / 2 / 1_000_000,
             unit="MB a change",
-            source="rules.total_bytes",
+            source="rules.receiver_bytes, once for each two ends",
             mechanism=RULES_TODAY,
             status=Status.MISSING,
         ),
--- a/rackhub/trials/scale/slopes.py
+++ b/rackhub/trials/scale/slopes.py
@@ -1,6 +1,7 @@
 """All measurements of slopes in one run, each group in a process of its own, and the file that keeps them."""
 
 import datetime
+import logging
 import os
 import platform
 import subprocess
@@ -40,6 +41,7 @@
 
 
 def run_group(name: str, quick: bool) -> list[Measurement]:
+    logging.disable(logging.WARNING)  # every voter begins with a new disk and says so
     return GROUPS[name](quick)
 
 
--- a/rackhub/trials/scale/tables.py
+++ b/rackhub/trials/scale/tables.py
@@ -1,13 +1,13 @@
 """The tables of the capacity page, by the names of their markers."""
 
-import math
 from collections.abc import Callable
 from functools import partial
 
 from rackhub.fleet.distribution.limits import Limits as DistributionLimits
-from rackhub.limits import Limits
 from rackhub.trials.scale import markdown
+from rackhub.trials.scale.data_path_load import data_path_table
 from rackhub.trials.scale.failures import failures_table
+from rackhub.trials.scale.fit import growth_exponent
 from rackhub.trials.scale.markdown import number, table
 from rackhub.trials.scale.page_data import PageData
 from rackhub.trials.scale.ranking import ranking_table
@@ -15,7 +15,6 @@
 from rackhub.trials.scale.run_files import NamedRun
 
 Table = Callable[[PageData], str]
-MILLISECONDS, KILOBYTES_A_MEGABYTE = 1_000, 1_024
 
 
 def target_table(data: PageData) -> str:
@@ -42,10 +41,11 @@
             number(each.intercept),
             number(each.slope),
             markdown.percent(each.residual),
+            number(growth_exponent(each.sizes, each.values)),
         ]
         for each in data.slopes.measurements
     ]
-    heads = ("slope", "unit", "sizes", "values", "intercept", "a unit of size", "residual")
+    heads = ("slope", "unit", "sizes", "values", "intercept", "a unit of size", "residual", "grows by power")
     return run_line(data) + "\n\n" + table(heads, rows)
 
 
@@ -105,55 +105,6 @@
     return table(heads, rows)
 
 
-def data_path_table(data: PageData) -> str:
-    target, limits = data.target, Limits()
-    statements, connections = target.statements_a_coordinator, target.connections_a_coordinator
-    statement_ms = data.slope("data_path.statement_cpu").slope
-    extra_ms = data.at("engines.request_cpu", target.engines_a_zone) - data.at("engines.request_cpu", 0)
-    whole_ms = data.at("engines.request_cpu", target["engines"]) - data.at("engines.request_cpu", 0)
-    idle_kb = data.slope("data_path.idle_connection_memory").slope
-    descriptors = data.slope("data_path.busy_connection_descriptors").slope
-    by_connections = connections / limits.client_connections
-    zone_cores = statements * (statement_ms + extra_ms) / MILLISECONDS
-    rows = [
-        ["statements a second, each coordinator", number(statements), "target"],
-        ["client connections, each coordinator", number(connections), "target"],
-        ["CPU of a statement, few engines", f"{number(statement_ms)} ms", "data_path.statement_cpu"],
-        ["more with one zone's engines in the list", f"{number(extra_ms)} ms", "engines.request_cpu"],
-        ["more with all engines in the list", f"{number(whole_ms)} ms", "engines.request_cpu"],
-        [
-            "statements a second in one process, few engines",
-            number(MILLISECONDS / statement_ms),
-            "data_path.statement_cpu",
-        ],
-        ["cores, few engines in the list", number(statements * statement_ms / MILLISECONDS), "data_path.statement_cpu"],
-        ["cores, one zone's engines in the list", number(zone_cores), "both"],
-        ["cores, all engines in the list", number(statements * (statement_ms + whole_ms) / MILLISECONDS), "both"],
-        ["processes by CPU, one zone's engines, a core each", number(math.ceil(zone_cores)), "both"],
-        [
-            f"processes by connections, {limits.client_connections} each",
-            number(math.ceil(by_connections)),
-            "limit of the program",
-        ],
-        [
-            "descriptors of all client connections",
-            number(connections * descriptors),
-            "data_path.busy_connection_descriptors",
-        ],
-        [
-            f"processes by descriptors, {limits.sockets:,} each",
-            number(math.ceil(connections * descriptors / limits.sockets)),
-            "both",
-        ],
-        [
-            "memory of idle client connections",
-            f"{number(connections * idle_kb / KILOBYTES_A_MEGABYTE)} MB",
-            "data_path.idle_connection_memory",
-        ],
-    ]
-    return table(("figure", "value", "worked out from"), rows)
-
-
 def run_cells(named: NamedRun) -> list[str]:
     run, verdict, cost = named.run, named.run.verdict, named.run.cost
     faults = (verdict.lost, verdict.revisions_back, verdict.out_of_scope, verdict.content_differs)
