--- a/rackhub/trials/scale/engines.py
+++ b/rackhub/trials/scale/engines.py
@@ -101,7 +101,10 @@
     for subject in subjects:
         subject.requests(WARM_UP_REQUESTS)
     calls = [lambda subject=subject: subject.requests(REQUESTS_A_ROUND) for subject in subjects]  # type: ignore[misc]
-    how = f"core and decision module in virtual time, 20 requests out, {REQUESTS_A_ROUND} requests a round"
+    how = (
+        f"core and decision module in virtual time, 20 requests out, {REQUESTS_A_ROUND} requests a round "
+        f"after {WARM_UP_REQUESTS}: most engines of a long list have served none yet, and CPU grows as they do"
+    )
     found = time_measurement("engines.request_cpu", "engines", sizes, calls, REQUESTS_A_ROUND, rounds, how)
     for subject in subjects:
         subject.check()
