--- a/rackhub/trials/scale/failures.py
+++ b/rackhub/trials/scale/failures.py
@@ -7,7 +7,7 @@
 from rackhub.fleet.distribution.limits import Limits as DistributionLimits
 from rackhub.trials.scale import markdown
 from rackhub.trials.scale.page_data import PageData, Status
-from rackhub.trials.scale.roles import RELAYS, snapshot_bytes, update_bytes
+from rackhub.trials.scale.role_row import RELAYS, snapshot_bytes, update_bytes
 from rackhub.trials.scale.target import SECONDS_A_DAY
 
 HEADS = ("event", "how often", "adds", "worked out", "unit", "source", "mechanism", "status")
--- a/rackhub/trials/scale/slopes.py
+++ b/rackhub/trials/scale/slopes.py
@@ -59,7 +59,7 @@
 def measure(groups: Sequence[str], quick: bool) -> SlopesFile:
     """The members, which take longest and are told by ratios to a fixed piece of work, run beside the other groups;
     these run one after the other."""
-    began = time.monotonic()
+    began, measured_commit = time.monotonic(), commit()
     lanes = [[name for name in groups if name == "members"], [name for name in groups if name != "members"]]
     with ThreadPoolExecutor(len(lanes)) as pool:
         by_name: dict[str, list[Measurement]] = {}
@@ -68,7 +68,7 @@
     found = [measurement for name in groups for measurement in by_name[name]]
     return SlopesFile(
         date=datetime.date.today().isoformat(),
-        commit=commit(),
+        commit=measured_commit,
         cores=os.cpu_count() or 1,
         python=platform.python_version(),
         seconds=round(time.monotonic() - began, 1),
--- a/rackhub/trials/scale/tables.py
+++ b/rackhub/trials/scale/tables.py
@@ -11,7 +11,8 @@
 from rackhub.trials.scale.markdown import number, table
 from rackhub.trials.scale.page_data import PageData
 from rackhub.trials.scale.ranking import ranking_table
-from rackhub.trials.scale.roles import ROLES, role_table
+from rackhub.trials.scale.role_row import role_table
+from rackhub.trials.scale.roles import ROLES
 from rackhub.trials.scale.run_files import NamedRun
 
 Table = Callable[[PageData], str]
