--- a/rackhub/trials/scale/coordinator_role.py
+++ b/rackhub/trials/scale/coordinator_role.py
@@ -13,7 +13,9 @@
     RULES_TODAY,
     Row,
     per_change,
+    snapshot_bytes,
     watch_bytes_a_second,
+    watch_messages_a_second,
 )
 
 
@@ -116,6 +118,31 @@
             mechanism=RULES_TODAY,
             status=Status.MISSING,
         ),
+        Row(
+            figure="configuration, today's way: messages",
+            value=per_change(data, "rules.receiver_messages"),
+            unit="messages a second",
+            source="rules.receiver_messages",
+            mechanism=RULES_TODAY,
+            status=Status.MISSING,
+        ),
+        Row(
+            figure="configuration through a relay: state in its scope",
+            value=snapshot_bytes(data) / 1_000_000,
+            unit="MB",
+            budget=target["control_memory"],
+            source="messages.update_bytes, assumptions",
+            mechanism=RELAYS,
+            status=data.distribution,
+        ),
+        Row(
+            figure="configuration through a relay: messages in and out",
+            value=watch_messages_a_second(data),
+            unit="messages a second",
+            source="bounds of the watch",
+            mechanism=RELAYS,
+            status=data.distribution,
+        ),
         Row(
             figure="configuration through a relay: in and out",
             value=watch_bytes_a_second(data),
--- a/rackhub/trials/scale/role_row.py
+++ b/rackhub/trials/scale/role_row.py
@@ -64,6 +64,11 @@
     return heartbeat_bytes_a_second(data) + data.target.changes_a_second * update_bytes(data)
 
 
+def watch_messages_a_second(data: PageData) -> float:
+    """Of one watcher: heartbeats, and each change with its acknowledgement."""
+    return SECOND / DistributionLimits().heartbeat + 2 * data.target.changes_a_second
+
+
 def snapshot_bytes(data: PageData) -> float:
     """Of all that one coordinator holds."""
     return (
--- a/rackhub/trials/scale/roles.py
+++ b/rackhub/trials/scale/roles.py
@@ -18,6 +18,7 @@
     per_change,
     snapshot_bytes,
     watch_bytes_a_second,
+    watch_messages_a_second,
 )
 
 
@@ -52,10 +53,10 @@
             status=status,
         ),
         Row(
-            figure="messages to its watchers",
-            value=watchers * (SECOND / DistributionLimits().heartbeat + target.changes_a_second),
+            figure="messages to and from its watchers",
+            value=watchers * watch_messages_a_second(data),
             unit="messages a second",
-            source="limits of the watch",
+            source="bounds of the watch",
             mechanism=RELAYS,
             status=status,
         ),
@@ -121,6 +122,14 @@
             mechanism=RELAYS,
             status=status,
         ),
+        Row(
+            figure="CPU and memory",
+            value=None,
+            unit="-",
+            source="not measured",
+            mechanism=RELAYS,
+            status=status,
+        ),
         Row(
             figure="reports of all relays: in",
             value=target.relays * data.at("messages.report_bytes", 0) * SECOND / DistributionLimits().report,
