--- a/rackhub/trials/scale/data_path_load.py
+++ b/rackhub/trials/scale/data_path_load.py
@@ -6,7 +6,7 @@
 
 from rackhub.limits import Limits
 from rackhub.trials.scale import markdown
-from rackhub.trials.scale.page_data import PageData
+from rackhub.trials.scale.page_data import PageData, client_connections
 
 MILLISECONDS, KILOBYTES_A_MEGABYTE, PERCENT = 1_000, 1_024, 100
 HEADS = ("figure", "value", "unit", "worked out from")
@@ -77,8 +77,8 @@
     return [
         Line("client connections, each coordinator", connections, "connections", "target"),
         Line(
-            f"processes by connections, {limits.client_connections} each",
-            math.ceil(connections / limits.client_connections),
+            f"processes by connections, {client_connections()} each",
+            math.ceil(connections / client_connections()),
             "processes",
             FIXED,
         ),
--- a/rackhub/trials/scale/ranking.py
+++ b/rackhub/trials/scale/ranking.py
@@ -9,7 +9,7 @@
 from rackhub.trials.processes.resolver import MOST as ANSWER_BYTES
 from rackhub.trials.scale import markdown
 from rackhub.trials.scale.crossing import crossing
-from rackhub.trials.scale.page_data import PageData
+from rackhub.trials.scale.page_data import PageData, client_connections
 
 CORE = 1_000  # milliseconds of CPU in a second
 HEADS = ("", "what", "breaks at", "target", "short by", "by which figure", "slope", "how the size was found")
@@ -188,10 +188,10 @@
         ),
         fixed_item(
             "client connections in one process",
-            limits.client_connections,
+            client_connections(),
             "connections",
             connections,
-            "connections taken, the default",
+            f"connections taken with {limits.sockets:,} descriptors, the default",
         ),
     ]
 
