--- a/rackhub/trials/scale/coordinator_role.py
+++ b/rackhub/trials/scale/coordinator_role.py
@@ -9,6 +9,7 @@
     MEMBERS_TODAY,
     MILLISECONDS,
     PERCENT,
+    RECORDS_COUNT_MS,
     RELAYS,
     RULES_TODAY,
     Row,
@@ -24,7 +25,7 @@
     return [
         Row(
             figure=f"membership of {who}, idle: sent",
-            value=data.at("members.idle_bytes", members),
+            value=data.near("members.idle_bytes", members),
             unit="bytes a second",
             budget=target["control_bytes"],
             source="members.idle_bytes",
@@ -33,16 +34,25 @@
         ),
         Row(
             figure=f"membership of {who}, a record a second each: sent",
-            value=data.at("members.records_bytes", members),
+            value=data.bounded("members.records_bytes", members),
             unit="bytes a second",
             budget=target["control_bytes"],
             source="members.records_bytes",
             mechanism=mechanism,
             status=status,
         ),
+        Row(
+            figure=f"membership of {who}, a record a second each: age of records, 99%",
+            value=data.near("members.record_age_p99", members) / MILLISECONDS,
+            unit="s",
+            budget=RECORDS_COUNT_MS / MILLISECONDS,
+            source="members.record_age_p99",
+            mechanism=mechanism,
+            status=status,
+        ),
         Row(
             figure=f"membership of {who}, idle: CPU",
-            value=data.at("members.idle_cpu", members) * PERCENT / MILLISECONDS,
+            value=data.near("members.idle_cpu", members) * PERCENT / MILLISECONDS,
             unit="% of a core",
             budget=target["control_cpu"],
             source="members.idle_cpu",
@@ -51,7 +61,7 @@
         ),
         Row(
             figure=f"membership of {who}: memory",
-            value=data.at("members.memory", members) / KILOBYTES_A_MEGABYTE,
+            value=data.near("members.memory", members) / KILOBYTES_A_MEGABYTE,
             unit="MB",
             budget=target["control_memory"],
             source="members.memory",
@@ -68,7 +78,7 @@
     return [
         Row(
             figure=f"engines' list, {who}: memory",
-            value=data.at("engines.memory", engines) / KILOBYTES_A_MEGABYTE,
+            value=data.near("engines.memory", engines) / KILOBYTES_A_MEGABYTE,
             unit="MB",
             budget=target["control_memory"],
             source="engines.memory",
@@ -77,7 +87,7 @@
         ),
         Row(
             figure=f"engines' list, {who}: CPU of its changes",
-            value=data.at("engines.change_cpu", engines) * changes * PERCENT / MILLISECONDS,
+            value=data.near("engines.change_cpu", engines) * changes * PERCENT / MILLISECONDS,
             unit="% of a core",
             budget=target["control_cpu"],
             source="engines.change_cpu",
@@ -97,7 +107,7 @@
         *list_rows(data, target["engines"], "whole", LIST_TODAY, Status.MISSING),
         Row(
             figure="engines' list, whole: in",
-            value=data.at("engines.list_bytes", target["engines"]) / data.poll_seconds,
+            value=data.near("engines.list_bytes", target["engines"]) / data.poll_seconds,
             unit="bytes a second",
             budget=target["control_bytes"],
             source="engines.list_bytes",
--- a/rackhub/trials/scale/data_path_load.py
+++ b/rackhub/trials/scale/data_path_load.py
@@ -28,7 +28,7 @@
 
 def decision_milliseconds(data: PageData, engines: float) -> float:
     """What so many engines in the list add to a statement's CPU."""
-    return data.slope(DECISION).slope * engines
+    return data.near(DECISION, engines) - data.slope(DECISION).values[0] if engines else 0.0
 
 
 def statement_milliseconds(data: PageData, engines: float) -> float:
--- a/rackhub/trials/scale/measurement.py
+++ b/rackhub/trials/scale/measurement.py
@@ -40,6 +40,14 @@
         """The line's value at any size; far beyond the largest measured one it is an extrapolation."""
         return self.line.at(size)
 
+    def near(self, size: float) -> float:
+        """Between the two measured sizes around it; beyond the measured ones by the line."""
+        for low, high in zip(range(len(self.sizes)), range(1, len(self.sizes)), strict=False):
+            if self.sizes[low] <= size <= self.sizes[high]:
+                part = (size - self.sizes[low]) / (self.sizes[high] - self.sizes[low])
+                return self.values[low] + part * (self.values[high] - self.values[low])
+        return self.at(size)
+
 
 class SlopesFile(msgspec.Struct, frozen=True, kw_only=True):
     """All measurements of one run."""
--- a/rackhub/trials/scale/page_data.py
+++ b/rackhub/trials/scale/page_data.py
@@ -43,6 +43,15 @@
         """A measurement's line at that size."""
         return self.slopes.find(name).at(size)
 
+    def near(self, name: str, size: float) -> float:
+        """A measurement between its measured sizes; beyond them its line."""
+        return self.slopes.find(name).near(size)
+
+    def bounded(self, name: str, size: float) -> float:
+        """Of what a rate bounds: between its measured sizes; beyond them the most that was measured."""
+        measurement = self.slopes.find(name)
+        return max(measurement.values) if size > measurement.sizes[-1] else measurement.near(size)
+
     @property
     def largest_real_run(self) -> NamedRun | None:
         """With the most coordinators, of those in real time that passed."""
--- a/rackhub/trials/scale/ranking.py
+++ b/rackhub/trials/scale/ranking.py
@@ -10,6 +10,7 @@
 from rackhub.trials.scale import markdown
 from rackhub.trials.scale.crossing import crossing
 from rackhub.trials.scale.page_data import PageData, client_connections
+from rackhub.trials.scale.role_row import RECORDS_COUNT_MS
 
 CORE = 1_000  # milliseconds of CPU in a second
 HEADS = ("", "what", "breaks at", "target", "short by", "by which figure", "slope", "how the size was found")
@@ -83,6 +84,12 @@
     cpu_why = f"{target['control_cpu']:g}% of a core"
     limits = [
         Limit("membership with a record a second each: bytes", "members.records_bytes", bytes_budget, bytes_why),
+        Limit(
+            "membership with a record a second each: age of records, 99%",
+            "members.record_age_p99",
+            RECORDS_COUNT_MS,
+            f"{RECORDS_COUNT_MS / CORE:g} s, after which a record does not count",
+        ),
         Limit("membership, idle: bytes", "members.idle_bytes", bytes_budget, bytes_why),
         Limit("membership with a record a second each: CPU", "members.records_cpu", cpu_budget, cpu_why),
         Limit("membership, idle: CPU", "members.idle_cpu", cpu_budget, cpu_why),
@@ -135,6 +142,7 @@
 
 def by_engines(data: PageData) -> list[Item]:
     target = data.target
+    processes = math.ceil(target.connections_a_coordinator / client_connections())
     list_bytes = target["control_bytes"] * data.poll_seconds
     change_ms = target["control_cpu"] * CORE / 100 / target.list_changes_a_second
     limits = [
@@ -158,10 +166,11 @@
             f"{target['control_cpu']:g}% of a core at {target.list_changes_a_second:.2f} changes a second",
         ),
         Limit(
-            "decision on a statement: CPU, in one process",
+            "decision on a statement: CPU",
             "engines.request_cpu",
-            CORE / target.statements_a_coordinator,
-            f"one core at {target.statements_a_coordinator:,.0f} statements a second",
+            CORE * processes / target.statements_a_coordinator,
+            f"a core in each of the {processes} processes that its connections need, "
+            f"at {target.statements_a_coordinator:,.0f} statements a second",
         ),
     ]
     return [measured_item(data, limit, target["engines"]) for limit in limits]
--- a/rackhub/trials/scale/role_row.py
+++ b/rackhub/trials/scale/role_row.py
@@ -12,6 +12,7 @@
 KILOBYTES_A_MEGABYTE = 1_024
 PERCENT = 100
 MILLISECONDS = 1_000
+RECORDS_COUNT_MS = 3_000  # default of `[fleet] records_ms`: older records do not count
 RULES_TODAY = "today's rule book: asks and tells every member"
 MEMBERS_TODAY = "members: all know all"
 MEMBERS_BY_ZONE = "members by zone, sums between zones"
