Note for each group of slopes when it was measured, and let one be measured anew

Cause: the members ran beside the other groups and slowed them; few requests a turn met cold caches (0.28 ms a request at 8 engines). Change: groups run one after the other, 400 requests a turn for lists to 2,500 engines; a group measured anew replaces its own part.

--- a/rackhub/trials/scale/__main__.py
+++ b/rackhub/trials/scale/__main__.py
@@ -14,7 +14,7 @@
 Options:
   --json        Print the measurements as one JSON document instead of a table.
   --quick       Tiny sizes, to see that the measurements work; nothing is written unless --out is given.
-  --group NAME  Only this group: engines, members, rules, data_path, messages. Repeatable; needs --out or --quick.
+  --group NAME  Only this group: engines, members, rules, data_path or messages; FILE keeps the others. Repeatable.
   --out FILE    Where to write [default: docs/capacity/slopes.json].
   --check       Change nothing; name each table that disagrees with its data.
 
@@ -44,11 +44,6 @@
         print(f"--group: {unknown[0]!r} is none of {', '.join(slopes.GROUPS)}", file=sys.stderr)
         return 2
     quick, is_default = bool(options["--quick"]), options["--out"] == DEFAULT_OUTPUT
-    if groups and is_default and not quick:
-        print(
-            "--group: a part of the measurements is not written over all of them; name a file by --out", file=sys.stderr
-        )
-        return 2
     output = None if quick and is_default else Path(str(options["--out"]))
     return slopes.main(groups or list(slopes.GROUPS), quick, output, as_json=bool(options["--json"]))
 
--- a/rackhub/trials/scale/engines.py
+++ b/rackhub/trials/scale/engines.py
@@ -20,7 +20,9 @@
 LIST_SIZES = (8, 20, 40, 60)
 ROUNDS, QUICK_ROUNDS = 9, 3
 WARM_UP_REQUESTS = 200
-REQUESTS_A_ROUND = 50
+REQUESTS_A_ROUND = 400  # fewer for long lists: caches are cold when a size's turn comes
+REQUESTS_TIMES_ENGINES = 1_000_000
+LEAST_REQUESTS_A_ROUND = 50
 CHANGES_A_ROUND = 2
 DECODES_A_ROUND = 10
 QUERY_ID = 7
@@ -86,26 +88,35 @@
     size_unit: str,
     sizes: Sequence[int],
     calls: Sequence[Callable[[], None]],
-    per: int,
+    counts: Sequence[int],
     rounds: int,
     how: str,
 ) -> Measurement:
-    """Milliseconds of CPU of one of the `per` repetitions that each call makes."""
+    """Milliseconds of CPU of one of the repetitions that each call makes, of which `counts` has the number."""
     took = interleaved(calls, rounds)
-    milliseconds = [median(seconds) / per * 1_000 for seconds in took]
+    each = [[spent / count * 1_000 for spent in seconds] for seconds, count in zip(took, counts, strict=True)]
+    milliseconds = [median(times) for times in each]
     method = f"{how}; process CPU, sizes in turn, median of {rounds} rounds"
-    return measured(name, "ms", size_unit, sizes, milliseconds, method, median_ratios(took))
+    return measured(name, "ms", size_unit, sizes, milliseconds, method, median_ratios(each))
+
+
+def requests_a_round(engines: int) -> int:
+    return max(min(REQUESTS_A_ROUND, REQUESTS_TIMES_ENGINES // engines), LEAST_REQUESTS_A_ROUND)
 
 
 def request_cpu(subjects: Sequence[Subject], sizes: Sequence[int], rounds: int) -> Measurement:
     for subject in subjects:
         subject.requests(WARM_UP_REQUESTS)
-    calls = [lambda subject=subject: subject.requests(REQUESTS_A_ROUND) for subject in subjects]  # type: ignore[misc]
+    counts = [requests_a_round(size) for size in sizes]
+    calls = [
+        lambda subject=subject, count=count: subject.requests(count)  # type: ignore[misc]
+        for subject, count in zip(subjects, counts, strict=True)
+    ]
     how = (
-        f"core and decision module in virtual time, 20 requests out, {REQUESTS_A_ROUND} requests a round "
+        f"core and decision module in virtual time, 20 requests out, {counts[0]} to {counts[-1]} requests a round "
         f"after {WARM_UP_REQUESTS}: most engines of a long list have served none yet, and CPU grows as they do"
     )
-    found = time_measurement("engines.request_cpu", "engines", sizes, calls, REQUESTS_A_ROUND, rounds, how)
+    found = time_measurement("engines.request_cpu", "engines", sizes, calls, counts, rounds, how)
     for subject in subjects:
         subject.check()
     return found
@@ -118,7 +129,7 @@
 
     calls = [lambda subject=subject: change(subject) for subject in subjects]  # type: ignore[misc]
     how = "a whole list in which one engine's state changed, told to the core"
-    return time_measurement("engines.change_cpu", "engines", sizes, calls, CHANGES_A_ROUND, rounds, how)
+    return time_measurement("engines.change_cpu", "engines", sizes, calls, [CHANGES_A_ROUND] * len(sizes), rounds, how)
 
 
 def coordinator_memory(sizes: Sequence[int]) -> Measurement:
@@ -178,7 +189,13 @@
     return [
         measured("engines.list_bytes", "bytes", "engines", sizes, [len(packet) for packet in packets], how),
         time_measurement(
-            "engines.list_cpu", "engines", sizes, calls, DECODES_A_ROUND, rounds, "reading one such answer"
+            "engines.list_cpu",
+            "engines",
+            sizes,
+            calls,
+            [DECODES_A_ROUND] * len(sizes),
+            rounds,
+            "reading one such answer",
         ),
     ]
 
--- a/rackhub/trials/scale/measurement.py
+++ b/rackhub/trials/scale/measurement.py
@@ -32,6 +32,10 @@
     method: str
     ratios: tuple[float, ...] = ()
 
+    @property
+    def group(self) -> str:
+        return self.name.partition(".")[0]
+
     @property
     def line(self) -> Line:
         return Line(self.intercept, self.slope, self.residual)
@@ -49,16 +53,34 @@
         return self.at(size)
 
 
-class SlopesFile(msgspec.Struct, frozen=True, kw_only=True):
-    """All measurements of one run."""
+class GroupRun(msgspec.Struct, frozen=True, kw_only=True):
+    """When and how a group was measured. `load`: processes that wanted a core when it began, others' included."""
 
+    group: str
     date: str
     commit: str
     cores: int
     python: str
     seconds: float
+    load: float
+
+
+class SlopesFile(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest measurements of each group."""
+
+    runs: tuple[GroupRun, ...]
     measurements: tuple[Measurement, ...]
 
+    def replaced(self, newer: "SlopesFile") -> "SlopesFile":
+        """With the newer one's groups in place of its own."""
+        groups = {run.group for run in newer.runs}
+        runs = [run for run in self.runs if run.group not in groups]
+        kept = [each for each in self.measurements if each.group not in groups]
+        return SlopesFile(
+            runs=tuple(sorted([*runs, *newer.runs], key=lambda run: run.group)),
+            measurements=tuple(sorted([*kept, *newer.measurements], key=lambda each: each.group)),
+        )
+
     def find(self, name: str) -> Measurement:
         for measurement in self.measurements:
             if measurement.name == name:
--- a/rackhub/trials/scale/slopes.py
+++ b/rackhub/trials/scale/slopes.py
@@ -8,14 +8,14 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
-from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
+from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 from pathlib import Path
 
 import msgspec
 
 from rackhub.trials.scale import data_path, distribution_messages, engines, members, rule_changes
-from rackhub.trials.scale.measurement import Measurement, SlopesFile
+from rackhub.trials.scale.measurement import GroupRun, Measurement, SlopesFile
 
 Measure = Callable[[bool], list[Measurement]]
 GROUPS: dict[str, Measure] = {
@@ -45,38 +45,36 @@
     return GROUPS[name](quick)
 
 
-def run_groups(names: Sequence[str], quick: bool) -> dict[str, list[Measurement]]:
-    """One after the other, each in a process of its own."""
-    found: dict[str, list[Measurement]] = {}
-    for name in names:
-        began = time.monotonic()
-        with ProcessPoolExecutor(1, get_context("spawn")) as pool:
-            found[name] = pool.submit(run_group, name, quick).result()
-        print(f"{name}: {time.monotonic() - began:.0f} s", file=sys.stderr, flush=True)
-    return found
-
-
-def measure(groups: Sequence[str], quick: bool) -> SlopesFile:
-    """The members, which take longest and are told by ratios to a fixed piece of work, run beside the other groups;
-    these run one after the other."""
-    began, measured_commit = time.monotonic(), commit()
-    lanes = [[name for name in groups if name == "members"], [name for name in groups if name != "members"]]
-    with ThreadPoolExecutor(len(lanes)) as pool:
-        by_name: dict[str, list[Measurement]] = {}
-        for found_in_lane in pool.map(run_groups, lanes, [quick] * len(lanes)):
-            by_name |= found_in_lane
-    found = [measurement for name in groups for measurement in by_name[name]]
-    return SlopesFile(
+def measure_group(name: str, quick: bool) -> SlopesFile:
+    """In a process of its own."""
+    began, load = time.monotonic(), os.getloadavg()[0]
+    with ProcessPoolExecutor(1, get_context("spawn")) as pool:
+        found = pool.submit(run_group, name, quick).result()
+    run = GroupRun(
+        group=name,
         date=datetime.date.today().isoformat(),
-        commit=measured_commit,
+        commit=commit(),
         cores=os.cpu_count() or 1,
         python=platform.python_version(),
         seconds=round(time.monotonic() - began, 1),
-        measurements=tuple(found),
+        load=round(load, 1),
     )
+    print(f"{name}: {run.seconds:.0f} s", file=sys.stderr, flush=True)
+    return SlopesFile(runs=(run,), measurements=tuple(found))
+
+
+def measure(groups: Sequence[str], quick: bool) -> SlopesFile:
+    """One group after the other, so that none slows another one."""
+    file = SlopesFile(runs=(), measurements=())
+    for name in groups:
+        file = file.replaced(measure_group(name, quick))
+    return file
 
 
 def write(file: SlopesFile, path: Path) -> None:
+    """Groups that were not measured now stay as they are in the file."""
+    if path.exists():
+        file = read(path).replaced(file)
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_bytes(msgspec.json.format(msgspec.json.encode(file), indent=1) + b"\n")
 
--- a/rackhub/trials/scale/tables.py
+++ b/rackhub/trials/scale/tables.py
@@ -24,12 +24,13 @@
     return table(("figure", "value", "unit", "from"), rows)
 
 
-def run_line(data: PageData) -> str:
-    slopes = data.slopes
-    return (
-        f"Measured on {slopes.date} at {slopes.commit}, Python {slopes.python}, {slopes.cores} cores, "
-        f"{slopes.seconds:.0f} s in all."
-    )
+def measured_table(data: PageData) -> str:
+    """When and how each group was measured."""
+    rows = [
+        [run.group, run.date, run.commit, run.python, number(run.cores), number(run.seconds), number(run.load)]
+        for run in data.slopes.runs
+    ]
+    return table(("group", "date", "commit", "Python", "cores", "seconds", "load at its begin"), rows)
 
 
 def slopes_table(data: PageData) -> str:
@@ -47,7 +48,7 @@
         for each in data.slopes.measurements
     ]
     heads = ("slope", "unit", "sizes", "values", "intercept", "a unit of size", "residual", "grows by power")
-    return run_line(data) + "\n\n" + table(heads, rows)
+    return table(heads, rows)
 
 
 def method_table(data: PageData) -> str:
@@ -167,6 +168,7 @@
     "machines": machines_table,
     "data-path": data_path_table,
     "runs": runs_table,
+    "measured": measured_table,
     "slopes": slopes_table,
     "methods": method_table,
 }
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -14,7 +14,7 @@
 from rackhub.trials.scale import data_path, distribution_messages, engines, fit, members, rule_changes, slopes
 from rackhub.trials.scale.__main__ import main
 from rackhub.trials.scale.fit import fit_line, growth_exponent, residual
-from rackhub.trials.scale.measurement import measured, median_ratios, rounded
+from rackhub.trials.scale.measurement import GroupRun, SlopesFile, measured, median_ratios, rounded
 
 SIZES = (8, 60, 300, 1_000)
 
@@ -180,9 +180,22 @@
     assert ran.returncode == 0, ran.stderr
     file = slopes.read(out)
     assert json.loads(ran.stdout)["measurements"][0]["name"] == file.measurements[0].name
-    assert file.cores >= 1 and file.commit and file.find("messages.update_bytes").unit == "bytes"
+    assert [run.group for run in file.runs] == ["messages"] and file.runs[0].cores >= 1 and file.runs[0].commit
+    assert file.find("messages.update_bytes").unit == "bytes"
 
 
-def test_a_part_is_never_written_over_the_whole(capsys):
-    assert main(["slopes", "--group", "messages"]) == 2 and "--out" in capsys.readouterr().err
+def test_a_group_measured_anew_leaves_the_others_as_they_are(tmp_path):
+    def file(group, date, value):
+        run = GroupRun(group=group, date=date, commit="c", cores=8, python="3", seconds=1.0, load=0.0)
+        return SlopesFile(runs=(run,), measurements=(measured(f"{group}.a", "ms", "x", SIZES, [value] * 4, "by hand"),))
+
+    out = tmp_path / "slopes.json"
+    for group, date, value in (("rules", "1", 1.0), ("engines", "1", 2.0), ("rules", "2", 3.0)):
+        slopes.write(file(group, date, value), out)
+    kept = slopes.read(out)
+    assert [(run.group, run.date) for run in kept.runs] == [("engines", "1"), ("rules", "2")]
+    assert [each.values[0] for each in kept.measurements] == [2.0, 3.0]
+
+
+def test_a_group_that_is_none_is_refused_by_name(capsys):
     assert main(["slopes", "--group", "speed", "--quick"]) == 2 and "'speed'" in capsys.readouterr().err
