--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -108,15 +108,24 @@
     assert page.disagreeing(emptied, page_data.read()) == [name]
 
 
-def test_an_edited_slope_is_found_in_all_tables_that_stand_on_it(place, capsys):
+@pytest.mark.parametrize(
+    "name, field, tables",
+    [
+        ("messages.update_bytes", "slope", {"role-coordinator", "role-relay", "role-voter", "failures", "slopes"}),
+        ("engines.memory", "values", {"role-coordinator", "slopes"}),
+        ("rules.editor_bytes", "values", {"before", "ranking", "slopes"}),
+    ],
+)
+def test_an_edited_measurement_is_found_in_all_tables_that_stand_on_it(place, capsys, name, field, tables):
     path = place / "capacity" / "slopes.json"
     slopes = msgspec.json.decode(path.read_bytes())
-    edited = next(each for each in slopes["measurements"] if each["name"] == "engines.memory")
-    edited["slope"] *= 2
+    edited = next(each for each in slopes["measurements"] if each["name"] == name)
+    was = edited[field]
+    edited[field] = [value * 2 for value in was] if isinstance(was, list) else was * 2
     path.write_bytes(msgspec.json.encode(slopes))
     assert checked(place) == 1
     named = {line.split()[1].rstrip(":") for line in capsys.readouterr().out.splitlines()}
-    assert {"role-coordinator", "slopes"} <= named and "before" not in named
+    assert tables <= named and "target" not in named and "machines" not in named
 
 
 def test_an_edited_target_is_found(place, capsys):
