--- a/rackhub/trials/scale/ranking.py
+++ b/rackhub/trials/scale/ranking.py
@@ -212,3 +212,22 @@
 
 def ranking_table(data: PageData) -> str:
     return markdown.table(HEADS, [item.cells(rank) for rank, item in enumerate(ranked(data), start=1)])
+
+
+CONTENDERS = {
+    "distribution of the engines' list": ("engines.list_bytes",),
+    "membership": ("members.records_bytes", "members.records_cpu", "members.record_age_p99", "members.idle_bytes"),
+    "distribution of configuration": ("rules.editor_bytes", "rules.receiver_bytes", "rules.in_force"),
+}
+
+
+def contenders_table(data: PageData) -> str:
+    """The figures of the mechanisms that could be built next, beside one another."""
+    items = ranked(data)
+    rows = [
+        [mechanism, item.what, *item.cells(rank)[2:6]]
+        for mechanism, sources in CONTENDERS.items()
+        for rank, item in enumerate(items, start=1)
+        if item.source in sources
+    ]
+    return markdown.table(("mechanism", *HEADS[1:6]), rows)
--- a/rackhub/trials/scale/tables.py
+++ b/rackhub/trials/scale/tables.py
@@ -10,7 +10,7 @@
 from rackhub.trials.scale.fit import growth_exponent
 from rackhub.trials.scale.markdown import number, table
 from rackhub.trials.scale.page_data import PageData
-from rackhub.trials.scale.ranking import ranking_table
+from rackhub.trials.scale.ranking import contenders_table, ranking_table
 from rackhub.trials.scale.role_row import role_table
 from rackhub.trials.scale.roles import ROLES
 from rackhub.trials.scale.run_files import NamedRun
@@ -162,6 +162,7 @@
 TABLES: dict[str, Table] = {
     "target": target_table,
     "ranking": ranking_table,
+    "contenders": contenders_table,
     "before": before_table,
     **{f"role-{name}": partial(role, name) for name in ROLES},
     "failures": failures_table,
