--- a/rackhub/trials/scale/ranking.py
+++ b/rackhub/trials/scale/ranking.py
@@ -112,6 +112,12 @@
             bytes_a_change,
             change_why,
         ),
+        Limit(
+            "configuration, today's way: time of one change at a receiver, at the budget's bytes",
+            "rules.receiver_bytes",
+            bytes_budget * target["configuration_time"],
+            f"{target['configuration_time']:.0f} s at {bytes_why}",
+        ),
         Limit(
             "configuration, today's way: time until in force",
             "rules.in_force",
