--- a/rackhub/trials/scale/__init__.py
+++ b/rackhub/trials/scale/__init__.py
@@ -1,1 +1,1 @@
-"""How the fleet scales: slopes of single costs, the page made from them, and runs of distribution at full size."""
+"""What the program costs by size: measured slopes, scale runs, and the capacity page that is filled from both."""
