Show one change through relays at 25 to 200 coordinators beside today's way

Need: the issue asks for time, messages and bytes of one change before and after, on the same sizes. Change: a table of the page from pairs of recorded virtual runs (ten times the pace, and quiet), which were played again as the first recordings counted no messages.

--- a/rackhub/trials/scale/run_files.py
+++ b/rackhub/trials/scale/run_files.py
@@ -53,12 +53,14 @@
     voters: int | None = None
     real: int | None = None
     rate: float | None = None
+    seconds: float = 0.0
     verdict: Verdict = Verdict()
     cost: Cost = Cost()
     keeps_up: bool | None = None
     relay_bytes_out: float | None = None
     relay_cpu_percent: float | None = None
     passed: bool | None = None
+    counters: dict[str, int] = {}  # messages sent, by sender's role and type
 
 
 class NamedRun(msgspec.Struct, frozen=True):
--- a/rackhub/trials/scale/tables.py
+++ b/rackhub/trials/scale/tables.py
@@ -5,6 +5,7 @@
 
 from rackhub.fleet.distribution.limits import Limits as DistributionLimits
 from rackhub.trials.scale import markdown
+from rackhub.trials.scale.after_relays import after_table
 from rackhub.trials.scale.data_path_load import data_path_table
 from rackhub.trials.scale.failures import failures_table
 from rackhub.trials.scale.fit import growth_exponent
@@ -164,6 +165,7 @@
     "ranking": ranking_table,
     "contenders": contenders_table,
     "before": before_table,
+    "after": after_table,
     **{f"role-{name}": partial(role, name) for name in ROLES},
     "failures": failures_table,
     "machines": machines_table,
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rackhub.trials.scale import page, page_data, run_files, target
+from rackhub.trials.scale.after_relays import after_table, pairs
 from rackhub.trials.scale.crossing import Basis, crossing
 from rackhub.trials.scale.markdown import number, table
 from rackhub.trials.scale.measurement import measured
@@ -243,3 +244,34 @@
 
 def test_a_cell_cant_break_its_row():
     assert table(("a",), (("x|y",),)).splitlines()[-1] == "| x\\|y |"
+
+
+# ---- one change through relays
+
+
+def pair_of_runs(size):
+    """Ten changes in 20 s: a quiet coordinator has 30 bytes a second, a busy one 80."""
+    quiet = {"case": "quiet", "time": "virtual", "coordinators": size, "relays": 2, "seconds": 20.0}
+    quiet |= {"verdict": {"changes": 0}, "cost": {"bytes_in": 20.0, "bytes_out": 10.0}, "relay_bytes_out": 100.0}
+    quiet |= {"counters": {"relay_sent_Heartbeat": 40, "coordinator_sent_Acknowledge": 40}}
+    busy = quiet | {"case": "tenfold", "verdict": {"changes": 10}, "cost": {"bytes_in": 50.0, "bytes_out": 30.0}}
+    busy |= {"relay_bytes_out": 600.0}
+    busy |= {"counters": {"relay_sent_Update": 10 * size, "coordinator_sent_Acknowledge": 40 + 10 * size}}
+    return [
+        run_files.NamedRun(str(at), msgspec.convert(run, run_files.RunFile)) for at, run in enumerate((quiet, busy))
+    ]
+
+
+def test_one_change_through_relays_is_what_a_busy_run_has_beyond_a_quiet_one():
+    data = msgspec.structs.replace(page_data.read(), runs=(*pair_of_runs(50), *pair_of_runs(25)))
+    small, large = pairs(data)
+    assert (small.size, large.size) == (25, 50)
+    assert small.receiver_bytes == pytest.approx(100) and small.relay_bytes_out == pytest.approx(1_000)
+    assert small.messages("relay_sent_Update") == 25 and small.messages() == 25 + 25 - 4
+    assert "| receiver bytes | bytes a change | 100 | 100 |" in after_table(data)
+
+
+def test_a_busy_run_without_a_quiet_one_of_its_size_is_left_out():
+    quiet, busy = pair_of_runs(25)
+    assert pairs(msgspec.structs.replace(page_data.read(), runs=(busy,))) == []
+    assert pairs(msgspec.structs.replace(page_data.read(), runs=(quiet, *pair_of_runs(50)[1:]))) == []
