Read a timings part once for an edit's check, its second check and its hold

Change: the part remembers the last one that it read, by its encoding (1 and true are not the same there) and the settings it was checked against.

--- a/tests/test_fleet_rules.py
+++ b/tests/test_fleet_rules.py
@@ -10,6 +10,7 @@
 from rackhub.cli import rules as rules_cli
 from rackhub.fleet.register.words import MOST_NUMBER
 from rackhub.fleet.rules import book as books
+from rackhub.fleet.rules import timings
 from rackhub.fleet.rules.guard import Side, verdict
 from rackhub.fleet.rules.holder import Holder
 from rackhub.fleet.rules.part import KEY
@@ -17,7 +18,7 @@
 from rackhub.fleet.rules.timings import TimingsPart
 from rackhub.fleet.rules.words import BOOK, KIND, Ask, Book, Fetch, Refused, Told, Trial, Version, encode
 from rackhub.timings.desk import Desk
-from rackhub.timings.table import Table
+from rackhub.timings.table import Table, read_table
 from rackhub.trials.fleet import rules_torture
 from rackhub.trials.fleet.history import Op, linearizable
 from rackhub.trials.fleet.rules_torture import Stand, Torture
@@ -384,6 +385,25 @@
     assert desk.open == {1: 1, 3: 1, 4: 1, 5: 0}
 
 
+def test_the_timings_part_reads_an_edit_once_and_anew_under_other_settings(monkeypatch):
+    sites = [t.Settings(classes=(t.ClassSettings("lookup"),)), t.Settings(classes=(t.ClassSettings("report"),))]
+    reads = []
+    monkeypatch.setattr(timings, "read_table", lambda part, site: reads.append(part) or read_table(part, site))
+    site = sites[0]
+    part = TimingsPart(lambda: site, lambda: None, Desk(Table([], site), {}, 1).reload)
+    edit = {"route": [{"class": "lookup", "attempts": 1}]}
+    part.check(edit)
+    part.check({"route": [{"class": "lookup", "attempts": 1}]})
+    part.hold(edit, 1)
+    assert len(reads) == 1
+    with pytest.raises(ValueError, match=r"attempts"):
+        part.check({"route": [{"class": "lookup", "attempts": True}]})
+    site = sites[1]
+    with pytest.raises(ValueError, match=r"nosuch|class"):
+        part.check(edit)
+    assert len(reads) == 3
+
+
 # ---- the checkers, and what they must find
 
 
