--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -94,6 +94,15 @@
     assert "MB, more than" in capsys.readouterr().err
 
 
+def test_a_run_whose_processes_fail_is_told_in_words_with_status_1(capsys, monkeypatch):
+    def fails(settings):
+        raise ProcessFailed("voter-1 did not answer Poll")
+
+    monkeypatch.setattr(scale_run, "run", fails)
+    assert scale_run.main([]) == 1
+    assert "voter-1 did not answer Poll" in capsys.readouterr().err
+
+
 # ---- who is where, and what happens
 
 
