Leave overload off in a fleet with relays in several zones, where members are one zone's

Sums between zones are on the roadmap. Measured: a new test on the settings, which fails with the old condition; settings and process tests pass (41).

--- a/rackhub/fleet/part.py
+++ b/rackhub/fleet/part.py
@@ -24,7 +24,7 @@
 from rackhub.fleet.overload.shed import Shed
 from rackhub.fleet.ports import Fleet, RulePart
 from rackhub.fleet.register.disk import StoreDisk
-from rackhub.fleet.roles import COORDINATOR, RELAY, VOTER
+from rackhub.fleet.roles import RELAY, VOTER, shares_overload
 from rackhub.fleet.rules.part import RuleBook
 from rackhub.fleet.rules.timings import TimingsPart
 from rackhub.fleet.settings import FleetSettings
@@ -57,7 +57,7 @@
         self.prober = Prober(host.reactor, host.clock, host.config.limits)
         self.overload = (
             Overload(self._serving(), host.source.settings, host.config.limits, host.core, self.prober, self.told)
-            if self.told.overload and self.told.role in ("", COORDINATOR)
+            if shares_overload(self.told)
             else None
         )
         self.disk: StoreDisk | None = None
--- a/rackhub/fleet/roles.py
+++ b/rackhub/fleet/roles.py
@@ -52,6 +52,15 @@
     _check_own_place(settings)
 
 
+def shares_overload(settings: "FleetSettings") -> bool:
+    """Whether overload is one for all that this process serves engines with. Members tell of it, and with roles those
+    are of one zone: with relays in several zones each would count its zone alone, while the engines serve all of them,
+    so each process stands at its even part by the site's settings instead."""
+    if not settings.overload or settings.role not in ("", COORDINATOR):
+        return False
+    return len({node.zone for node in settings.node if node.role == RELAY}) <= 1
+
+
 def _check_unused(settings: "FleetSettings") -> None:
     defaults = type(settings)(cluster="", listen="")
     for key in ("zone", "watch", "watch_advertise", "scope", "node"):
--- a/tests/test_distribution_settings.py
+++ b/tests/test_distribution_settings.py
@@ -7,6 +7,7 @@
 
 from rackhub import interface
 from rackhub.config import BadConfig, fleet_settings
+from rackhub.fleet.roles import shares_overload
 
 SITE = interface.Settings(classes=(interface.ClassSettings("lookup"),), peers=True)
 VOTER = {"name": "v1", "role": "voter", "zone": "z1", "address": "127.0.0.1:7101"}
@@ -27,6 +28,16 @@
     assert settings.zone_cluster == "rides.z1" and settings.scope == ("",)
 
 
+def test_overload_is_one_for_all_only_where_all_that_serve_are_of_one_zone():
+    """Members are of one zone, and the engines serve every zone: each would take its zone's part for all of them."""
+    one_zone = {"node": [VOTER, RELAYS[0]]}
+    assert shares_overload(fleet_settings({"cluster": "rides", "listen": "127.0.0.1:7001"}, SITE, "n1"))
+    assert shares_overload(fleet_settings(COORDINATOR | one_zone, SITE, "c1"))
+    assert not shares_overload(fleet_settings(COORDINATOR, SITE, "c1"))
+    assert not shares_overload(fleet_settings(COORDINATOR | one_zone | {"overload": False}, SITE, "c1"))
+    assert not shares_overload(fleet_settings(RELAY | one_zone, SITE, "r1"))
+
+
 def test_without_a_role_the_cluster_s_name_is_as_it_was():
     assert fleet_settings({"cluster": "rides", "listen": "127.0.0.1:7001"}, SITE, "n1").zone_cluster == "rides"
 
