--- a/rackhub/fleet/distribution/service.py
+++ b/rackhub/fleet/distribution/service.py
@@ -16,47 +16,30 @@
 from rackhub.fleet.distribution.waiting import wait_in_force
 from rackhub.fleet.ports import Answer, Control, Fleet
 from rackhub.fleet.roles import VOTER
+from rackhub.fleet.rules.requests import Request, read
 from rackhub.fleet.settings import FleetSettings
 
-MOST_WAIT = 60_000  # milliseconds
 REFUSED, BAD_USAGE = 1, 2  # exit statuses of the command line
 VOTER_CALLS = ("show", "history", "diff", "edit", "undo", "confirm")
 
 Shell = Coordinator | RelayShell | Voter
 
 
-class RulesCall(msgspec.Struct, frozen=True, kw_only=True):
-    """A call as it comes, of any of the names; keys that are not known are passed over. A version is a revision."""
-
-    version: int = -1
-    old: int = -1
-    limit: int = 20
-    on: int = -1
-    to: int = -1
-    author: str = ""
-    reason: str = ""
-    id: str = ""
-    parts: dict[str, Any] = {}
-    trial_ms: int = 0
-    first: int = 0
-    wait_ms: int = 0
-
-
 class UnsupportedCall(ValueError):
     """What a fleet with relays, or this process, does not do."""
 
 
-Handler = Callable[[RulesCall, Answer], None]
+Handler = Callable[[Request, Answer], None]
 
 
 def offer(control: Control, shell: Shell, settings: FleetSettings, fleet: Fleet) -> None:
     """Take the calls that this role answers, and refuse the others naming who does."""
     voters = ", ".join(sorted(node.name for node in settings.node if node.role == VOTER)) or "the voters"
 
-    def elsewhere(call: RulesCall, answer: Answer) -> None:
+    def elsewhere(call: Request, answer: Answer) -> None:
         raise UnsupportedCall(f"{settings.name} is a {settings.role}: ask a voter: {voters}")
 
-    def status(call: RulesCall, answer: Answer) -> None:
+    def status(call: Request, answer: Answer) -> None:
         answer(status_answer(shell, settings, fleet))
 
     handlers: dict[str, Handler] = dict.fromkeys(VOTER_CALLS, elsewhere)
@@ -69,10 +52,7 @@
 def _answering(handler: Handler) -> Callable[[Mapping[str, Any], Answer], None]:
     def called(words: Mapping[str, Any], answer: Answer) -> None:
         try:
-            call = msgspec.convert({key: value for key, value in words.items() if key != "call"}, RulesCall)
-            if not 0 <= call.wait_ms <= MOST_WAIT:
-                raise ValueError(f"wait_ms: {call.wait_ms} is not from 0 to {MOST_WAIT}")
-            handler(call, answer)
+            handler(read(words), answer)
         except InvalidEdit as bad:
             answer({"error": str(bad), "exit": BAD_USAGE})
         except (EditRefused, NotKept) as refused:
@@ -99,20 +79,20 @@
             "confirm": self._confirm,
         }
 
-    def _confirm(self, call: RulesCall, answer: Answer) -> None:
+    def _confirm(self, call: Request, answer: Answer) -> None:
         raise UnsupportedCall("confirm: there are no trials in a fleet with relays")
 
-    def _edit(self, call: RulesCall, answer: Answer) -> None:
+    def _edit(self, call: Request, answer: Answer) -> None:
         if call.trial_ms or call.first:
             raise UnsupportedCall("trial: there are no trials in a fleet with relays: edit, and undo where it must be")
         if call.on < 0:
             raise ValueError("on: an edit names the revision that it builds on")
         self._change("edit", call, call.on, answer)
 
-    def _undo(self, call: RulesCall, answer: Answer) -> None:
+    def _undo(self, call: Request, answer: Answer) -> None:
         self._change("undo", call, call.on if call.on >= 0 else self._voter.history.newest, answer)
 
-    def _change(self, kind: str, call: RulesCall, on: int, answer: Answer) -> None:
+    def _change(self, kind: str, call: Request, on: int, answer: Answer) -> None:
         request = EditRequest(
             kind=kind, author=call.author, reason=call.reason, id=call.id, on=on, parts=call.parts, to=call.to
         )
--- a/rackhub/fleet/link/admission.py
+++ b/rackhub/fleet/link/admission.py
@@ -75,19 +75,8 @@
         if (known is None or not known.configured) and not self._newcomers.take(now):
             self._fault("newcomers_over", packet.name)
             return None
-        claim = _claim_of(packet)
+        claim = f.first_claim(packet)
         if claim is None:
             self._fault("strangers", packet.name)
             return None
         return self._remotes.admit(claim, now)
-
-
-def _claim_of(packet: f.Packet) -> f.Claim | None:
-    """The sender's word of itself, with which the packets of those not known must begin."""
-    try:
-        claim = f.frame(packet.frames[0]) if packet.frames else None
-    except f.Damaged:
-        return None
-    if isinstance(claim, f.Claim) and (claim.name, claim.boot) == (packet.name, packet.boot):
-        return claim
-    return None
--- a/rackhub/fleet/link/frames.py
+++ b/rackhub/fleet/link/frames.py
@@ -201,3 +201,14 @@
     except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError, IndexError):
         raise Damaged("bad_frame") from None
     raise Damaged("bad_frame" if kind in KNOWN else "unknown_kind")
+
+
+def first_claim(packet: Packet) -> Claim | None:
+    """The sender's word of itself, with which the packets of those not known must begin; None where it is not there."""
+    try:
+        claim = frame(packet.frames[0]) if packet.frames else None
+    except Damaged:
+        return None
+    if isinstance(claim, Claim) and (claim.name, claim.boot) == (packet.name, packet.boot):
+        return claim
+    return None
--- a/rackhub/fleet/members/receive.py
+++ b/rackhub/fleet/members/receive.py
@@ -49,20 +49,10 @@
         if packet.boot == self._table.own.boot:
             self._here.count("own_packets")
             return
-        claim = self._first(packet)
+        claim = f.first_claim(packet)
         if claim is not None and (claim.host, claim.port) != self._table.own.address:
             self._table.own.clash(packet.name, f"{claim.host}:{claim.port}")
 
-    def _first(self, packet: f.Packet) -> f.Claim | None:
-        """The sender's word of itself, with which those not known must begin."""
-        try:
-            claim = f.frame(packet.frames[0]) if packet.frames else None
-        except f.Damaged:
-            return None
-        if isinstance(claim, f.Claim) and (claim.name, claim.boot) == (packet.name, packet.boot):
-            return claim
-        return None
-
     def _sender(self, packet: f.Packet) -> Peer | None:
         """Who sent it; None: it is not to be taken."""
         here, peer = self._here, self._table.peers.get(packet.name)
@@ -70,7 +60,7 @@
             if not self._newcomers.take(here.now):
                 here.count("newcomers_over")
                 return None
-            claim = self._first(packet)
+            claim = f.first_claim(packet)
             if claim is None:
                 here.count("strangers")
                 return None
@@ -84,7 +74,7 @@
         if packet.boot < peer.boot:
             here.count("old_packets")
             if self._newcomers.take(here.now):
-                self._correct(peer, self._first(packet))
+                self._correct(peer, f.first_claim(packet))
             return None
         if peer.rate is None:
             peer.rate = Bucket(here.limits.packets, here.limits.burst, here.now)
--- a/rackhub/fleet/rules/requests.py
+++ b/rackhub/fleet/rules/requests.py
@@ -1,4 +1,4 @@
-"""One call of the rule book on the control port, as it comes: the same type for all words."""
+"""One call of the rule book on the control port, as it comes: the same type for all words, with and without roles."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -10,8 +10,8 @@
 
 
 class Request(msgspec.Struct, frozen=True, kw_only=True):
-    """`on`: the version that a change builds on, -1: what this gateway holds. Times are milliseconds. Unknown keys are
-    ignored."""
+    """`on`: the version that a change builds on, -1: what this gateway holds. In a fleet with relays a version is a
+    revision. Times are milliseconds. Unknown keys are ignored."""
 
     version: int = -1
     old: int = -1
--- a/rackhub/trials/fleet/members_plants.py
+++ b/rackhub/trials/fleet/members_plants.py
@@ -79,7 +79,7 @@
     ask = receive._sender
 
     def sender(packet: f.Packet) -> Any:
-        peer, claim = core.table.peers.get(packet.name), receive._first(packet)
+        peer, claim = core.table.peers.get(packet.name), f.first_claim(packet)
         if peer is not None and packet.boot < peer.boot and claim is not None:
             core.table.merge(claim, packet.name)
         return ask(packet)
