Write once what a place of a scale run answers where it has nothing to tell

Seen on reading the change again: hollow coordinators and relays each wrote the same four answers (ready, nothing lags, no content, no status) beside the protocol that asks for them. Change: the protocol has a module of its own, occupant.py, with these as defaults; both inherit them. Behaviour as before. The whole suite was not run again after it.

--- a/rackhub/trials/scale/child.py
+++ b/rackhub/trials/scale/child.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet import stdio
 from twisted.internet.protocol import Protocol as TwistedProtocol
@@ -15,6 +15,7 @@
 
 from rackhub.fleet.distribution.events import Role
 from rackhub.trials.scale.lateness import Lateness
+from rackhub.trials.scale.occupant import Occupant
 from rackhub.trials.scale.orders import (
     AnyOrder,
     AnyReport,
@@ -31,35 +32,12 @@
     decode_order,
     encode,
 )
-from rackhub.trials.scale.station import Site, Traffic
+from rackhub.trials.scale.station import Site
 from rackhub.trials.scale.trace import Trace
 
 LONGEST_ORDER = 1 << 24
 
 
-class Occupant(Protocol):
-    """What stands at one place."""
-
-    def start(self) -> None: ...
-
-    def revision(self) -> int:
-        """In force, or held."""
-
-    def ready(self) -> bool: ...
-
-    def lagging(self) -> int: ...
-
-    def traffic(self) -> Traffic: ...
-
-    def counts(self) -> dict[str, int]: ...
-
-    def traces(self) -> list[Trace]: ...
-
-    def content(self) -> dict[str, str]: ...
-
-    def status(self) -> str: ...
-
-
 def resident_bytes() -> int:
     """Of this process."""
     pages = int(Path("/proc/self/statm").read_text("ascii").split()[1])
--- a/rackhub/trials/scale/hollow.py
+++ b/rackhub/trials/scale/hollow.py
@@ -10,6 +10,7 @@
 from rackhub.trials.scale.cases import SLOW_DISK_SECONDS
 from rackhub.trials.scale.layout import Place, scope_of
 from rackhub.trials.scale.memory_disk import MemoryDisk
+from rackhub.trials.scale.occupant import Occupant
 from rackhub.trials.scale.station import Site, Station, Traffic
 from rackhub.trials.scale.trace import Recorder, Trace
 
@@ -17,7 +18,7 @@
 SECOND = 1_000_000
 
 
-class HollowCoordinator:
+class HollowCoordinator(Occupant):
     """One coordinator over all its restarts: the disk, the trace and the traffic so far outlive each process."""
 
     def __init__(self, site: Site, place: Place):
@@ -69,18 +70,6 @@
             counts[f"coordinator_{name}"] = counts.get(f"coordinator_{name}", 0) + count
         return counts
 
-    def ready(self) -> bool:
-        return True
-
-    def lagging(self) -> int:
-        return 0
-
-    def content(self) -> dict[str, str]:
-        return {}
-
-    def status(self) -> str:
-        return ""
-
     def traces(self) -> list[Trace]:
         return [self._recorder.finish()]
 
--- a/rackhub/trials/scale/relay_process.py
+++ b/rackhub/trials/scale/relay_process.py
@@ -2,11 +2,11 @@
 
 from rackhub.fleet.distribution.relay_shell import RelayShell
 from rackhub.trials.scale.layout import Place
+from rackhub.trials.scale.occupant import Occupant
 from rackhub.trials.scale.station import Site, Station, Traffic
-from rackhub.trials.scale.trace import Trace
 
 
-class RelayOccupant:
+class RelayOccupant(Occupant):
     """One relay; a run gives each a process of its own."""
 
     def __init__(self, site: Site, place: Place):
@@ -27,18 +27,3 @@
 
     def counts(self) -> dict[str, int]:
         return {f"relay_{name}": count for name, count in self._station.link.association.counts.items()}
-
-    def ready(self) -> bool:
-        return True
-
-    def lagging(self) -> int:
-        return 0
-
-    def content(self) -> dict[str, str]:
-        return {}
-
-    def status(self) -> str:
-        return ""
-
-    def traces(self) -> list[Trace]:
-        return []
