Log requests, attempts, connections and lists by structured events with their reasons

At `info` (default): lists taken with what changed, engines retired, reloads, the steps of the end. At `debug` (RACKHUB_LOG_LEVEL): each request from its arrival to its end with the reason of a refusal, each attempt as chosen, written, given up, ended, each connection with why it closed, each question and answer of the resolver. The decision module gives the reason with Refuse and Fail.

--- a/rackhub/cli/serve.py
+++ b/rackhub/cli/serve.py
@@ -11,9 +11,7 @@
 Exit status: 0 ended as told, 2 the configuration can't be used.
 """
 
-import logging
 import os
-import sys
 from collections.abc import Sequence
 from functools import partial
 from pathlib import Path
@@ -22,6 +20,7 @@
 import msgspec
 
 from rackhub import config as configuration
+from rackhub import logs
 from rackhub.cli.words import parse, refuse
 from rackhub.operatorfile import Operator
 
@@ -52,8 +51,7 @@
 
 def run(words: Sequence[str]) -> int:
     config, told, operator, path, operator_path = configured(parse(__doc__ or "", words))
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    logging.getLogger("twisted").setLevel(logging.WARNING)
+    logs.configure()
     from twisted.internet.error import CannotListenError
 
     from rackhub.core.part import PartUnusable
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -5,12 +5,11 @@
 hand it a `Query` and get one callback, engines are reached through a port.
 """
 
-import logging
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
-from rackhub import interface
+from rackhub import interface, logs
 from rackhub.core.request import Attempt, EnginePort, Query, State
 from rackhub.core.timers import Clock, Timers
 from rackhub.counters import Counters
@@ -24,7 +23,7 @@
     from rackhub.core.ledger import Ledger
     from rackhub.core.terms import Desk
 
-log = logging.getLogger(__name__)
+log = logs.logger(__name__)
 
 OK, SHED, ERRORS, TRIES = range(4)
 TALLY = {"served": OK, "refused": SHED, "failed": ERRORS}  # how a request ended: what counts it by class
@@ -108,6 +107,7 @@
                 query, "over_held" if full else "over_behind", min(SECOND, self.settings.max_retry_after or SECOND)
             )
         self.queries[query.id] = query
+        log.debug("request_taken", request=query.id, cls=query.cls, left_us=query.deadline - self.clock.now())
         self._held += len(query.statement)
         if self.ledger is not None and query.token:
             self.ledger.taken(query)
@@ -144,6 +144,7 @@
     def _turn_back(self, query: Query, why: str, backoff: int) -> None:
         """Refuse a request that was never taken on, at once, counted under `why`."""
         self.counters.add(why)
+        log.debug("request_turned_back", request=query.id, reason=why)
         self._end(query, "refused", backoff)
 
     def ending(self, away: int) -> None:
@@ -198,6 +199,14 @@
         if reason in PROVEN:
             query.maybe.pop(attempt.number, None)
         self.counters.add(f"out_{reason.lower()}")
+        log.debug(
+            "attempt_ended",
+            request=query.id,
+            attempt=attempt.number,
+            engine=attempt.engine,
+            reason=reason,
+            after_us=now - attempt.sent,
+        )
         if reason == "GOOD":
             self._end(query, "served", rows)
         again, wait, backoff = True, 0, 0
@@ -258,7 +267,7 @@
                     does(act)
         except Exception:  # a fault in a decision must not end the daemon: the backstop answers its request
             self.counters.add("module_errors")
-            log.exception("the module failed on %r", event)
+            log.exception("module_failed", on=repr(event))
 
     # subscriptions are not needed on this wire, so nothing is done for them
 
@@ -287,17 +296,19 @@
 
     def _refuse(self, act: interface.Refuse) -> None:
         if query := self.queries.get(act.query):
+            log.debug("request_refused", request=query.id, reason=act.reason, retry_after_us=act.retry_after)
             self._end(query, "refused", act.retry_after)
 
     def _fail(self, act: interface.Fail) -> None:
         if query := self.queries.get(act.query):
+            log.debug("request_failed", request=query.id, reason=act.reason)
             self._end(query, "failed", "failed: its effect is not known")
 
     def _close_idle(self, act: interface.CloseIdle) -> None:
         self.engines.close_idle(act.engine)
 
     def _log(self, act: interface.Log) -> None:
-        log.info("module: %s", act.text)
+        log.info("module_said", text=act.text)
 
     def _due(self, ref: int) -> None:
         self._tell(interface.TimerFired(ref))
@@ -318,6 +329,7 @@
         if len(self._recent) > self.limits.recent_ids:
             del self._recent[next(iter(self._recent))]
         self.counters.add(how)
+        log.debug("request_ended", request=query.id, how=how, attempts=query.tries)
         if (what := TALLY.get(how)) is not None:
             self._tally(query.cls, what)
         if self.queries.get(query.id) is query:  # else it was turned back, and nobody knows of it
@@ -373,6 +385,7 @@
         query.out[attempt.number] = self.out[query.id, attempt.number] = attempt
         attempt.until = until
         self.counters.add("attempts")
+        log.debug("attempt_chosen", request=query.id, attempt=attempt.number, engine=attempt.engine)
         self._tally(query.cls, TRIES)
         if self.ledger is not None and query.token:
             self.ledger.out(attempt)
@@ -426,6 +439,14 @@
         if attempt.over:  # it is on its way out already: a second hand-over would end it twice
             return
         unsent, attempt.state = attempt.unsent, State.LEAVING
+        log.debug(
+            "attempt_given_up",
+            request=attempt.query.id,
+            attempt=attempt.number,
+            engine=attempt.engine,
+            reason=reason,
+            unsent=unsent,
+        )
         self.engines.give_up(attempt)
         if unsent:
             return self._over(attempt, "NOP" if attempt.query.closed else "NOCONN")
@@ -447,11 +468,14 @@
         late = now - self._sweep_due
         self._behind = late > self.limits.behind
         self._lag = max(late, self._lag - self._lag // 256)
+        if self._behind:
+            log.debug("loop_late", late_us=late)
         for attempt in [a for a in self.out.values() if a.until <= now and not a.over]:
             self._give_up(attempt, "LATE")
         # by the time the sweep was due at: run late, it comes before the module's own timers of the time since
         edge = min(now, self._sweep_due) - self.limits.backstop
         for query in [query for query in self.queries.values() if query.deadline <= edge]:
+            log.debug("request_failed", request=query.id, reason="backstop: deadline passed")
             if self._end(query, "failed", "deadline passed"):
                 self.counters.add("backstop_answers")
                 self._call_off(query)
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -1,7 +1,6 @@
 """Puts the parts together on Twisted's reactor, and ends them in order."""
 
 import gc
-import logging
 import signal
 import sys
 from collections.abc import Callable
@@ -11,7 +10,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.log import PythonLoggingObserver
 
-from rackhub import parts
+from rackhub import logs, parts
 from rackhub.clock import UnixClock
 from rackhub.config import Config, address
 from rackhub.core.coordinator import Coordinator
@@ -28,7 +27,7 @@
 from rackhub.net.tds.front import tds_front
 from rackhub.operatorfile import Operator
 
-log = logging.getLogger(__name__)
+log = logs.logger(__name__)
 SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
 
 
@@ -216,6 +215,7 @@
             front.drain()
 
     def _close(self) -> None:
+        log.info("listeners_closed", open=len(self.core.queries))
         gatherResults([port.close() for port in self._ports]).addCallback(self._closed)
 
     def _closed(self, _: object) -> None:
@@ -231,6 +231,7 @@
     def _let_out(self) -> None:
         if self.core.queries or self._leaving:  # one came on an open connection meanwhile: it is answered too
             return
+        log.info("all_answered")
         self._leaving = True  # an answer may have called for this more than once
         self.core.on_idle = None
         for _, front in self.fronts:
--- a/rackhub/interface.py
+++ b/rackhub/interface.py
@@ -310,17 +310,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Refuse:
-    """Final answer: trying again is harmless, best after `retry_after`."""
+    """Final answer: trying again is harmless, best after `retry_after`. `reason` is for the log alone."""
 
     query: str
     retry_after: int = 0
+    reason: str = field(default="", compare=False)
 
 
 @dataclass(slots=True, frozen=True)
 class Fail:
-    """Final answer: failed, with nothing promised of its effect."""
+    """Final answer: failed, with nothing promised of its effect. `reason` is for the log alone."""
 
     query: str
+    reason: str = field(default="", compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -11,12 +11,15 @@
 
 from twisted.internet import protocol
 
+from rackhub import logs
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Query, Reply
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 from rackhub.statement import table_group
 
+log = logs.logger(__name__)
+
 NAME = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+")
 HEX = frozenset("0123456789abcdef")
 MOST_MS = 3_600_000  # of a budget: no class has a longer deadline
@@ -143,9 +146,15 @@
         closes too; `Front.look` bounds the wait."""
         if not self.closed_at and self in self.front.connections:
             self.ending, self.closed_at = True, self.core.clock.now()
+            log.debug("client_closed", client=self, reason="all is answered")
             self.transport.unregisterProducer()
             self.transport.loseWriteConnection()
 
+    def __str__(self) -> str:
+        """Where the client connects from, for the log."""
+        peer = self.transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
     def cut(self) -> None:
         """Close at once, with nothing owed."""
         self.transport.abortConnection()
@@ -225,6 +234,7 @@
         full = len(self.connections) >= self._most
         if full and (len(self._leaving) >= self.limits.leaving or not self._make_room()):
             self.counters.add("clients_refused")
+            log.debug("client_refused", reason="no descriptor is left for it")
             return None  # closed at once: descriptors for engines are kept free
         return self._make(self)
 
@@ -240,12 +250,14 @@
 
     def _cut(self, client: Client, counter: str) -> None:
         self.counters.add(counter)
+        log.debug("client_cut", client=client, reason=counter, busy=client.busy())
         self.connections.discard(client)
         self._leaving.add(client)
         client.cut()
 
     def connected(self, client: Client) -> None:
         self.counters.add("clients_accepted")
+        log.debug("client_connected", client=client)
         self.connections.add(client)
 
     def lost(self, client: Client) -> None:
@@ -273,14 +285,17 @@
                 continue
             elif client.half_since and now - client.half_since >= patience.half:
                 self.counters.add("clients_half")
+                log.debug("client_ended", client=client, reason="clients_half")
                 client.late("the message did not come whole in time")
             elif client.busy():
                 continue
             elif not client.spoke and now - client.used >= patience.first:
                 self.counters.add("clients_silent")
+                log.debug("client_ended", client=client, reason="clients_silent")
                 client.late("nothing came in time")
             elif now - client.used >= (limits.idle_crowded if spare > 0 else patience.idle):
                 self.counters.add("clients_idle")
+                log.debug("client_ended", client=client, reason="clients_idle")
                 client.end()
             else:
                 continue
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -1,7 +1,6 @@
 """The platform's front: JSON-RPC 2.0 over TCP, a message a line, answers in any order."""
 
 import contextlib
-import logging
 from binascii import b2a_base64
 from collections.abc import Sequence
 from typing import Any
@@ -9,13 +8,14 @@
 import msgspec
 from twisted.internet.protocol import Protocol
 
+from rackhub import logs
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Query
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 from rackhub.net.front import Client, Front, Patience, Unusable, request
 
-log = logging.getLogger(__name__)
+log = logs.logger(__name__)
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
 FAILED, REFUSED = -32000, -32008
 NO_ID = msgspec.UNSET
@@ -80,6 +80,7 @@
         if self._buffer:
             self.counters.add("halves_dropped")
         left, self.open = list(self.open.values()), {}
+        log.debug("client_lost", client=self, open=len(left), half_read=len(self._buffer), reason=reason)
         for query in left:
             self.core.leave(query)
 
@@ -214,6 +215,7 @@
     def _drop(self, line: bytes) -> None:
         """No more is taken; but who cancels what is open here has gone from it."""
         self.counters.add("lines_dropped")
+        log.debug("line_dropped", client=self, reason="the connection ends", size=len(line))
         if self.open and b"cancelRequest" in line:
             with contextlib.suppress(*UNREADABLE):
                 message = DECODE.decode(line)
@@ -245,6 +247,7 @@
             self._end_if_done()
 
     def _error(self, id: Any, code: int, text: str) -> None:
+        log.debug("message_refused", client=self, id=id, reason=text)
         self._write(
             None if id is NO_ID else id, b'"error":{"code":%d,"message":%s}' % (code, msgspec.json.encode(text))
         )
@@ -262,6 +265,7 @@
 
     def drain(self) -> None:
         self.draining = True
+        log.debug("client_draining", client=self, open=len(self.open))
         self._end_if_done()
 
     def _end_if_done(self) -> None:
--- a/rackhub/net/listen.py
+++ b/rackhub/net/listen.py
@@ -6,7 +6,6 @@
 the kernel give all newcomers to the other, and takes in what its own queue still holds in the very step that closes it.
 """
 
-import logging
 import socket
 import struct
 
@@ -15,7 +14,9 @@
 from twisted.internet.interfaces import IListeningPort, IReactorSocket
 from twisted.internet.protocol import Factory
 
-log = logging.getLogger(__name__)
+from rackhub import logs
+
+log = logs.logger(__name__)
 
 # asm-generic/socket.h; the socket module has no names for them
 ATTACH_CHOICE, DETACH_CHOICE = 51, 68  # SO_ATTACH_REUSEPORT_CBPF, SO_DETACH_REUSEPORT_BPF
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -9,7 +9,7 @@
 from twisted.internet.interfaces import IConnector, IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
-from rackhub import interface
+from rackhub import interface, logs
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt
 from rackhub.core.source import Address
@@ -17,6 +17,8 @@
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 
+log = logs.logger(__name__)
+
 
 class Link(Protocol):
     """One connection as the pool sees it."""
@@ -63,6 +65,7 @@
 
     def dial_failed(self, link: Link) -> None:
         self.counters.add("engine_dial_failures")
+        log.debug("engine_dial_failed", engine=self.name, waiting=link.load())
         self.dials.pop(link, None)
         self.lost(link)
         link.refused()
@@ -128,6 +131,8 @@
                 else:
                     self.pools[name] = Pool(name, address, self._counters, entry.came_up)
         self.retired += old.values()
+        if old:
+            log.info("engines_retired", engines=sorted(old))
         for pool in old.values():
             pool.retire()
 
@@ -143,6 +148,7 @@
         if link is None or crowded and len(self._links()) < self._limits.engine_links * 3 // 4:
             if len(pool.links) < self._most and self._room():
                 self._counters.add("engine_dials")
+                log.debug("engine_dialled", engine=pool.name, links=len(pool.links))
                 link = self._dial(pool)
                 pool.links.append(link)
         if link is None:
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -6,7 +6,6 @@
 others, for good: where answers stop, the same is asked from a new socket, and the old one is closed.
 """
 
-import logging
 import random
 import struct
 from collections.abc import Callable, Sequence
@@ -16,13 +15,13 @@
 from twisted.internet.protocol import DatagramProtocol
 from twisted.names import dns
 
-from rackhub import interface
+from rackhub import interface, logs
 from rackhub.core.source import Address, Listing
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 from rackhub.net.asking import Asking
 
-log = logging.getLogger(__name__)
+log = logs.logger(__name__)
 SERVICE = b"_app._tcp.cluster.lan"
 READY, DRAINING = 0, 1  # SRV priorities
 
@@ -150,17 +149,20 @@
         try:
             self.transport.write(question(number), self._server)
         except OSError as fault:  # the next one may get through
-            log.warning("resolver: %s", fault)
+            log.warning("resolver_unreachable", reason=str(fault))
+        log.debug("list_asked", number=number)
 
     def datagramReceived(self, packet: bytes, addr: object) -> None:
         self._counters.add("dns_in")
+        log.debug("list_answered", number=int.from_bytes(packet[:2], "big"), size=len(packet))
         if (
             addr != self._server
             or len(packet) < 12
             or len(packet) > self._limits.packet
             or int.from_bytes(packet[:2], "big") not in self._asked
         ):
-            return self._counters.add("dns_bad")
+            self._counters.add("dns_bad")
+            return log.debug("answer_refused", sender=addr, size=len(packet), reason="not one of the open questions")
         if packet[2:] == self._same:
             self._ask_in(self._asking.answered())
             return self._counters.add("dns_same")
@@ -168,17 +170,28 @@
             listing = listing_of(packet)
         except BadAnswer as bad:
             self._counters.add("dns_bad")
-            return log.info("resolver: %s", bad)
+            return log.info("answer_refused", reason=str(bad))
         if listing.rev < self._last.rev:  # overtaken on its way, or from a server that is behind
+            log.debug("answer_refused", rev=listing.rev, reason="older than the list in force")
             return self._counters.add("dns_old")
         self._ask_in(self._asking.answered())
         if listing[1:] != self._last[1:]:
             if not listing.entries:  # an answer like another, but all requests are refused from now on
                 self._counters.add("lists_empty")
-                log.warning("resolver: the list of event %d names no engine", listing.rev)
+                log.warning("list_empty", reason=f"the list of event {listing.rev} names no engine")
+            self._log_changes(listing)
             self._told(listing)
         self._same, self._last = packet[2:], listing  # not where telling it failed: the next answer tells it again
 
+    def _log_changes(self, listing: Listing) -> None:
+        before, after = set(self._last.entries), set(listing.entries)
+        log.info(
+            "list_taken",
+            rev=listing.rev,
+            gone=sorted({entry.engine for entry in before} - {entry.engine for entry in after}),
+            changed=sorted(f"{entry.engine}:{entry.state}:{entry.came_up}" for entry in after - before),
+        )
+
 
 def whole_list(known: Sequence[Listing]) -> Listing:
     """What numbered events come to, the first of them a whole list. An event's gone engines have state Gone."""
@@ -221,8 +234,9 @@
         try:
             port = self._reactor.listenUDP(0, self._resolver, maxPacketSize=self._limits.packet)
         except CannotListenError as fault:
-            return log.warning("resolver: no new socket: %s", fault)
+            return log.warning("resolver_socket_kept", reason=str(fault))
         self._counters.add("dns_sockets")
+        log.debug("resolver_socket_renewed", reason="no good answer", port=port.getHost().port)
         self._port.stopListening()
         self._port = port
 
@@ -233,6 +247,6 @@
         except ValueError as bad:  # half a file, or a wrong one, must not end what serves
             self._counters.add("reloads_bad")
             return log.error("reload: bad configuration, the old one holds: %s", bad)
-        log.info("reload: the resolver is at %s:%d", *server)
+        log.info("reloaded", resolver=f"{server[0]}:{server[1]}")
         if self._resolver is not None:
             self._resolver.move(server)
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -8,13 +8,13 @@
 not what the protocol says a result is, end the connection: nothing after them can be trusted.
 """
 
-import logging
 import re
 from collections.abc import Callable, Iterable
 
 from twisted.internet.interfaces import IReactorTCP
 from twisted.protocols.basic import LineReceiver
 
+from rackhub import logs
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt, State
 from rackhub.core.timers import Clock
@@ -22,7 +22,7 @@
 from rackhub.limits import Limits
 from rackhub.net.pool import Dial, Pool, Pools
 
-log = logging.getLogger(__name__)
+log = logs.logger(__name__)
 TOPICS = {b"advance": 1, b"disk": 2, b"stall": 3}
 # the wire's words of a load report -> the module's
 REPORT_WORDS = {
@@ -160,11 +160,12 @@
         """Whether an open attempt surely never ran: not all of it has left for the engine. What has, may have run,
         whatever came of the connection since. What came and was not read yet tells in time: a transport is read from
         before it is written to."""
+        return id not in self._ends or self._given - self._unflushed() < self._ends[id]
+
+    def _unflushed(self) -> int:
+        """Bytes that the transport holds because the socket has not taken them yet."""
         wire = self.transport
-        return (
-            id not in self._ends
-            or self._given - (len(wire.dataBuffer) - wire.offset + wire._tempDataLen) < self._ends[id]
-        )
+        return len(wire.dataBuffer) - wire.offset + wire._tempDataLen
 
     def give_up(self, attempt: Attempt) -> None:
         id, now = attempt.query.id.encode(), self.clock.now()
@@ -190,6 +191,7 @@
     def close_if_idle(self) -> None:
         if self.up and not self.closed and not self.open:
             self.closed = True
+            log.debug("engine_connection_closed", engine=self.pool.name, reason="retired" if self.retired else "idle")
             self.transport.loseConnection()
 
     def idle_since(self) -> int:
@@ -217,7 +219,7 @@
             self.transport.abortConnection()
 
     def refused(self) -> None:
-        """The dial failed: nothing that waited for it ever left."""
+        """The dial failed or was called off: nothing that waited for it ever left."""
         self.closed = True
         self._end_all()
 
@@ -243,6 +245,7 @@
         query, now = attempt.query, self.clock.now()
         if why := attempt.barred(now):
             del self.open[query.id.encode()]
+            log.debug("attempt_barred", request=query.id, attempt=attempt.number, engine=self.pool.name, reason=why)
             return self.core.ended(attempt, why)
         attempt.state = State.OUT
         left = max((query.deadline - now) // 1_000, 1)
@@ -251,6 +254,14 @@
             fields += b",replay=" + query.token.encode()
         self.used = now
         id = query.id.encode()
+        log.debug(
+            "attempt_written",
+            request=query.id,
+            attempt=attempt.number,
+            engine=self.pool.name,
+            left_ms=left,
+            waiting_bytes=self._unflushed(),
+        )
         self._say(command(b"want", id, fields, query.statement))
         self._ends[id] = self._given
 
@@ -262,6 +273,7 @@
 
     def connectionMade(self) -> None:
         self.heard = self.clock.now()
+        log.debug("engine_connected", engine=self.pool.name, waiting=len(self.open))
         self.transport.setTcpNoDelay(True)
         for id, attempt in list(self.open.items()):
             if why := attempt.barred(self.heard):  # it waited too long for this
@@ -281,6 +293,7 @@
             self.close_if_idle()
 
     def connectionLost(self, reason: object = None) -> None:
+        log.debug("engine_connection_lost", engine=self.pool.name, open=len(self.open), reason=reason)
         if self.open:
             self.counters.add("engine_losses")
         self.up, self.closed = False, True
@@ -344,7 +357,7 @@
 
     def _malformed(self, bad: BadFrame) -> None:
         self.counters.add("engine_bad_frames")
-        log.warning("engine %s: %s: connection dropped", self.pool.name, bad)
+        log.warning("engine_connection_dropped", engine=self.pool.name, reason=str(bad), open=len(self.open))
         self.closed = True
         self.clearLineBuffer()
         self.drop()
@@ -458,7 +471,7 @@
 
     def _too_large(self, id: bytes, attempt: Attempt) -> None:
         """More than a result may hold: memory is bounded, so the attempt has failed after it ran."""
-        log.warning("engine %s: a result is over the limit", self.pool.name)
+        log.warning("result_too_large", engine=self.pool.name, request=attempt.query.id)
         self.give_up(attempt)
         self.core.ended(attempt, "BAD")
 
--- a/rackhub/policy/further.py
+++ b/rackhub/policy/further.py
@@ -34,7 +34,7 @@
             self.further.append(self.now)
             self.tokens = None if self.tokens is None else self.tokens - 1
             return self.send(query, engine)
-        self.finish(query, query.cls.mean / 2) if not query.out else None
+        self.finish(query, query.cls.mean / 2, f"no further attempt after {reason}") if not query.out else None
 
     def retake(self, attempt):  # call it off, so that its outcome sends the query elsewhere, if that can pay
         query, may = attempt.query, self.set.cancel and self.may_resend(attempt.query) and not attempt.query.closed
@@ -69,7 +69,7 @@
                 cls.need = max(cls.need * NEED_LEAN, NEED_LEAST)
             if elapsed > query.cls.told.objective and self.set.cancel:
                 engine.ill.add(self.now, 1)
-                self.finish(query)  # not begun when it was wanted: it only lengthens the line
+                self.finish(query, 0, "waits for memory")  # not begun when it was wanted: it only lengthens the line
         self.blocked(attempt) if event.topic == 3 and event.value == 2 else None
         attempt.began = self.now if event.topic == 1 and not event.value else attempt.began  # stands still
         if event.topic == 1 and event.value and self.now != self.stalled:
@@ -91,7 +91,9 @@
         if not attempt.number and (plan or too_late and not self.pressed):  # a plan is drawn anew for each
             self.retake(attempt)
         elif too_late and self.set.cancel:
-            self.finish(query)  # slow twice: the query itself is too long for its time, and holds others up
+            self.finish(
+                query, 0, "too slow twice"
+            )  # slow twice: the query itself is too long for its time, and holds others up
 
     def overdue(self, attempt):  # silence: the engine looks hung or the answer lost, so elsewhere
         query, out = attempt.query, (attempt.query.id, attempt.number) in self.attempts
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,75 @@
+"""The structured log: what an event's line holds, and that nothing is written or rendered while its level is off."""
+
+import logging
+
+import pytest
+from stands import SETTINGS, Site, Stand, spin
+
+from rackhub import logs
+from rackhub.core import coordinator
+from rackhub.net import resp
+
+
+class Unrendered:
+    def __str__(self):
+        raise AssertionError("a field of an event that is off was rendered")
+
+
+@pytest.fixture
+def level(monkeypatch):
+    return lambda name: monkeypatch.setenv(logs.LEVEL_VARIABLE, name)
+
+
+@pytest.mark.parametrize("name, number", [("", logging.INFO), ("debug", logging.DEBUG), ("DEBUG", 10), ("odd", 20)])
+def test_the_environment_sets_the_level(level, name, number):
+    level(name)
+    assert logs.level() == number
+
+
+def test_an_event_is_its_name_and_its_fields_and_a_monotonic_time(level, caplog):
+    level("debug")
+    with caplog.at_level("DEBUG", logger="rackhub.some"):
+        logs.logger("rackhub.some").debug("request_refused", request="a1", reason="100% full")
+    (record,) = caplog.records
+    assert record.getMessage().startswith("request_refused request=a1 reason=100% full at=")
+    assert record.name == "rackhub.some"
+
+
+def test_what_is_off_is_not_rendered(level, caplog):
+    level("info")
+    with caplog.at_level("DEBUG", logger="rackhub.some"):
+        logs.logger("rackhub.some").debug("request_refused", request=Unrendered())
+    assert not caplog.records
+
+
+def test_a_failure_is_told_with_its_trace(level, caplog):
+    level("info")
+    try:
+        raise KeyError("gone")
+    except KeyError:
+        logs.logger("rackhub.some").exception("module_failed", on="an event")
+    assert "module_failed on=an event at=" in caplog.text and "KeyError: 'gone'" in caplog.text
+
+
+def test_a_request_can_be_followed_by_its_id(level, caplog, monkeypatch):
+    """From its arrival over its attempt to its end, with the reason of each."""
+    level("debug")
+    for module in (coordinator, resp):
+        monkeypatch.setattr(module, "log", logs.logger(module.__name__))
+    full = Stand(act=lambda engine, word, id, *rest: engine.say(id, b"503") if word == b"want" else None)
+    site = Site(full, settings=SETTINGS)
+    try:
+        with caplog.at_level("DEBUG", logger="rackhub"):
+            client = site.json_client()
+            client.sendLine(
+                b'{"jsonrpc":"2.0","id":1,"method":"lookup","params":'
+                b'{"rid":"00000000000000a1","budget":900,"acct":"acme","body":"c2VsZWN0IDE="}}'
+            )
+            spin(lambda: client.lines)
+        told = [record.getMessage().partition(" at=")[0] for record in caplog.records]
+        events = [line.split()[0] for line in told if "request=00000000000000a1" in line]
+        assert events[:4] == ["request_taken", "attempt_chosen", "attempt_written", "attempt_ended"]
+        assert events[-2:] == ["request_refused", "request_ended"]
+        assert any("reason=FULL" in line for line in told) and any("no further attempt after FULL" in x for x in told)
+    finally:
+        site.close()
