Reproduce the drain incident on real processes: requests leave a stalled buffer after the grace

Cause: requests are written ahead to a connection whose engine reads nothing, and stay in the buffers of the process and its kernel over the drain. Seen with the event log: 96 requests written before the list, 92 of them begin at the engine more than 0.3 s after the answer that told of its drain. Ruled out here: a late loop (the list is taken 0.1 s after it was set), a lost answer, a dial (all connections are up), a second attempt.

The judge goes by the bytes that had come to the engine when the grace was over.

--- /dev/null
+++ b/tests/test_incident_drain.py
@@ -0,0 +1,127 @@
+"""A request reached an engine that drained, later than the grace after its coordinator was told.
+
+The coordinator asked whether an engine may be sent to when it chose the engine, and then handed the request to the
+connection's buffer. An engine that reads nothing leaves it there; the list that takes the engine away called off what
+waited for a dial, but not what waited in a buffer, so the request left when the engine read again. In the run below 96
+requests are written before the list, and 92 of them begin at the engine 0.3 s or more after it:
+
+    attempt_written request=0000000000000060 attempt=0 engine=a left_ms=19925 waiting_bytes=0 at=815.629
+    list_taken rev=4 gone=[] changed=['a:Terminating:0', 'b:Ready:0'] at=815.7875
+    engines_retired engines=['a'] at=815.7878
+
+That no bytes waited in the process for the last of them shows that the kernel's buffer holds requests in the same way.
+"""
+
+import fcntl
+import io
+import struct
+import termios
+import time
+
+import pytest
+from real_process import DRAINING, EngineStandIn, ResolverStandIn, Served, frame, read_command, request, until
+from test_config import SETTINGS as SITE
+
+GRACE = 0.3  # seconds after it was told that an engine drains, in which a process may still send to it
+SMALL = 4_096  # bytes that a socket of a stalled engine takes
+STATEMENT = b"SELECT 1 FROM r_3.t /* " + b"x" * 30_000 + b" */"
+SETTINGS = SITE | {
+    "Services": [{"Name": "lookup", "Deadline": 20_000_000, "Effect": "fragile", "Worth": 1.0}],
+    "FamilyInfo": {"Dop": [1], "HoldsTables": [False], "KindCores": [64, 64]},
+    "Obligations": {"Fall": 3_000_000.0, "StopSendingWithin": int(GRACE * 1_000_000)},
+}
+# the process's sockets take little too: what a stalled engine has not read waits in the process
+SMALL_SOCKETS = f"""
+import socket
+inner = socket.socket.connect_ex
+def connect_ex(self, address):
+    self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, {SMALL})
+    return inner(self, address)
+socket.socket.connect_ex = connect_ex
+"""
+
+
+class StalledEngine(EngineStandIn):
+    """An engine that takes connections and reads nothing until it is let."""
+
+    def __init__(self, name):
+        super().__init__(name, SO_RCVBUF=SMALL)
+
+    def take(self):
+        """All connections that were opened to it, and how many bytes each has brought by now."""
+        self.port.setblocking(False)
+        while True:
+            try:
+                self.connections.append(self.port.accept()[0])
+            except BlockingIOError:
+                break
+        return [struct.unpack("i", fcntl.ioctl(each, termios.FIONREAD, b"\0" * 4))[0] for each in self.connections]
+
+    def read(self):
+        """All that comes until each connection ends or nothing more is on its way."""
+        said = []
+        for connection in self.connections:
+            connection.settimeout(1)
+            got = b""
+            try:
+                while data := connection.recv(1 << 16):
+                    got += data
+            except (TimeoutError, ConnectionError):
+                pass
+            said.append(got)
+        return said
+
+
+def begun_after(stream, edge):
+    """The ids of the requests whose first byte lies behind the first `edge` bytes of a connection."""
+    reader, late = io.BytesIO(stream), []
+    while True:
+        at = reader.tell()
+        try:
+            words = read_command(reader)
+        except ValueError:
+            break
+        if not words:
+            break
+        if words[0] == b"want" and at >= edge:
+            late.append(words[1].decode())
+    return late
+
+
+@pytest.fixture
+def things():
+    made = []
+
+    def keep(thing):
+        made.append(thing)
+        return thing
+
+    yield keep
+    for thing in reversed(made):
+        thing.close()
+
+
+@pytest.mark.parametrize("plant", [SMALL_SOCKETS, ""], ids=["small sockets", "usual sockets"])
+def test_nothing_reaches_an_engine_that_drains_after_the_grace(tmp_path, things, plant):
+    stalled, sound = things(StalledEngine("a")), things(EngineStandIn("b").start())
+    resolver = things(ResolverStandIn(stalled.entry()))
+    process = things(Served(tmp_path, resolver, stalled, plant=plant, settings=SETTINGS))
+    clients = [things(process.client()) for _ in range(6)]
+    count = 0
+    for client in clients:
+        client.send(*(request(count + i, STATEMENT) for i in range(1, 17)))
+        count += 16
+    until(lambda: len(process.lines("attempt_chosen")) + len(process.lines("turned_back")) >= count, "attempts")
+    resolver.tell(4, stalled.entry(DRAINING), sound.entry())
+    until(lambda: resolver.told(4), "the list")
+    until(lambda: time.monotonic() > resolver.told(4) + GRACE, "the end of the grace")
+    edges = stalled.take()
+    late = [id for stream, edge in zip(stalled.read(), edges, strict=True) for id in begun_after(stream, edge)]
+    assert late == []
+
+
+def test_the_judge_tells_a_request_that_began_in_time_from_one_that_did_not():
+    first, second = frame(b"want", b"1", b"-", b"s"), frame(b"want", b"2", b"-", b"s")
+    assert begun_after(first + second, len(first) + 1) == []
+    assert begun_after(first + second, len(first)) == ["2"]
+    assert begun_after(first + second[:9], len(first)) == []
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -16,12 +16,13 @@
 
 
 def answer(number, serial, *engines, rcode=0, drop=()):
-    """A packet as the resolver sends it, names compressed; an engine is (name, address, priority, started)."""
+    """A packet as the resolver sends it, names compressed; an engine is (name, address, priority, started[, port])."""
     message = dns.Message(id=number, answer=1, rCode=rcode, maxSize=65_000)
     message.queries = [dns.Query(SERVICE, dns.SRV, dns.IN)]
-    for name, address, priority, started in engines:
+    for name, address, priority, started, *port in engines:
         host = f"{name}.east.hosts".encode()
-        message.answers.append(dns.RRHeader(SERVICE, dns.SRV, dns.IN, 0, dns.Record_SRV(priority, 40, 5050, host)))
+        srv = dns.Record_SRV(priority, 40, port[0] if port else 5050, host)
+        message.answers.append(dns.RRHeader(SERVICE, dns.SRV, dns.IN, 0, srv))
         message.additional += [
             dns.RRHeader(host, dns.A, dns.IN, 0, dns.Record_A(address)),
             dns.RRHeader(host, dns.TXT, dns.IN, 0, dns.Record_TXT(b"kind=std", b"cell=2", b"started=%d" % started)),
