Hold the list on a lease through pauses and long silences, tested on real processes

Cause: a process that had stood still for longer than the grace went on by its list until an answer came: 17 requests reached an engine whose drain was over its grace, once the process ran on. One that heard nothing at all went on for ever: 137 requests. Both seen on the code before the lease, by the tests below. Ruled out: the late turn right after a pause, whose requests are refused already.

Change: the lease tells a pause (the process has not asked) from a silence (it asks, and nothing answers) by the time of the last question, and an answer has 0.8 s after a pause before the resolver counts as silent.

Tests: tests/test_lease.py; in tests/test_incident_drain.py a process that is stopped over a drain, and a resolver that falls silent for longer than is borne, with the time for that cut short.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -419,9 +419,10 @@
 
     def asked(self) -> int:
         """The resolver is asked; the time of that."""
+        now = self.clock.now()
         if self.lease is not None:
-            self.lease.asked()
-        return self.clock.now()
+            self.lease.asked(now)
+        return now
 
     def confirmed(self, asked_at: int) -> None:
         """The list of engines in force is that of the resolver, as of when it was asked."""
--- a/rackhub/core/lease.py
+++ b/rackhub/core/lease.py
@@ -26,21 +26,26 @@
         """`grace`: how long after being told requests may still go to an engine that drains."""
         self._prompt = limits.told_prompt + grace - limits.lease_margin
         self._longest = limits.told_longest + grace - limits.lease_margin
-        self._needed, self._confirmed, self._unanswered = limits.polls_silent, now, 0
+        self._patience, self._confirmed = limits.answer_patience, now
+        self._waits_since: int | None = None  # for an answer, asking all the time; none: the last question was answered
+        self._asked_last = now
 
-    def asked(self) -> None:
+    def asked(self, now: int) -> None:
         """A question has been sent."""
-        self._unanswered += 1
+        if self._waits_since is None or now - self._asked_last >= self._patience:
+            self._waits_since = now
+        self._asked_last = now
 
     def confirmed(self, asked_at: int) -> None:
         """A good answer came to the question asked then: the list holds all that had happened by that time."""
-        self._confirmed, self._unanswered = max(self._confirmed, asked_at), 0
+        self._confirmed, self._waits_since = max(self._confirmed, asked_at), None
 
     def standing(self, now: int) -> Standing:
         """What the list is good for at `now`."""
         age = now - self._confirmed
         if age <= self._prompt:
             return Standing.CONFIRMED
-        if self._unanswered < self._needed:  # it did not ask in all that time, or only just now
+        asking = self._waits_since is not None and now - self._asked_last < self._patience
+        if not asking or now - self._waits_since < self._patience:  # it stood still, or asks again only now
             return Standing.UNCONFIRMED
         return Standing.CONFIRMED if age <= self._longest else Standing.EXPIRED
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -80,6 +80,7 @@
     resolver_sockets: int = 4  # kept open, as answers may be slower than the step from one socket to the next
     told_prompt: int = 1_500 * MS  # after an event the coordinator counts as told of it, where the resolver answers,
     told_longest: int = 7 * SECOND  # and where it does not
+    answer_patience: int = 800 * MS  # for an answer after a pause, before the resolver counts as silent
     lease_margin: int = 100 * MS  # by which the list is given up early: an attempt has a way to go
 
     # the second address
--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -14,6 +14,8 @@
 
 import fcntl
 import io
+import itertools
+import signal
 import struct
 import termios
 import time
@@ -125,3 +127,78 @@
     assert begun_after(first + second, len(first) + 1) == []
     assert begun_after(first + second, len(first)) == ["2"]
     assert begun_after(first + second[:9], len(first)) == []
+
+
+# ---- a list that is older than the grace
+
+
+# the time that a silent resolver is borne, cut short so that a test can wait for it
+SHORT = """
+import rackhub.limits as limits
+class Short(limits.Limits, frozen=True, kw_only=True):
+    told_longest: int = 1_500_000
+    told_prompt: int = 700_000
+limits.Limits = Short
+"""
+
+
+def late_wants(engine, edge):
+    """The requests that an engine got after `edge`."""
+    return [words[1] for at, words in list(engine.wants.queue) if at > edge]
+
+
+def test_a_process_that_stood_still_sends_nothing_by_the_list_of_before(tmp_path, things):
+    """It is stopped as by a host that pauses its guests; its engine drains meanwhile, and clients go on."""
+    drained, sound = things(EngineStandIn("a").start()), things(EngineStandIn("b").start())
+    resolver = things(ResolverStandIn(drained.entry()))
+    process = things(Served(tmp_path, resolver, drained, settings=SETTINGS))
+    client = things(process.client())
+    client.send(request(1))
+    until(lambda: 1 in client.answers, "an answer")
+    process.child.send_signal(signal.SIGSTOP)
+    event = time.monotonic()
+    resolver.tell(4, drained.entry(DRAINING), sound.entry())
+    resolver.delay = 0.35  # an answer has a way to go: until it is there the process has the old list alone
+    until(lambda: time.monotonic() > event + 1.5 + GRACE, "the end of the grace")
+    client.send(*(request(number) for number in range(2, 12)))
+    process.child.send_signal(signal.SIGCONT)
+    last = 11
+    while not resolver.told(4):  # traffic all the while
+        last += 1
+        client.send(request(last))
+        time.sleep(0.02)
+    until(lambda: all(number in client.answers for number in range(1, last + 1)), "the answers")
+    assert late_wants(drained, event + 1.5 + GRACE) == []
+    assert all(len(answers) == 1 for answers in client.answers.values())
+
+
+def test_nothing_is_sent_by_a_list_that_nothing_confirms_for_too_long(tmp_path, things):
+    """The resolver falls silent. What an engine that drains meanwhile counts as told of is over some time later: from
+    then on requests are refused, which harms nobody, until an answer comes."""
+    engine = things(EngineStandIn("a").start())
+    resolver = things(ResolverStandIn(engine.entry()))
+    process = things(Served(tmp_path, resolver, engine, plant=SHORT, settings=SETTINGS))
+    client = things(process.client())
+    client.send(request(1))
+    until(lambda: 1 in client.answers, "an answer")
+    resolver.silent = True
+    silent, number = time.monotonic(), 2
+    while time.monotonic() < silent + 1.5 + GRACE + 0.5:  # traffic all the while
+        client.send(request(number))
+        until(lambda number=number: number in client.answers, "an answer")
+        number += 1
+    assert late_wants(engine, silent + 1.5 + GRACE) == []
+    refused = client.answers[number - 1][0]["error"]
+    assert refused["code"] == -32008 and process.lines("request_turned_back", "over_lease")
+    served = [n for n in range(1, number) if "result" in client.answers[n][0]]
+    assert served == list(range(1, len(served) + 1)) and len(served) > 1
+    resolver.silent = False
+    numbers = itertools.count(number)
+    until(lambda: was_served(client, next(numbers)), "service again")
+
+
+def was_served(client, number):
+    """Whether one more request is."""
+    client.send(request(number))
+    until(lambda: number in client.answers, "an answer")
+    return "result" in client.answers[number][0]
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,60 @@
+"""The lease on the list of engines: when it holds, when an answer is to be waited for, when it is over."""
+
+import pytest
+from msgspec.structs import replace
+
+from rackhub.core.lease import ListLease, Standing
+from rackhub.limits import Limits
+
+MS, S = 1_000, 1_000_000
+LIMITS = replace(Limits(), lease_margin=100 * MS)
+GRACE = S
+PROMPT = LIMITS.told_prompt + GRACE - LIMITS.lease_margin
+LONGEST = LIMITS.told_longest + GRACE - LIMITS.lease_margin
+
+
+def lease(asked_from=None, until=0):
+    """One that was granted at 0, and has been asked for again every 400 ms without an answer."""
+    made = ListLease(LIMITS, GRACE, 0)
+    for at in range(asked_from, until + 1, 400 * MS) if asked_from is not None else ():
+        made.asked(at)
+    return made
+
+
+@pytest.mark.parametrize(
+    "asked_from, asked_until, now, standing",
+    [
+        (None, 0, PROMPT, Standing.CONFIRMED),
+        (None, 0, PROMPT + 1, Standing.UNCONFIRMED),  # it stood still, and has yet to ask
+        (PROMPT, S * 9, PROMPT + LIMITS.answer_patience - 1, Standing.UNCONFIRMED),  # an answer is on its way
+        (PROMPT, S * 9, PROMPT + LIMITS.answer_patience, Standing.CONFIRMED),  # nothing answers
+        (250 * MS, PROMPT, PROMPT + 1, Standing.CONFIRMED),  # it has asked all the time
+        (250 * MS, 300 * MS, PROMPT + 1, Standing.UNCONFIRMED),  # it stood still after a question
+        (250 * MS, LONGEST, LONGEST, Standing.CONFIRMED),
+        (250 * MS, LONGEST, LONGEST + 1, Standing.EXPIRED),
+        (None, 0, LONGEST + 1, Standing.UNCONFIRMED),
+    ],
+)
+def test_it_holds_from_the_question_that_was_answered_last(asked_from, asked_until, now, standing):
+    assert lease(asked_from, min(asked_until, now)).standing(now) is standing
+
+
+def test_an_answer_renews_it_from_when_it_was_asked_for():
+    here = lease(250 * MS, S)
+    here.confirmed(2 * S)
+    assert here.standing(2 * S + PROMPT) is Standing.CONFIRMED
+    assert here.standing(2 * S + PROMPT + 1) is Standing.UNCONFIRMED
+
+
+def test_an_older_answer_takes_nothing_back():
+    here = lease()
+    here.confirmed(2 * S)
+    here.confirmed(S)
+    assert here.standing(2 * S + PROMPT) is Standing.CONFIRMED
+
+
+def test_without_a_grace_it_is_over_when_the_drain_counts_as_told():
+    here = ListLease(LIMITS, 0, 0)
+    for at in range(250 * MS, LIMITS.told_longest, 400 * MS):
+        here.asked(at)
+    assert here.standing(LIMITS.told_longest) is Standing.EXPIRED
