Send calls to TDS engines only when the socket takes them, and test what is opened late

Cause: the class of the incident on the other protocol of engines: a call was put on the transport, and stayed there over a drain, its client's end or its time. Of RESP two more crossings had no test: a connection that is opened some late turns after it came up, over a list, and an attempt that waits for a socket that takes nothing.

--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -12,6 +12,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 from typing import Any
 
 from twisted.internet.interfaces import IReactorTCP
@@ -21,6 +22,7 @@
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
+from rackhub.net.outgoing import Outgoing
 from rackhub.net.pool import Dial, Pool, Pools
 from rackhub.net.resp import report_of
 from rackhub.net.tds import codec
@@ -33,8 +35,8 @@
 
 
 class TdsEngineConnection(TdsStream):
-    """One connection to an engine. States: DIALLING, PRELOGIN, LOGIN (an attempt may wait in `_attempt`,
-    unsent), READY, BUSY, CANCELLING (Attention sent, its end not yet seen), CLOSED."""
+    """One connection to an engine. States: DIALLING, PRELOGIN, LOGIN, READY (in these an attempt may wait in
+    `_attempt`, unsent), BUSY, CANCELLING (Attention sent, its end not yet seen), CLOSED."""
 
     DIALLING, PRELOGIN, LOGIN, READY, BUSY, CANCELLING, CLOSED = (
         "dialling",
@@ -58,6 +60,8 @@
         self.pool, self.settings, self.clock, self.limits = pool, settings, clock, limits
         self.counters, self.core = counters, core
         self.state, self.used, self.retired = self.DIALLING, clock.now(), False
+        self._out: Outgoing | None = None
+        self._begin = self._end_of_call = self._waits_since = self._retired_at = 0
         self._attempt: Attempt | None = None
         self._packets = codec.Assembler(limits.tds_message)
         self._start_answer()
@@ -82,14 +86,20 @@
         self._attempt = attempt
         attempt.state = State.WAITING
         if self.state == self.READY:
-            self._call()
+            self._await_socket()
+
+    def _await_socket(self) -> None:
+        self._waits_since = self.clock.now()
+        self._out.ask()
 
     def give_up(self, attempt: Attempt) -> None:
         if attempt is not self._attempt:
             return
         self._attempt = None
-        if self.state != self.BUSY:  # it waits for the login: nothing to break off
+        if self.state != self.BUSY:  # it waits for the login or the socket: nothing to break off
             return
+        if not self._out.has_left(self._end_of_call):  # its rest would leave some time, and begin what was given up
+            return self._drop()
         self.state = self.CANCELLING
         self.write(codec.message(codec.ATTENTION, b""))
         # without an acknowledgement in time the host is gone, and the connection only holds a descriptor
@@ -104,7 +114,7 @@
         """Not to be had over TDS while a call runs: the priority holds for sends."""
 
     def close_if_idle(self) -> None:
-        if self.state == self.READY:
+        if self.state == self.READY and self._attempt is None:
             self.state = self.CLOSED
             self.transport.loseConnection()
 
@@ -115,14 +125,25 @@
         return int(self._attempt is not None)
 
     def retire(self) -> None:
-        self.retired = True
+        self.retired, self._retired_at = True, self.clock.now()
         if self.state in (self.PRELOGIN, self.LOGIN):  # what waits for the login never left
             self._drop()
             return self._end("NOCONN")
+        if self.state == self.READY and self._attempt is not None:  # nor did what waits for the socket
+            return self._end("NOCONN")
         self.close_if_idle()
 
     def look(self, now: int) -> None:
-        """Nothing else waits behind an answer that has stopped half way: its own time-out ends it."""
+        """Nothing else waits behind an answer that has stopped half way: its own time-out ends it. What the engine does
+        not take goes elsewhere, and does not stay in the buffers of an engine that takes nothing new."""
+        if self._attempt is None:
+            return
+        if self.state == self.READY and now - self._waits_since >= self.limits.unwritable:
+            self._end("NOCONN")
+        elif self.state == self.BUSY and self.retired and now - self._retired_at >= self.limits.retired_send:
+            if self._begin >= self._out.given - self._out.undelivered():
+                self.counters.add("engine_cuts")
+                self._drop()
 
     def refused(self) -> None:
         self.state = self.CLOSED
@@ -136,15 +157,19 @@
 
     def made(self) -> None:
         self.state = self.PRELOGIN
+        self._out = Outgoing(self.transport, self._writable)
         self.write(codec.message(codec.PRELOGIN, codec.prelogin()))
 
+    def write(self, pieces: Iterable[bytes]) -> None:
+        self._out.write(pieces)
+
     def connectionLost(self, reason: object = None) -> None:
-        sent = self.state not in (self.DIALLING, self.PRELOGIN, self.LOGIN)
         self.state = self.CLOSED
         self.pool.lost(self)
         if self._attempt is not None:
             self.counters.add("engine_losses")
-            self._end("RST" if sent else "NOCONN")  # before the login nothing was sent, so nothing ran
+            unread = self._attempt.unsent or not self._out.has_left(self._end_of_call)
+            self._end("NOCONN" if unread else "RST")
 
     def malformed(self) -> None:
         self.counters.add("engine_bad_frames")
@@ -158,7 +183,14 @@
 
     # ---- messages
 
+    def _writable(self) -> None:
+        """The socket takes bytes. Where the attempt waited for it over a late turn the client's end may lie unread."""
+        late = self.clock.now() - self._waits_since > self.limits.unread_turn
+        self.core.timers.when_read(self.limits.unread_turn, self._call) if late else self._call()
+
     def _call(self) -> None:
+        if self._attempt is None or self.state != self.READY:  # it went elsewhere meanwhile
+            return
         query, now = self._attempt.query, self.clock.now()
         if why := self._attempt.barred(now, self.core.lease):  # it waited for the login
             return self._end(why)
@@ -171,14 +203,16 @@
         }
         if query.token:
             arguments["@key"] = query.token
-        self.state, self.used, self._attempt.state = self.BUSY, now, State.OUT
-        self._start_answer()
         try:
             body = codec.rpc("rackhub_want", arguments)
         except UnicodeEncodeError:  # bytes that are no UTF-8 can't be put as text: this engine can't run it
-            self.state = self.READY
             return self._end("BAD")
-        self.write(codec.message(codec.RPC, body))
+        self._begin = self._out.given
+        if not self._out.send(b"".join(codec.message(codec.RPC, body))):
+            return self._out.ask()
+        self._end_of_call = self._out.given
+        self.state, self.used, self._attempt.state = self.BUSY, now, State.OUT
+        self._start_answer()
 
     def taken(self, data: bytes) -> None:
         for kind, status, body in self._packets.packets(data):
@@ -237,7 +271,7 @@
             return self._drop()
         self.state = self.READY
         if self._attempt is not None:
-            self._call()
+            self._await_socket()
 
     def _token(self, kind: int, value: Any) -> None:
         if kind == codec.ERROR:
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -326,6 +326,50 @@
     assert [query.reply.came for query in queries] == [[("served", ROWS)]] * len(queries)
 
 
+@pytest.mark.parametrize("tds", [False, True])
+@pytest.mark.parametrize("how", ["drains", "goes", "takes nothing"])
+def test_what_waits_for_the_socket_of_an_engine_is_sent_elsewhere(make, tds, how):
+    """Its connection stands, and the socket takes nothing. What had been put on it left when it took bytes again."""
+    here = make(2, tds=tds, act=answer, settings=FRAGILE)
+    here.told("Ready", None)
+    first = here.ask()
+    spin(lambda: first.closed)
+    (link,) = here.links()
+    link._out.send = lambda data: False
+    query = here.ask()
+    (attempt,) = query.out.values()
+    assert attempt.link is link and attempt.unsent
+    for _ in range(3):
+        reactor.iterate(0)
+    here.told("Ready", "Ready")
+    if how == "takes nothing":
+        here.clock.advance(LIMITS.unwritable)
+        here.pools.sweep()
+    else:
+        here.told("Terminating" if how == "drains" else None, "Ready")
+    del link._out.send
+    spin(lambda: query.closed)
+    assert query.reply.came == [("served", ROWS)]
+    assert here.stands[1].wants() and not here.wants(query)[1:]
+
+
+def test_a_connection_opened_late_writes_nothing_to_an_engine_that_has_drained_meanwhile(make):
+    """It came up in a late turn, so that what waited for it was held for three turns; the list came in between."""
+    here = make(2, act=answer, settings=FRAGILE)
+    here.told("Ready", None)
+    held, when_read = [], here.core.timers.when_read
+    here.core.timers.when_read = lambda late, call, *args: (
+        held.append(call) if call.__name__ == "_opened" else when_read(late, call, *args)
+    )
+    query = here.ask()
+    spin(lambda: held)
+    here.core.timers.when_read = when_read
+    here.told("Terminating", "Ready")
+    held[0]()
+    spin(lambda: query.closed)
+    assert query.reply.came == [("served", ROWS)] and not here.stands[0].wants()
+
+
 def test_of_a_list_the_new_engines_are_there_before_what_waited_for_the_old_ones_is_sent_on(make):
     here = make(2, act=answer, settings=FRAGILE)
     here.told("Ready", None)
