Read engines' starts by the process's clock, and pass on only the time that a client has left

Cause: the same class, something read at one time and used at another by a clock that moved. A start in Unix time was compared with the process's clock as it stood: with the wall clock stepped back by an hour a new engine counted as warm, stepped on as cold for an hour. A request that had lain unread while its client was not read from was passed on with its whole budget. Seen in the code; the tests below fail without the change.

--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -14,10 +14,11 @@
     """Where a front takes its one answer. `rows` are the pages of the result, in order. One that has
     `marks` true tells beside them what stands in `Query.mark`; no other is given an answer that needs it.
     While `deaf` is true nothing is read from the client, so it can't be seen that it has gone; while `stale` is,
-    what is read had waited for that, and its end may lie behind it."""
+    what is read had waited for that, from `stale_since` on at the longest, and its end may lie behind it."""
 
     deaf: bool = False
     stale: bool = False
+    stale_since: int = 0
 
     def served(self, query: "Query", rows: Sequence[bytes]) -> None: ...
     def refused(self, query: "Query", backoff: int) -> None: ...
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -17,6 +17,7 @@
 from rackhub.core.lease import ListLease
 from rackhub.core.part import Host
 from rackhub.core.source import Address, Listing, Source
+from rackhub.core.starts import Starts
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.net.jsonrpc import jsonrpc_front
@@ -69,6 +70,7 @@
         self._ports: list[SharedPort] = []
         self._leaving = self._serving = False
         self._listing: Listing | None = None
+        self._starts = Starts()
         self._host = Host(
             reactor,
             clock,
@@ -98,7 +100,7 @@
 
     def _shown(self, listing: Listing) -> tuple:
         """The list as the module is to see it."""
-        self._listing, entries = listing, listing.entries
+        self._listing, entries = listing, self._starts.read(listing.entries, self._host.clock.now())
         for part in self.parts.values():
             entries = tuple(part.shown(entries))
         return entries
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -68,7 +68,7 @@
         id,
         cls,
         statement,
-        core.clock.now() + int(budget_ms * 1_000),
+        deadline(core.clock.now(), reply, int(budget_ms * 1_000)),
         reply,
         tag=tag,
         tenant=tenant,
@@ -79,6 +79,13 @@
     )
 
 
+def deadline(now: int, reply: Reply, budget: int) -> int:
+    """When a client that waits for `budget` has waited for it. What was not read for a while may have been sent at any
+    time of it, and more must not be passed on than the client has left."""
+    sent = reply.stale_since if reply.stale else now
+    return max(sent + budget, now + 1)
+
+
 def is_text(statement: bytes) -> bool:
     if not statement.strip() or b"\0" in statement:
         return False
@@ -198,6 +205,8 @@
     def hear(self) -> None:
         """The one place that stops reading and goes on with it."""
         if self.held() != self.unread:
+            if not self.unread and not self.stale:
+                self.stale_since = self.core.clock.now()
             self.stale = self.stale or self.deaf  # until all that lies unread is read
             self.unread, self._paused_at = not self.unread, self.core.clock.now()
             (self.transport.pauseProducing if self.unread else self.transport.resumeProducing)()
--- a/tests/test_crossings_requests.py
+++ b/tests/test_crossings_requests.py
@@ -403,6 +403,20 @@
     assert not client.served_by.stale
 
 
+def test_what_had_waited_unread_is_passed_on_with_the_time_that_its_client_has_left(site):
+    """Its time runs from when it was sent, and that may have been as soon as the reading stopped."""
+    warm(site)
+    client = Raw(site)
+    client.served_by.pauseProducing()
+    client.ask(1, budget=900)
+    site.clock.advance(500 * MS)
+    client.served_by.resumeProducing()
+    turns(site)
+    spin(lambda: len(wants(site)) == 1)
+    fields = dict(part.split(b"=") for part in wants(site)[0][2].split(b","))
+    assert 0 < int(fields[b"max"]) <= 400
+
+
 class Deaf:
     """The client's connection as it is while it is paused."""
 
