Let a give-up leave at once, before the hand-over to the next attempt begins

A give-up was put on the transport and left in the next turn of the loop, and the 10 ms after which the next attempt may go ran from a timer of that turn's start: in a turn longer than 10 ms, as while a second process starts, both left together.

Change: Outgoing.write sends at once unless the transport keeps something.

Measured: the new test fails without the change for both protocols and passes with it; 160 tests of the files touched pass.

--- a/rackhub/net/outgoing.py
+++ b/rackhub/net/outgoing.py
@@ -65,10 +65,12 @@
         return True
 
     def write(self, pieces: Iterable[bytes]) -> None:
-        """Send in turn, behind what the transport keeps: for what may leave at any time."""
-        pieces = list(pieces)
-        self.given += sum(map(len, pieces))
-        self._transport.writeSequence(pieces)
+        """Send in turn, for what may leave at any time: now, or behind what the transport keeps. A give-up that waited
+        for a turn of the loop left together with the attempt that was to follow it, where that turn was a long one."""
+        data = b"".join(pieces)
+        if self.kept() or not self.send(data):
+            self.given += len(data)
+            self._transport.write(data)
 
     # ---- what has left
 
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -393,6 +393,19 @@
     spin(lambda: not here.links())
 
 
+@pytest.mark.parametrize("tds", [False, True])
+def test_a_give_up_has_left_before_the_time_to_the_next_attempt_begins(make, tds):
+    """It waited for the next turn of the loop. Where that turn was longer than the hand-over, the give-up and the
+    attempt after it left one right behind the other, and an engine could read the second one first."""
+    here = make(1, tds=tds)
+    query = here.ask()
+    spin(lambda: here.wants(query))
+    (attempt,) = query.out.values()
+    before = attempt.link._out.given
+    here.core._cancel(t.Cancel(query.id, 0))
+    assert attempt.link._out.given > before and not attempt.link._out.kept()  # before any turn of the loop
+
+
 @pytest.mark.parametrize("moved", [False, True])
 @pytest.mark.parametrize("tds", [False, True])
 def test_an_engine_that_comes_back_under_its_id_gets_nothing_on_connections_of_before(make, tds, moved):
