Let newcomers wait in the queue while accept finds no descriptor for a moment

Cause: accept that fails with EMFILE once has Twisted give up its spare descriptor, take every newcomer with it and close each, with the requests that they have sent unread. Seen on a real process whose accept fails three times: on the code before, the client with EMFILE never gets an answer (60 s). ECONNABORTED, ENFILE, ENOBUFS, ENOMEM: tried again, right.

Change: the spare descriptor is given up only once the shortage has lasted 0.1 s (PatientReservation in net/listen.py); until then accept is tried again in the next turn.

--- a/rackhub/net/listen.py
+++ b/rackhub/net/listen.py
@@ -8,7 +8,11 @@
 
 import socket
 import struct
+import time
+from collections.abc import Callable
+from typing import Any
 
+from twisted.internet import tcp
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IListeningPort, IReactorSocket
@@ -23,6 +27,36 @@
 RETURN_CONSTANT = 0x06  # BPF_RET | BPF_K of linux/bpf_common.h
 
 
+class PatientReservation:
+    """Twisted's spare descriptor, kept back at first. Where accept finds no descriptor free, Twisted gives the spare
+    one up, takes newcomers with it and closes each at once, with the requests that they may have sent. A shortage that
+    is over in a moment costs nobody anything if newcomers wait in the kernel's queue for it."""
+
+    PATIENCE = 0.1  # seconds of shortage before newcomers are turned away, as they would wait in vain
+    OVER = 1.0  # seconds without a shortage after which the next one is another
+
+    def __init__(self, spare: Any, seconds: Callable[[], float] = time.monotonic):
+        self._spare, self._seconds = spare, seconds
+        self._since = self._last = -self.OVER
+
+    def available(self) -> bool:
+        """Whether to give the spare descriptor up. Asked each time that accept finds none."""
+        now = self._seconds()
+        if now - self._last > self.OVER:
+            self._since = now
+        self._last = now
+        return now - self._since >= self.PATIENCE and self._spare.available()
+
+    def reserve(self) -> None:
+        self._spare.reserve()
+
+    def __enter__(self) -> Any:
+        return self._spare.__enter__()
+
+    def __exit__(self, *how: Any) -> Any:
+        return self._spare.__exit__(*how)
+
+
 class SharedPort:
     """A listening socket that another process may bind beside this one. It listens from its making on.
 
@@ -34,6 +68,8 @@
         """On `host`:`port` (IPv4). Raises `CannotListenError` where the address is taken by a socket without
         SO_REUSEPORT, or can't be had."""
         self._reactor, self._factory = reactor, factory
+        if not isinstance(tcp._reservedFD, PatientReservation):
+            tcp._reservedFD = PatientReservation(tcp._reservedFD)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
