Give the words of the engines' wire a module of their own

Change: net/resp_words.py holds commands, fields, figures, reports and pages; nothing else moved, behaviour as before.

--- a/rackhub/fleet/overload/prober.py
+++ b/rackhub/fleet/overload/prober.py
@@ -12,7 +12,7 @@
 from rackhub.core.timers import Clock
 from rackhub.limits import Limits
 from rackhub.net.dial import OneDial
-from rackhub.net.resp import command
+from rackhub.net.resp_words import command
 
 MS = 1_000
 OPEN = 64  # connections at most, and probes without an answer
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -24,7 +24,7 @@
 from rackhub.limits import Limits
 from rackhub.net.outgoing import Outgoing
 from rackhub.net.pool import Dial, Pool, Pools
-from rackhub.net.resp import report_of
+from rackhub.net.resp_words import report_of
 from rackhub.net.tds import codec
 from rackhub.net.tds.stream import TdsStream
 from rackhub.operatorfile import TdsEngineSettings
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -14,7 +14,8 @@
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 from rackhub.net.jsonrpc import jsonrpc_front
-from rackhub.net.resp import command, resp_pools
+from rackhub.net.resp import resp_pools
+from rackhub.net.resp_words import command
 from rackhub.net.tds import codec
 from rackhub.net.tds.engine import tds_pools
 from rackhub.net.tds.front import tds_front
--- a/tests/test_crossings_model.py
+++ b/tests/test_crossings_model.py
@@ -29,7 +29,8 @@
 from rackhub.net.front import Client
 from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.pool import Pool, Pools
-from rackhub.net.resp import EngineConnection, command
+from rackhub.net.resp import EngineConnection
+from rackhub.net.resp_words import command
 from rackhub.policy import further
 
 WINDOW = 300 * MS
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -19,7 +19,8 @@
 from rackhub.counters import Counters
 from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.pool import Pool, Pools
-from rackhub.net.resp import EngineConnection, command
+from rackhub.net.resp import EngineConnection
+from rackhub.net.resp_words import command
 from rackhub.net.tds import codec
 from rackhub.net.tds import front as tds
 
