Send to an engine in a silence of the resolver only while it takes requests

The process counts as told 1.5 s after the event, whether it heard or not; stopping all service 2.5 s into every silence is not called for, since engines tell.

Change: the lease has a part by engine. One that turned a request away since the list was confirmed gets nothing once the list is 0.8 s old, and beyond 1.5 s and the grace only who has taken a request within the grace gets one; all others are held from the module (FleetSaid.held) and barred at the socket, until an answer of the resolver comes.

--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from rackhub import interface, logs
@@ -27,6 +28,7 @@
 log = logs.logger(__name__)
 
 OK, SHED, ERRORS, TRIES = range(4)
+ANSWERED = ("GOOD", "BAD")  # ends by an engine that took the request
 TALLY = {"served": OK, "refused": SHED, "failed": ERRORS}  # how a request ended: what counts it by class
 
 
@@ -46,6 +48,8 @@
         self.engines: EnginePort | None = None
         self.lease: ListLease | None = None  # on the list of engines; none: it is always in force
         self._unconfirmed: list[Attempt] = []  # held until the list is confirmed, or until nothing answers
+        self._barred: frozenset[str] = frozenset()  # engines for which the lease is over
+        self._said = interface.FleetSaid()  # by the gateways of the fleet, less what is barred here
         self.ledger: Ledger | None = None  # of keyed requests; the others never get there
         self.desk: Desk | None = None  # the operator's terms, by route
         self.gathers: Gathers | None = None  # what is sent to several sites and answered once
@@ -203,6 +207,10 @@
             del self.out[query.id, attempt.number]
         if reason in PROVEN:
             query.maybe.pop(attempt.number, None)
+        if self.lease is not None and reason == "FULL":
+            self.lease.turned_away(attempt.engine, now)
+        elif self.lease is not None and reason in ANSWERED:
+            self.lease.taken(attempt.engine, attempt.sent)
         self.counters.add(f"out_{reason.lower()}")
         log.debug(
             "attempt_ended",
@@ -249,6 +257,8 @@
     def noted(self, attempt: Attempt, topic: int, value: float) -> None:
         if not attempt.over:
             self.counters.add("notes_in")
+            if self.lease is not None:
+                self.lease.taken(attempt.engine, attempt.sent)
             self._tell(interface.Note(attempt.query.id, attempt.number, topic, value, attempt.engine))
 
     # ---- the module
@@ -286,7 +296,16 @@
 
     def fleet_said(self, said: interface.FleetSaid) -> None:
         """What the gateways of the fleet agree on, as far as this one knows; it holds until the next."""
-        self._tell(said)
+        self._said = said
+        self._tell(replace(said, held=said.held | self._barred))
+
+    def _bar(self, now: int) -> None:
+        """Tell the module of the engines that may not be sent to, as the list is not in force for them."""
+        barred = self.lease.barred(self._kinds, now) if self.lease is not None else frozenset()
+        if barred != self._barred:
+            log.info("engines_barred", engines=sorted(barred), reason="the list of engines is not confirmed")
+            self._barred = barred
+            self.fleet_said(self._said)
 
     def _probe(self, act: interface.Probe) -> None:
         if self.guide is not None:  # without a guide there are no peers, and this wire has no probes
@@ -428,6 +447,7 @@
         """The list of engines in force is that of the resolver, as of when it was asked."""
         if self.lease is not None:
             self.lease.confirmed(asked_at)
+            self._bar(self.clock.now())
         self._release()
 
     def _release(self) -> None:
@@ -502,6 +522,7 @@
             log.debug("loop_late", late_us=late)
         for attempt in [a for a in self.out.values() if a.until <= now and not a.over]:
             self._give_up(attempt, "LATE")
+        self._bar(now)
         if self._unconfirmed and self._standing() is not Standing.UNCONFIRMED:
             self._release()
         # by the time the sweep was due at: run late, it comes before the module's own timers of the time since
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -121,6 +121,8 @@
             return "NOP"
         if lease is not None and lease.standing(now) is not Standing.CONFIRMED:
             return "NOP" if lease.standing(now) is Standing.EXPIRED else "NOCONN"
+        if lease is not None and not lease.allows(self.engine, now):
+            return "NOCONN"
         return "NOCONN" if 0 < self.send_by <= now else ""
 
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -58,3 +58,33 @@
     for at in range(250 * MS, LIMITS.told_longest, 400 * MS):
         here.asked(at)
     assert here.standing(LIMITS.told_longest) is Standing.EXPIRED
+
+
+@pytest.mark.parametrize(
+    "taken, turned_away, now, allowed",
+    [
+        (None, None, PROMPT, True),
+        (None, None, PROMPT + 1, False),  # nothing tells that it does not drain
+        (2 * S, None, 2 * S + GRACE - LIMITS.lease_margin, True),
+        (2 * S, None, 2 * S + GRACE, False),
+        (None, S, LIMITS.answer_patience, True),  # the list is fresh: it was full
+        (None, S, LIMITS.answer_patience + 300 * MS, False),
+        (S, S + MS, PROMPT, False),
+        (S + MS, S, PROMPT, True),  # it has taken one since
+    ],
+)
+def test_in_a_silence_an_engine_is_believed_by_what_it_takes(taken, turned_away, now, allowed):
+    here = lease(250 * MS, now)
+    if taken is not None:
+        here.taken("a", taken)
+    if turned_away is not None:
+        here.turned_away("a", turned_away)
+    assert here.allows("a", now) is allowed
+    assert here.barred(["a"], now) == (frozenset() if allowed else {"a"})
+
+
+def test_a_confirmed_list_forgets_what_was_turned_away():
+    here = lease()
+    here.turned_away("a", S)
+    here.confirmed(2 * S)
+    assert here.allows("a", 2 * S + PROMPT)
