--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -209,7 +209,7 @@
 # The run broke in a replay of the mended buffers. The list told of the drain of s-ae9ef31a at 14.1 s; three processes
 # took it at 14.4 to 15.5 s, the fourth heard nothing between 12.3 and 17.98 s and went on by the list of before. The
 # engine took its request of 15.716 s and turned away those of 15.968, 16.236 and 16.705 s; the ones of 17.152 and
-# 17.436 s came 1.36 s and 1.64 s after the process counted as told. Three refusals in a row had said nothing to anybody:
+# 17.436 s came 1.36 s and 1.64 s after the process counted as told. Three refusals had said nothing to anybody:
 #
 #     12.338 answer_refused reason=not an answer to the question
 #     17.979 list_taken rev=4 gone=['s-b0dd5c8a'] changed=[..., 's-ae9ef31a:Terminating:0', ...]
