Give the processes of the replacement tests a resolver that answers

No deployment is without a resolver; the tests were wrong, and judge as strictly as before.

Change: tests/replacing.py starts the resolver's stand-in with the engines of the test, also for the pair of processes in tests/test_crossings_close.py.

--- a/tests/replacing.py
+++ b/tests/replacing.py
@@ -16,6 +16,7 @@
 import sys
 import time
 
+from real_process import READY, ResolverStandIn
 from stands import RespEngine, Stand
 from test_config import SETTINGS, endpoint, notice, told
 from twisted.internet import reactor
@@ -155,6 +156,13 @@
     return ports
 
 
+def resolver_of(engines):
+    """A resolver that tells of these engines: without one, a list is in force for some seconds only."""
+    return ResolverStandIn(
+        *((f"e{i}", "127.0.0.1", READY, 0, engine.port.getHost().port) for i, engine in enumerate(engines))
+    )
+
+
 class Process:
     """One process of the program. `say` calls its second address."""
 
@@ -166,7 +174,7 @@
         ]
         config = told(
             listen=f"127.0.0.1:{listen}",
-            nameserver=f"127.0.0.1:{nameserver}",
+            nameserver=nameserver,
             settings=READERS,
             operator=f"127.0.0.1:{self.operator}",
             known={"rev": 3, "notices": [notice(3, *entries)]},
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -15,7 +15,7 @@
 import pytest
 import stands
 from msgspec.structs import replace
-from replacing import Engine, Process, free_ports, until
+from replacing import Engine, Process, free_ports, resolver_of, until
 from stands import LIMITS, MS, FakeClock, S, Site, Stand, spin
 from test_config import SETTINGS, endpoint, notice, told
 from test_listen import Adopting
@@ -958,14 +958,16 @@
 def pair(tmp_path):
     """Two processes of one coordinator that serve side by side, as while one replaces the other, each with a second
     address that the test can call by itself."""
-    listen, nameserver = free_ports(2)
+    (listen,) = free_ports(1)
     engines, made = [Engine(0) for _ in range(2)], []
+    resolver = resolver_of(engines)
 
     def start(name):
-        made.append(Process(tmp_path, name, listen, engines, nameserver))
+        made.append(Process(tmp_path, name, listen, engines, resolver.address))
         return made[-1].until_serving()
 
     yield start, engines
+    resolver.close()
     for process in made:
         process.close()
     for engine in engines:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from replacing import Engine, Process, Traffic, free_ports, spin_for, until
+from replacing import Engine, Process, Traffic, free_ports, resolver_of, spin_for, until
 
 from rackhub.ops import statefile
 
@@ -17,12 +17,13 @@
 @contextlib.contextmanager
 def rig(place, planted=""):
     """Three engines, an old process that serves, and a way to start the new one; all are ended in the end."""
-    listen, nameserver = free_ports(2)
+    (listen,) = free_ports(1)
     engines, processes = [Engine(0.2) for _ in range(3)], []
+    resolver = resolver_of(engines)
 
     def start(name):
         program = ("-c", planted + MAIN) if planted else ("-m", "rackhub")
-        processes.append(Process(place, name, listen, engines, nameserver, program))
+        processes.append(Process(place, name, listen, engines, resolver.address, program))
         return processes[-1]
 
     traffic = Traffic(listen, engines, 12, 6, 0.1)
@@ -30,6 +31,7 @@
         yield engines, start, traffic
     finally:
         traffic.abandon()
+        resolver.close()
         for process in processes:
             process.close()
         for engine in engines:
