Store a voter's history of changes where a restart finds it

Callers saw: after a voter's restart an edit that was sent again was rejected with "it changes nothing" instead of getting its revision; undo and edits that had not seen the newest revision were rejected with NotKept. A restart of all voters lost the history for the whole fleet.

Cause: HeldStore.persist takes two optional mappings side by side, and Learner._take and CatchUp._perform gave the history records by position, into `fallback`.

Change: both are keyword-only, and so are those of ManualEjections, the only other such pair in the product that was given by position. A voter moves the newest change's record from the fallback record into the history where it equals what is held, and removes the others. A record that can't be read is logged, counted and dropped alone.

The old comparison of stored bytes was wrong for the three voters: it held the fault's bytes to be right. Their recordings stay, are opened and read as before, and are compared with the new ones record by record but for the history; new recordings in tests/golden/disk-history/ are what today's bytes are compared with. Two tests that assert that records are gone now show first that there were some.

--- a/rackhub/fleet/distribution/catching_up.py
+++ b/rackhub/fleet/distribution/catching_up.py
@@ -73,7 +73,7 @@
         match effect:
             case Persist():
                 also = self._history.begin_anew(effect.revision)
-                self._store.persist(effect, lambda: self._hand(Persisted(effect.revision)), also)
+                self._store.persist(effect, lambda: self._hand(Persisted(effect.revision)), also=also)
             case Apply():
                 previous = self._learner.revision
                 self._learner.take_snapshot(effect)
--- a/rackhub/fleet/distribution/coordinator.py
+++ b/rackhub/fleet/distribution/coordinator.py
@@ -79,7 +79,7 @@
     def _perform(self, effect: Effect) -> None:
         match effect:
             case Persist():
-                self._store.persist(effect, self._synced(effect.revision), self._fallback(effect))
+                self._store.persist(effect, self._synced(effect.revision), fallback=self._fallback(effect))
             case Apply():
                 self._apply(effect)
             case CheckWanted():
--- a/rackhub/fleet/distribution/history.py
+++ b/rackhub/fleet/distribution/history.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from rackhub.fleet.distribution.events import Held
 from rackhub.fleet.distribution.messages import Change, Entry, Revision
 from rackhub.fleet.ports import KeyedDisk
 
@@ -106,5 +107,26 @@
         return dropped
 
 
+def recover_misplaced(misplaced: Mapping[str, bytes | None], held: Held) -> dict[str, bytes]:
+    """The history records among `misplaced` that are sound: of the newest change in `held`, and equal to what it left.
+
+    Raises `msgspec.MsgspecError` where the newest change's record can't be read.
+    """
+    key = _key(held.revision)
+    body = misplaced.get(key)
+    if body is None:
+        return {}
+    change = msgspec.msgpack.decode(body, type=Past).change
+    standing = [entry for entry in change.entries if held.entries.get(entry.key) == _standing(entry)]
+    if change.revision != held.revision or len(standing) < len(change.entries):
+        return {}
+    return {key: body}
+
+
+def _standing(entry: Entry) -> Entry | None:
+    """What is held of a key after the entry; None where the entry deletes it."""
+    return entry if entry.value is not None else None
+
+
 def _key(revision: Revision) -> str:
     return f"{PREFIX}{revision:0{REVISION_DIGITS}d}"
--- a/rackhub/fleet/distribution/learning.py
+++ b/rackhub/fleet/distribution/learning.py
@@ -92,7 +92,7 @@
         self._put(change.entries)
         self.log, self.revision = log_id, change.revision
         written = Persist(log_id, change.revision, change.entries, False)
-        self._store.persist(written, lambda: self._written(log_id, change), also)
+        self._store.persist(written, lambda: self._written(log_id, change), also=also)
 
     def _written(self, log_id: LogId, change: Change) -> None:
         self._decided(Decided(log_id, (change,)))
--- a/rackhub/fleet/distribution/store.py
+++ b/rackhub/fleet/distribution/store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rackhub.fleet.distribution.events import Held, Persist
+from rackhub.fleet.distribution.history import PREFIX as HISTORY_PREFIX
 from rackhub.fleet.distribution.messages import Entry, LogId, Revision
 from rackhub.fleet.ports import KeyedDisk
 
@@ -24,7 +25,8 @@
 
 class HeldStore:
     """`held`: what an earlier process left, or nothing. `fallback`: what was in force for keys whose newest value was
-    not known to be taken; None: no such key. `prefix`: of its keys on the disk.
+    not known to be taken; None: no such key. `misplaced_history`: history records of a voter that earlier versions
+    stored in the fallback record; the next `persist` removes them from it. `prefix`: of its keys on the disk.
 
     A head or entry that can't be read is named in `damage` and counted, all that is held is deleted, and the watcher
     begins from revision 0. A disk that can't be read at all is put aside by the disk itself.
@@ -43,6 +45,7 @@
         self._keys: set[str] = set()  # of the entries on the disk
         self.held = Held()
         self.fallback: Mapping[str, bytes | None] = {}
+        self.misplaced_history: Mapping[str, bytes | None] = {}
         self.damage = ""
         try:
             self._load()
@@ -54,6 +57,7 @@
         self,
         change: Persist,
         done: Callable[[], None],
+        *,
         fallback: Mapping[str, bytes | None] | None = None,
         also: Mapping[str, bytes | None] | None = None,
     ) -> None:
@@ -69,8 +73,11 @@
             else:
                 self._keys.add(entry.key)
         changes[self._head_key] = msgspec.msgpack.encode(Head(change.log, change.revision, self._scope))
+        if fallback is None and self.misplaced_history:
+            fallback = self.fallback
         if fallback is not None:
             changes[self._fallback_key] = msgspec.msgpack.encode(dict(fallback))
+            self.misplaced_history = {}
         self._disk.write(changes | dict(also or {}), done)
 
     def _load(self) -> None:
@@ -81,7 +88,9 @@
         entries = dict(self._entries())
         fallback_body = self._disk.get(self._fallback_key)
         if fallback_body is not None:
-            self.fallback = msgspec.msgpack.decode(fallback_body, type=dict[str, bytes | None])
+            stored = msgspec.msgpack.decode(fallback_body, type=dict[str, bytes | None])
+            self.misplaced_history = {key: body for key, body in stored.items() if key.startswith(HISTORY_PREFIX)}
+            self.fallback = {key: value for key, value in stored.items() if key not in self.misplaced_history}
         self._keys = set(entries)
         self.held = Held(head.log, head.revision, head.scope, entries)
 
@@ -97,7 +106,7 @@
         log.error("fleet: %s; all of it is dropped and fetched anew", self.damage)
         doomed = [self._head_key, self._fallback_key, *(key for key, _ in self._disk.scan(self._entry_prefix))]
         self._disk.write(dict.fromkeys(doomed), lambda: None)
-        self._keys, self.fallback = set(), {}
+        self._keys, self.fallback, self.misplaced_history = set(), {}, {}
         self.held = Held()
 
 
--- a/rackhub/fleet/distribution/voter.py
+++ b/rackhub/fleet/distribution/voter.py
@@ -1,13 +1,27 @@
 """A voter: decides changes by a register of its own, keeps them on its disk, and serves them to relays and voters."""
 
+import logging
+
+import msgspec
+
 from rackhub.fleet.distribution.applying import RuleKeys
 from rackhub.fleet.distribution.catching_up import CatchUp
 from rackhub.fleet.distribution.decisions import EditRefused
 from rackhub.fleet.distribution.editing import EditRequest
 from rackhub.fleet.distribution.editor import Done, Editor
 from rackhub.fleet.distribution.endpoint import Endpoint, Inbox
-from rackhub.fleet.distribution.events import Apply, CaughtUp, CheckDone, Confirmed, Decided, Effect, Node, Role
-from rackhub.fleet.distribution.history import History
+from rackhub.fleet.distribution.events import (
+    Apply,
+    CaughtUp,
+    CheckDone,
+    Confirmed,
+    Decided,
+    Effect,
+    Node,
+    Persist,
+    Role,
+)
+from rackhub.fleet.distribution.history import History, recover_misplaced
 from rackhub.fleet.distribution.learning import Learner
 from rackhub.fleet.distribution.limits import Limits
 from rackhub.fleet.distribution.messages import (
@@ -23,12 +37,14 @@
 from rackhub.fleet.distribution.ports import FleetStatus, Identity
 from rackhub.fleet.distribution.replication import Replication
 from rackhub.fleet.distribution.source import Source
-from rackhub.fleet.distribution.store import HeldStore
+from rackhub.fleet.distribution.store import DAMAGED, HeldStore
 from rackhub.fleet.distribution.voting import REGISTER
 from rackhub.fleet.ports import Fleet, KeyedDisk, Name, RulePart
 from rackhub.fleet.register.acceptor_shell import AcceptorShell
 from rackhub.fleet.register.proposer import Proposer
 
+log = logging.getLogger(__name__)
+
 FROM_WATCHERS = (Watch, Unwatch, Acknowledge, Checked)
 EVERYTHING = ("",)
 
@@ -41,6 +57,7 @@
         self._fleet = fleet
         self._store = HeldStore(disk, EVERYTHING, fleet.tally)
         held = self._store.held
+        self._move_misplaced_history()
         self._source = Source(identity, held, limits, fleet.clock.now())
         self.inbox = Inbox(fleet)
         self._endpoint = Endpoint(fleet, self.inbox, self._source, self._perform)
@@ -143,6 +160,22 @@
             "distribution_catching_up": float(self._catching_up.running),
         }
 
+    # ---- what earlier versions stored
+
+    def _move_misplaced_history(self) -> None:
+        """Earlier versions stored the history in the fallback record: take the newest change's record back."""
+        misplaced, held = self._store.misplaced_history, self._store.held
+        if not misplaced:
+            return
+        try:
+            recovered = recover_misplaced(misplaced, held)
+        except msgspec.MsgspecError as bad:
+            log.error("fleet: the history of revision %d can't be read, and is dropped: %s", held.revision, bad)
+            self._fleet.tally(DAMAGED, 1)
+            recovered = {}
+        log.warning("fleet: %d misplaced history records are removed, %d recovered", len(misplaced), len(recovered))
+        self._store.persist(Persist(held.log, held.revision, (), False), lambda: None, also=recovered)
+
     # ---- what is decided
 
     def _learned(self, decided: Decided) -> None:
--- a/rackhub/ops/handover_file.py
+++ b/rackhub/ops/handover_file.py
@@ -111,7 +111,7 @@
     if state is None:
         return ManualEjections()
     log.info("the previous process handed over %d manually ejected engines", len(state.ejected))
-    return ManualEjections(state.ejected, state.known, state.restored_at)
+    return ManualEjections(ejected=state.ejected, known=state.known, restored_at=state.restored_at)
 
 
 def save_ejections(path: Path, ejections: ManualEjections, count: Callable[[str], None]) -> None:
--- a/rackhub/ops/manual_ejections.py
+++ b/rackhub/ops/manual_ejections.py
@@ -23,6 +23,7 @@
 
     def __init__(
         self,
+        *,
         ejected: Iterable[str] = (),
         known: Iterable[str] = (),
         restored_at: Mapping[str, int] | None = None,
--- a/tests/golden_disk.py
+++ b/tests/golden_disk.py
@@ -3,10 +3,14 @@
 `python tests/golden_disk.py` writes tests/golden/disk/ anew: for each scenario a directory as the embedded store writes
 it, and its records as JSON; beside them the incarnation number and the file handed from process to process. It was
 recorded at e2a4940 and is not meant to be written again: a newer program opens what that one wrote.
+
+The voters of that recording hold their history of changes in the fallback record, a fault. What voters store since it
+was mended stands in tests/golden/disk-history/, written by `python tests/golden_disk.py history`.
 """
 
 import json
 import shutil
+import sys
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from unittest import mock
@@ -25,6 +29,8 @@
 from rackhub.trials.fleet.twin import SECOND
 
 RECORDED = Path(__file__).parent / "golden" / "disk"
+RECORDED_HISTORY = Path(__file__).parent / "golden" / "disk-history"
+VOTER_DISKS = ("voter", "voter-1", "voter-2")
 HANDED_OVER = {"e1"}, {"e0", "e1", "e2"}, {"e2": 1_700_000_000_000_000}  # ejected, known, restored
 Records = dict[bytes, bytes]
 
@@ -156,18 +162,32 @@
     return {key.decode(): value.hex() for key, value in sorted(records.items())}
 
 
-def record(folder: Path, write: Callable[[Path, Records], None] = write_directory) -> None:
+def record_disks(
+    folder: Path, found: Mapping[str, Records], write: Callable[[Path, Records], None] = write_directory
+) -> None:
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
-    found = all_records()
     for name, records in found.items():
         write(folder / name, records)
     (folder / "records.json").write_text(
         json.dumps({name: as_text(records) for name, records in found.items()}, indent=1) + "\n"
     )
+
+
+def record(folder: Path, write: Callable[[Path, Records], None] = write_directory) -> None:
+    record_disks(folder, all_records(), write)
     (folder / "boot").write_text("4102444800000\n")
     (folder / handover_file.FILE_NAME).write_bytes(handover_file.encode(*HANDED_OVER))
 
 
+def record_history(folder: Path) -> None:
+    """The voters' disks alone."""
+    found = distribution_records()
+    record_disks(folder, {name: found[name] for name in VOTER_DISKS})
+
+
 if __name__ == "__main__":
-    record(RECORDED)
+    if sys.argv[1:] == ["history"]:
+        record_history(RECORDED_HISTORY)
+    else:
+        record(RECORDED)
--- a/tests/test_distribution_shells.py
+++ b/tests/test_distribution_shells.py
@@ -167,9 +167,9 @@
 def test_values_that_were_in_force_before_are_kept_with_the_change_that_replaces_them():
     net, disk = memory()
     store = loaded(disk)
-    store.persist(Persist("log", 1, (), False), lambda: None, {"a": b"old", "b": None})
+    store.persist(Persist("log", 1, (), False), lambda: None, fallback={"a": b"old", "b": None})
     net.time.run(MS)
-    store.persist(Persist("log", 2, (), False), lambda: None, {})
+    store.persist(Persist("log", 2, (), False), lambda: None, fallback={})
     disk.crash()
     assert loaded(disk).fallback == {"a": b"old", "b": None}
 
@@ -188,6 +188,7 @@
     store, counts = loaded(disk), []
     store.persist(Persist("log", 5, (entry("a", b"1", 5),), True), lambda: None)
     disk.put(key, body, lambda: None)
+    assert list(disk.scan("distribution/entry/"))
     damaged = loaded(disk, counts)
     assert damaged.held == Held() and "can't be read" in damaged.damage and counts == ["distribution_damaged"]
     assert not loaded(disk).damage and not list(disk.scan("distribution/entry/"))
--- a/tests/test_distribution_voter.py
+++ b/tests/test_distribution_voter.py
@@ -435,6 +435,7 @@
     disk.write({"distribution/history/0000000000000270": b"\xc1"}, lambda: None)
     damaged = History(disk, newest + 1)
     assert damaged.damage and damaged.oldest == damaged.newest == newest + 1
+    assert len(list(disk.scan("distribution/history/"))) > 1  # so that their absence below says something
     disk.write(damaged.begin_anew(400), lambda: None)
     net.time.run(MS)
     assert not list(disk.scan("distribution/history/")) and damaged.oldest == 400
@@ -449,3 +450,48 @@
     stand.restart("v0")
     assert isinstance(stand.ask("v0", "u1", on=2, kind="undo", to=1), EditDone)
     assert stand.content() == {"p": {"a": 1}}
+
+
+# Guards against a voter that stores its history of changes where no restart finds it: an edit sent again is rejected.
+@pytest.mark.parametrize("restarted", [("v0",), VOTERS], ids=["one", "all"])
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_repeated_and_conflicting_edits_and_undo_are_answered_alike_after_restarts(seed, restarted):
+    stand = Stand(seed)
+    for revision in range(1, 6):
+        stand.edit(f"e{revision}", revision - 1, VOTERS[revision % 3], a=revision, b=1)
+        stand.wait(lambda revision=revision: stand.everywhere(revision))
+    for name in restarted:
+        stand.kill(name)
+    for name in restarted:
+        stand.restart(name)
+    stand.wait(lambda: all(stand.processes[name].register_voter.state.voting for name in VOTERS))
+    for revision in range(1, 6):
+        assert stand.edit(f"e{revision}", revision - 1, "v0", a=revision, b=1) == revision
+    with pytest.raises(EditRefused, match=r"since then there is revision 3 .*; revision 4 .*; revision 5 "):
+        stand.ask("v0", "late", on=2, parts={"p": {"a": 7}})
+    undone = stand.ask("v0", "undo", on=5, kind="undo", to=2)
+    assert undone == EditDone(6, ())
+    assert stand.content() == {"p": {"a": 2, "b": 1}}
+    stand.wait(lambda: stand.everywhere(6))
+
+
+# Guards against a lost history after a catch-up from another voter: it begins anew and is stored from there on.
+def test_a_voter_that_caught_up_by_a_snapshot_keeps_its_new_history_over_a_restart():
+    stand = Stand()
+    stand.edit("e1", 0, a=1)
+    stand.wait(lambda: stand.processes["v2"].version == 1)
+    stand.kill("v2")
+    for number in range(2, 8):
+        stand.edit(f"e{number}", number - 1, a=number)
+        stand.wait(lambda number=number: stand.processes["v0"].replication.replicated() == number)
+    stand.restart("v2")
+    stand.wait(lambda: stand.processes["v2"].version == 7)
+    assert stand.net.nodes["v2"].counts["distribution_catch_ups"] == 1
+    assert not list(stand.disks["v2"].scan("distribution/history/")), "of before the snapshot nothing is known"
+    stand.net.time.run(2 * SECOND)
+    stand.edit("e8", 7, "v2", a=8)
+    stand.kill("v2")
+    stand.restart("v2")
+    assert [key for key, _ in stand.disks["v2"].scan("distribution/history/")] == [f"distribution/history/{8:016d}"]
+    assert stand.ask("v2", "u1", on=8, kind="undo") == EditDone(9, ())
+    assert stand.content("v2") == {"p": {"a": 7}}
--- a/tests/test_golden_disk.py
+++ b/tests/test_golden_disk.py
@@ -9,9 +9,15 @@
 import test_distribution_voter
 import test_fleet_register
 import test_state
-from golden_disk import RECORDED
+from golden_disk import RECORDED, RECORDED_HISTORY, VOTER_DISKS
 from twisted.internet import reactor
 
+from rackhub.fleet.distribution.history import Past
+from rackhub.fleet.distribution.limits import Limits
+from rackhub.fleet.distribution.messages import Change, Entry
+from rackhub.fleet.distribution.ports import Identity
+from rackhub.fleet.distribution.rules import encode_value
+from rackhub.fleet.distribution.voter import Voter
 from rackhub.fleet.members import boots
 from rackhub.fleet.register.disk import MemoryDisk, StoreDisk
 from rackhub.ops import handover_file
@@ -20,10 +26,21 @@
 from rackhub.trials.fleet import rules_torture
 from rackhub.trials.fleet.twin import SECOND
 
-GOLDEN = {
-    name: {key.encode(): bytes.fromhex(body) for key, body in records.items()}
-    for name, records in json.loads((RECORDED / "records.json").read_text()).items()
-}
+
+def recorded(folder):
+    return {
+        name: {key.encode(): bytes.fromhex(body) for key, body in records.items()}
+        for name, records in json.loads((folder / "records.json").read_text()).items()
+    }
+
+
+GOLDEN = recorded(RECORDED)
+GOLDEN_HISTORY = recorded(RECORDED_HISTORY)
+FOLDERS = [
+    *((RECORDED, GOLDEN, name) for name in GOLDEN),
+    *((RECORDED_HISTORY, GOLDEN_HISTORY, n) for n in VOTER_DISKS),
+]
+FLEET_DISKS = [one for one in FOLDERS if one[2] != "state"]
 
 
 def filled(disk: MemoryDisk, records: golden_disk.Records) -> MemoryDisk:
@@ -33,27 +50,47 @@
     return disk
 
 
-@pytest.mark.parametrize("name", GOLDEN)
-def test_a_recorded_directory_is_opened_and_every_record_is_the_same(name, tmp_path):
-    folder = shutil.copytree(RECORDED / name, tmp_path / name)
-    assert golden_disk.read_directory(folder) == GOLDEN[name]
-    assert golden_disk.read_directory(folder) == GOLDEN[name], "also when it was opened once before"
+def folder_id(value):
+    return value.name if hasattr(value, "name") else value if isinstance(value, str) else ""
 
 
-@pytest.mark.parametrize("name", ["acceptor", "rules", "voter", "voter-1", "voter-2", "watcher"])
-def test_a_recorded_directory_is_a_disk_of_the_fleet(name, tmp_path):
-    disk = StoreDisk(reactor, shutil.copytree(RECORDED / name, tmp_path / name))
+@pytest.mark.parametrize("home, golden, name", FOLDERS, ids=folder_id)
+def test_a_recorded_directory_is_opened_and_every_record_is_the_same(home, golden, name, tmp_path):
+    folder = shutil.copytree(home / name, tmp_path / name)
+    assert golden_disk.read_directory(folder) == golden[name]
+    assert golden_disk.read_directory(folder) == golden[name], "also when it was opened once before"
+
+
+@pytest.mark.parametrize("home, golden, name", FLEET_DISKS, ids=folder_id)
+def test_a_recorded_directory_is_a_disk_of_the_fleet(home, golden, name, tmp_path):
+    disk = StoreDisk(reactor, shutil.copytree(home / name, tmp_path / name))
     try:
         assert not disk.damage
         assert {b"disk/" + key.encode(): body for key, body in disk.scan("")} | {
             b"disk/identity": disk.identity.encode()
-        } == GOLDEN[name] | {b"disk/identity": disk.identity.encode()}
+        } == golden[name] | {b"disk/identity": disk.identity.encode()}
     finally:
         disk.end()
 
 
 def test_the_same_course_of_events_stores_the_same_bytes():
-    assert comparable(golden_disk.all_records()) == comparable(GOLDEN)
+    assert comparable(golden_disk.all_records()) == comparable(GOLDEN | GOLDEN_HISTORY)
+
+
+@pytest.mark.parametrize("name", VOTER_DISKS)
+def test_a_voter_stores_what_an_earlier_version_did_but_for_its_history(name):
+    before, now = (
+        {key: body for key, body in disks[name].items() if not is_history(key)} for disks in (GOLDEN, GOLDEN_HISTORY)
+    )
+    assert before == now
+    history = {key for key in GOLDEN_HISTORY[name] if b"/history/" in key}
+    assert history == {b"disk/distribution/history/%016d" % revision for revision in range(1, 5)}
+    (newest,) = msgspec.msgpack.decode(GOLDEN[name][b"disk/distribution/fallback"]).items()
+    assert GOLDEN_HISTORY[name][b"disk/" + newest[0].encode()] == newest[1]
+
+
+def is_history(key):
+    return b"/history/" in key or key.endswith(b"/fallback")
 
 
 def comparable(found):
@@ -143,6 +180,64 @@
     stand.wait(lambda: stand.everywhere(5))
 
 
+# Guards against history records of an earlier version that count as values in force or stay on the disk for ever.
+def test_the_newest_change_of_a_recorded_voter_is_taken_back_as_history():
+    stand = test_distribution_voter.Stand()
+    for name in ("v0", "v1", "v2", "c0", "c1"):
+        stand.kill(name)
+    for recorded_name, name in zip(VOTER_DISKS, ("v0", "v1", "v2"), strict=True):
+        filled(stand.disks[name], GOLDEN[recorded_name])
+        assert b"distribution/history/" in stand.disks[name].get("distribution/fallback")
+    fleet = stand.net.nodes["v0"].fleet()
+    voter = Voter(fleet, Identity(name="v0"), ("v0", "v1", "v2"), stand.disks["v0"], Limits())
+    assert set(voter._keys.in_force) == set(voter.learner.values())
+    stand.disks["v0"].crash()  # before it was stored: it is done again
+    for name in ("v0", "v1", "v2"):
+        stand.restart(name)
+        assert stand.processes[name].history.oldest == 3 and not stand.processes[name].damage
+    stand.net.time.run(SECOND)
+    for name in ("v0", "v1", "v2"):
+        synced = stand.disks[name]._synced
+        assert msgspec.msgpack.decode(synced["distribution/fallback"]) == {}
+        assert synced["distribution/history/0000000000000004"] == GOLDEN_HISTORY["voter"][NEWEST_CHANGE]
+    assert stand.edit("e4", 3, "v2", d={"e": 1.5}) == 4
+    assert stand.ask("v0", "u1", on=4, kind="undo").revision == 5
+    assert stand.content() == {"p": {"a": 1, "b": 2}}
+
+
+NEWEST_CHANGE = b"disk/distribution/history/0000000000000004"
+
+
+def change_record(revision, value):
+    change = Change(revision, (Entry("rules/p/d/e", value, revision),), "e4", "ann", "r")
+    return msgspec.msgpack.encode(Past(change, {}))
+
+
+@pytest.mark.parametrize(
+    "key, body, damaged",
+    [
+        ("distribution/history/0000000000000004", b"\xc1", 1),
+        ("distribution/history/0000000000000004", change_record(4, b"other"), 0),  # not what is held
+        ("distribution/history/0000000000000004", change_record(3, encode_value(1.5)), 0),
+        ("distribution/history/0000000000000005", change_record(5, encode_value(1.5)), 0),
+        ("distribution/history/nonsense", b"", 0),
+        ("distribution/history/0000000000000001", None, 0),
+    ],
+)
+def test_misplaced_history_that_is_not_sound_is_dropped_alone(key, body, damaged):
+    stand = test_distribution_voter.Stand()
+    stand.kill("v0")
+    fallback = msgspec.msgpack.encode({key: body, "rules/p/a": b"1"})
+    filled(stand.disks["v0"], GOLDEN["voter"] | {b"disk/distribution/fallback": fallback})
+    stand.restart("v0")
+    voter = stand.processes["v0"]
+    assert voter.version == 4 and voter.history.oldest == 4 and stand.content() == {"p": {"d": {"e": 1.5}}}
+    assert stand.net.nodes["v0"].counts["distribution_damaged"] == damaged
+    stand.net.time.run(SECOND)
+    assert msgspec.msgpack.decode(stand.disks["v0"]._synced["distribution/fallback"]) == {"rules/p/a": b"1"}
+    assert not list(stand.disks["v0"].scan("distribution/history/"))
+
+
 def test_a_recorded_incarnation_number_goes_on_and_is_stored_alike(tmp_path):
     shutil.copy(RECORDED / "boot", tmp_path / boots.FILE)
     assert boots.first(str(tmp_path)) == 4_102_444_800_001
