Write what a failing disk refused once it is back, and tell who waits

Callers saw: with a disk of the fleet's state that fails for a moment (ENOSPC, EIO) the changes of that time were lost. A voter stored the next change's revision without them, so that after a restart it served older values under a newer revision; a coordinator's watch took no further change until it was started anew; an edit's author got no answer.

Cause: StoreDisk logged the store's refusal and dropped the write, and did not tell those whose writes the store had accepted before it failed, though the store makes these durable itself. Evidence: in 12 of 12 cases nothing was acknowledged after the disk was back; the second write on was not even read back.

Change: refused writes wait in memory (deferred_writes.py), merged by key, are read as written, and go to the store in their order when its driver tells that it takes writes again; writes in doubt are acknowledged first. This is all that the disk's contract promises to its callers, so none of them changes.

--- a/rackhub/fleet/register/disk.py
+++ b/rackhub/fleet/register/disk.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import Any
 
+from rackhub.fleet.register.deferred_writes import DeferredWrites
+
 log = logging.getLogger(__name__)
 
 KEY_PREFIX = b"disk/"
@@ -24,6 +26,9 @@
 class StoreDisk:
     """`ports.KeyedDisk` on an embedded store of its own.
 
+    Writes that the store refuses, as its disk fails, wait in memory: they are read as written, and written in their
+    order once the disk is back. Writes that the store accepted before it failed are made durable by the store itself.
+
     `damage`, unless empty, says why the store found at `path` was replaced. The constructor raises `OSError` and
     `store.Locked` where the store can't be opened and, with `files`, `store.Corrupt`.
     """
@@ -33,7 +38,9 @@
 
         self._path = Path(path)
         self._files = files
-        self._driver = Driver(reactor)
+        self._driver = Driver(reactor, recovered=self._write_deferred)
+        self._deferred = DeferredWrites()
+        self._in_doubt: list[Callable[[], None]] = []  # of writes that the store accepted before its disk failed
         self.damage = ""
         self._store = self._open_or_replace()
         self._driver.drive(self._store)
@@ -46,11 +53,19 @@
 
     def get(self, key: str) -> bytes | None:
         """The value written last, durable or not."""
-        found = self._store.get(KEY_PREFIX + key.encode())
+        stored_key = KEY_PREFIX + key.encode()
+        if stored_key in self._deferred:
+            return self._deferred[stored_key]
+        found = self._store.get(stored_key)
         return None if found is None else bytes(found.value)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """The size of the keys and values that wait for the disk."""
+        return self._deferred.size
+
     def put(self, key: str, body: bytes, done: Callable[[], None]) -> None:
-        """Write one key; `done` is called once it is durable, in the order of the writes, and never if that fails."""
+        """Write one key; `done` is called once it is durable, in the order of the writes."""
         self._commit({KEY_PREFIX + key.encode(): body}, done)
 
     def write(self, changes: Mapping[str, bytes | None], done: Callable[[], None]) -> None:
@@ -60,8 +75,9 @@
     def scan(self, prefix: str) -> Iterator[tuple[str, bytes]]:
         """The keys with that prefix and their values, in order of key."""
         start = KEY_PREFIX + prefix.encode()
-        for found in self._store.scan(start, start + b"\xff"):
-            yield found.key[len(KEY_PREFIX) :].decode(), bytes(found.value)
+        stored = {found.key: bytes(found.value) for found in self._store.scan(start, start + b"\xff")}
+        for stored_key, value in self._deferred.merged_into(stored, start):
+            yield stored_key[len(KEY_PREFIX) :].decode(), value
 
     def end(self) -> None:
         """Close the store; a failure is logged."""
@@ -105,6 +121,23 @@
         return store
 
     def _commit(self, changes: Mapping[bytes, bytes | None], done: Callable[[], None]) -> None:
+        """Write, or wait for the disk behind what waits already."""
+        if self._deferred or not self._try_commit(changes, done):
+            self._deferred.add(changes, done)
+
+    def _write_deferred(self) -> None:
+        """The disk is back: what the store accepted before is durable, and what waits can be written."""
+        in_doubt, self._in_doubt = self._in_doubt, []
+        for done in in_doubt:
+            done()
+        while self._deferred:
+            write = self._deferred.take_first()
+            if not self._try_commit(write.changes, write.acknowledge):
+                self._deferred.put_back(write)
+                return
+
+    def _try_commit(self, changes: Mapping[bytes, bytes | None], done: Callable[[], None]) -> bool:
+        """Hand the changes to the store; `done` once they are durable. False where it is read-only."""
         from rackhub.store import BadBatch, Batch, ReadOnly
 
         batch = Batch()
@@ -118,13 +151,18 @@
             """Called once by the store, when the batch is durable or has failed."""
             if error is None:
                 done()
-            else:  # it may be durable or not, so what waits for it is never sent
+            else:  # the store makes it durable when its disk is back
                 self._log_failure(error)
+                self._in_doubt.append(done)
 
         try:
             self._store.commit(batch, acknowledged=acknowledged)
-        except (ReadOnly, BadBatch) as error:
+        except ReadOnly as error:
+            self._log_failure(error)
+            return False
+        except BadBatch as error:  # no later attempt can succeed
             self._log_failure(error)
+        return True
 
     def _log_failure(self, error: Exception) -> None:
         log.error("fleet: %s: %s", self._path, error)
--- a/rackhub/store/driver.py
+++ b/rackhub/store/driver.py
@@ -29,10 +29,19 @@
 
 
 class Driver:
-    """Hand `wake` to `Store.open` and the store to `drive`."""
+    """Hand `wake` to `Store.open` and the store to `drive`.
 
-    def __init__(self, reactor: Reactor, now: Callable[[], int] = lambda: time.monotonic_ns() // 1_000):
+    `recovered` is called each time a store that was read-only takes writes again; all that it had accepted is durable.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        now: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
+        recovered: Callable[[], None] = lambda: None,
+    ):
         self._reactor, self._now, self.pace = reactor, now, Pace()
+        self._recovered = recovered
         self._store: Store | None = None
         self._flushing = self._working = self._retrying = False
         self._ended = False
@@ -163,6 +172,7 @@
             return self._retry_later()
         self.pace.mended()
         log.info("store: takes writes again")
+        self._recovered()
         self._turn()
 
     def end(self) -> None:
