Count the tolerance of a stopped reading from the last proof that all was read

Callers saw: a request was sent to an engine 255 ms after its client had closed or cancelled, where 100 ms are allowed. It takes a client that is slow to read its answers, whose end lies in the kernel meanwhile.

Cause: Client.reading_paused counted its 30 ms from the last change of reading, so a resumption that is followed by a stop before the event loop has read anything began them anew.

Change: the time counts from when bytes may lie unread, which only a read that is not full ends, or event-loop iterations that found nothing to read. The TDS front took any read for such a proof, a full one too.

--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -10,6 +10,7 @@
 from rackhub.core.request_completion import RequestCompletion
 from rackhub.core.request_policy import RetryDecision
 from rackhub.core.state import ClassCounter, CoordinatorState
+from rackhub.core.timers import ALWAYS_DEFER
 from rackhub.interface import Idempotency, Outcome
 from rackhub.policy.retries import NOT_EXECUTED_OUTCOMES
 
@@ -63,7 +64,7 @@
         self._register(attempt, now)
         if hedge_after and now + hedge_after < attempt.deadline:
             state.timers.at(now + hedge_after, self._offer_hedge, attempt)
-        tolerated_delay = -1 if query.reply.stale else state.limits.late_iteration
+        tolerated_delay = ALWAYS_DEFER if query.reply.stale else state.limits.late_iteration
         state.timers.call_after_reads(tolerated_delay, self.begin, attempt)
 
     def begin(self, attempt: Attempt) -> None:
--- a/rackhub/core/timers.py
+++ b/rackhub/core/timers.py
@@ -7,6 +7,7 @@
 
 log = logging.getLogger(__name__)
 
+ALWAYS_DEFER = -1  # as a tolerated delay: the call waits for the reads, however early the event loop is
 ITERATIONS_TO_READ_TWICE = 3  # the reads of the present iteration may be half made, so they don't count
 
 
--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -4,6 +4,7 @@
 
 from rackhub import logs
 from rackhub.core.request import Reply
+from rackhub.core.timers import ALWAYS_DEFER
 
 if TYPE_CHECKING:
     from rackhub.net.front import Front
@@ -17,7 +18,8 @@
     """One client's connection: timeouts, flow control and the half-close. The front's protocol fills in the rest.
 
     `incomplete_since` is when a message began that is not complete yet, `write_blocked_since` when the client stopped
-    reading what is written to it, `closed_at` when the writing side was closed; 0: it is not so.
+    reading what is written to it, `closed_at` when the writing side was closed, `stale_since` since when bytes of the
+    client may lie unread; 0: it is not so.
     """
 
     marks = False  # whether it can answer that a result is partial: see `core.request.Reply`
@@ -33,7 +35,9 @@
         self.penalty_until = 0  # not read from before then
         self.closed_at = 0
         self.reading_stopped = False
-        self._reading_changed_at = 0
+        self.stale_since = 0
+        self._reading_stopped_at = 0
+        self._reading_changes = 0
         self.has_sent_message = False
         self.ending = False
         self.faults = 0  # invalid messages received
@@ -138,21 +142,43 @@
         """Stop reading or go on, as it should be now. Nothing else pauses or resumes the transport."""
         if self.should_stop_reading() == self.reading_stopped:
             return
-        if not self.reading_stopped and not self.stale:
-            self.stale_since = self.core.clock.now()
-        self.stale = self.stale or self.reading_paused  # until all that the kernel has buffered is read
-        self.reading_stopped = not self.reading_stopped
-        self._reading_changed_at = self.core.clock.now()
+        self._reading_changes += 1
         if self.reading_stopped:
-            self.transport.pauseProducing()
-        else:
+            self.stale = self.stale or self.reading_paused
+            self.reading_stopped = False
             self.transport.resumeProducing()
+            self._expect_reads()
+        else:
+            self._reading_stopped_at = self.core.clock.now()
+            self.stale_since = self.stale_since or self._reading_stopped_at
+            self.reading_stopped = True
+            self.transport.pauseProducing()
+
+    def record_read(self, size: int) -> None:
+        """Record that a read of `size` bytes has been handled; a full one may have left more in the kernel."""
+        if size >= self.front.limits.read:
+            self._expect_reads()
+            return
+        self.stale = False
+        self.stale_since = self._reading_stopped_at if self.reading_stopped else 0
+
+    def _expect_reads(self) -> None:
+        """Find out whether all is read, as a client that has sent nothing shows by no read."""
+        if self.stale_since and not self.reading_stopped:
+            self._reading_changes += 1
+            self.core.timers.call_after_reads(ALWAYS_DEFER, self._reads_made, self._reading_changes)
+
+    def _reads_made(self, reading_changes: int) -> None:
+        """The event loop has read all sockets: unless reading stopped or a full read came since, nothing is unread."""
+        if reading_changes == self._reading_changes and not self.stale:
+            self.stale_since = 0
 
     @property
     def reading_paused(self) -> bool:  # type: ignore[override]
         """Whether a cancel or the client's close may be unread.
 
-        One answer that fills the buffer stops the reading for an event-loop iteration, which does not count.
+        One answer that fills the buffer stops the reading for an event-loop iteration, which does not count. A stop
+        over bytes that were unread before counts from then on: reading may go on and stop again without any read.
         """
-        stopped_for = self.core.clock.now() - self._reading_changed_at
-        return self.reading_stopped and stopped_for > self.front.limits.late_iteration
+        unread_for = self.core.clock.now() - self.stale_since
+        return self.reading_stopped and unread_for > self.front.limits.late_iteration
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -121,7 +121,7 @@
             else:
                 self.lineReceived(line)
         self._processing = False
-        self.stale = self.stale and len(data) >= self.front.limits.read
+        self.record_read(len(data))
         if len(self._buffer) > max_length:
             self._buffer = self._buffer[:max_length]
             if not self.ending:
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -10,7 +10,7 @@
 from rackhub import logs
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt, AttemptState
-from rackhub.core.timers import Clock
+from rackhub.core.timers import ALWAYS_DEFER, Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 from rackhub.net.outgoing import Outgoing
@@ -259,7 +259,7 @@
             if why := attempt.send_blocked_by(self.last_received, self.core.lease):  # it waited too long for this
                 self._return_blocked(id, attempt, why)
         stale = any(attempt.query.reply.stale for attempt in self.open.values())
-        self.core.timers.call_after_reads(-1 if stale else self.limits.late_iteration, self._opened)
+        self.core.timers.call_after_reads(ALWAYS_DEFER if stale else self.limits.late_iteration, self._opened)
 
     def _opened(self) -> None:
         if self.closed:  # lost meanwhile, or what came on it was no answer
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -171,7 +171,7 @@
                 self._attention()
             elif not status & codec.IGNORE:  # IGNORE: the client cancelled its own request, and Attention follows
                 self._message(kind, status, body)
-        self.stale = False
+        self.record_read(len(data))
         # until the login is done the time limit runs from the connection's start
         self.record_received(complete and self.login is not None, self._assembler.begun)
 
