Give a request that is sent after a stop of reading its whole time

Callers saw: a client that had once taken its answers slowly had its next request counted as sent when its reading stopped, however long that was over; engines got 1 ms of a budget of 900, and the request was refused or late.

Cause: what is read after a stop may have waited since then, and only a read ended that state. A client that has sent nothing shows by no read. Evidence: 1 ms passed on where a client whose reading never stopped has 840 of the 900.

The JSON-RPC model's expectation was wrong: it kept the age until the next read. It now drops it where time passed with reading on, and stays exact in both directions.

--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -170,7 +170,8 @@
 
     def _reads_made(self, reading_changes: int) -> None:
         """The event loop has read all sockets: unless reading stopped or a full read came since, nothing is unread."""
-        if reading_changes == self._reading_changes and not self.stale:
+        if reading_changes == self._reading_changes:
+            self.stale = False
             self.stale_since = 0
 
     @property
--- a/tests/test_unread_clients.py
+++ b/tests/test_unread_clients.py
@@ -6,7 +6,7 @@
 
 import pytest
 from stands import LIMITS, MS, Site, Stand, spin
-from test_crossings_requests import Raw, empty, script, turns, wants, warm
+from test_crossings_requests import Raw, empty, script, turn, turns, wants, warm
 
 from rackhub import interface as t
 
@@ -91,3 +91,21 @@
     client.served_by.pauseProducing()
     site.stands[0].connections[0].say(f"{1:016x}".encode(), b"503")
     spin(lambda: len(wants(site)) == 2)
+
+
+# Guards against a request that is counted as old for a stop of reading that was long over when it was sent.
+def test_a_request_that_is_sent_long_after_a_stop_of_reading_has_its_whole_time(site):
+    warm(site)
+    client = Raw(site)
+    client.served_by.pauseProducing()
+    site.clock.advance(500 * MS)
+    client.served_by.resumeProducing()
+    turns(site)
+    for _ in range(4):
+        site.clock.advance(200 * MS)
+        turns(site)
+    client.ask(1, budget=900)
+    Raw(site).ask(2, budget=900)  # of a client whose reading never stopped
+    spin(lambda: turn(site) or len(wants(site)) == 2)
+    first, second = ({part for part in words[2].split(b",") if part.startswith(b"max=")} for words in wants(site))
+    assert first == second
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -328,6 +328,9 @@
     @rule(span=st.sampled_from([100 * MS, S, 2 * S, 6 * S]))
     def time(self, span):
         self.core.clock.advance(span)
+        self.track_reading()
+        if self.reading:
+            self.unread_since = 0  # the event loop has read what there was: nothing
         if self.lost:
             return
         closed = self.connection.closed_at
