Ask for unread bytes of the client wherever an attempt begins or leaves a queue

Cause: an attempt whose client had bytes unread was put off once for three event-loop iterations, which may pass while the client is not read from; and what waited for its engine's socket or for the endpoint list did not ask at all, nor did the parts of a gathered request.

Change: AttemptRunner.begin and both engine connections ask at the moment of sending whether anything of the client may be unread, and wait for the proof; attempts of other clients on the connection go on. A part of a gather asks its gathered request's client. One that goes to another gateway is rejected while that client is not read from.

--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -33,7 +33,7 @@
     def __init__(self, state: CoordinatorState, decisions: DecisionDriver) -> None:
         self._state = state
         self._decisions = decisions
-        self._gate = EndpointGate(state, decisions, self.begin)
+        self._gate = EndpointGate(state, decisions, self._begin_when_in_time)
         self._completion = RequestCompletion(state, self.give_up)
 
     @property
@@ -64,8 +64,7 @@
         self._register(attempt, now)
         if hedge_after and now + hedge_after < attempt.deadline:
             state.timers.at(now + hedge_after, self._offer_hedge, attempt)
-        tolerated_delay = ALWAYS_DEFER if query.reply.stale else state.limits.late_iteration
-        state.timers.call_after_reads(tolerated_delay, self.begin, attempt)
+        self._begin_when_in_time(attempt)
 
     def begin(self, attempt: Attempt) -> None:
         """Hand an attempt to the engine port, unless it was given up meanwhile or must wait for the endpoint list."""
@@ -79,6 +78,9 @@
         if blocked_by := attempt.send_blocked_by(attempt.sent_at, self._state.lease):
             self._reject(attempt, blocked_by)
             return
+        if attempt.query.reply.stale:  # the client's disconnect may be among what is still to be read
+            self._state.timers.call_after_reads(ALWAYS_DEFER, self.begin, attempt)
+            return
         attempt.state = AttemptState.IN_FLIGHT
         self._state.engine_port.send(attempt)
 
@@ -161,6 +163,10 @@
             self._state.counters.add("hurries")
             self._state.engine_port.promote(attempt)
 
+    def _begin_when_in_time(self, attempt: Attempt) -> None:
+        """Begin an attempt; where the event loop is late, only after it has read all sockets."""
+        self._state.timers.call_after_reads(self._state.limits.late_iteration, self.begin, attempt)
+
     def _may_start(self, attempt: Attempt, timeout: int, now: int) -> bool:
         query = attempt.query
         settings = self._state.settings
--- a/rackhub/gather/dispatcher.py
+++ b/rackhub/gather/dispatcher.py
@@ -47,6 +47,16 @@
         self.done = False
         self.query: Query | None = None
 
+    @property
+    def reading_paused(self) -> bool:  # type: ignore[override]
+        """Whether a disconnect of the gathered request's client can't be seen."""
+        return self.request.query.reply.reading_paused
+
+    @property
+    def stale(self) -> bool:  # type: ignore[override]
+        """Whether what is read of the gathered request's client has waited in the socket."""
+        return self.request.query.reply.stale
+
     def cancel(self) -> None:
         """Disconnect from the core's request."""
         if not self.done and self.query is not None:
@@ -283,6 +293,9 @@
     def _send_to_gateway(
         self, request: GatheredRequest, effect: SendSubrequest, site: Site, request_id: str, budget: int
     ) -> None:
+        if request.query.reply.reading_paused:  # its client may be gone
+            self.complete_without_rows(request, effect.site, effect.attempt, "refused", 0, False)
+            return
         attempted = request.attempted_addresses.setdefault(site.name, set())
         candidates = [address for address in site.addresses if address not in attempted] or list(site.addresses)
         address = self.random.choice(candidates)
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -206,13 +206,25 @@
 
     def _send_queued(self) -> None:
         """Send what is queued and may still be sent, until the socket accepts no more."""
-        while self._queued and not self.closed and not self._out.buffered_bytes():
-            id = next(iter(self._queued))
-            attempt = self.open[id]
+        unread = False  # whether an attempt waits for what is still to be read of its client
+        for id in list(self._queued):
+            if self.closed or self._out.buffered_bytes():
+                break
+            attempt = self.open.get(id)
+            if attempt is None or id not in self._queued:  # the end of one may have ended others
+                continue
             if why := attempt.send_blocked_by(self.clock.now(), self.core.lease):
                 self._return_blocked(id, attempt, why)
+            elif attempt.query.reply.stale:
+                unread = True
             elif not self._send(id, attempt):
                 break
+        if unread:
+            self.core.timers.call_after_reads(ALWAYS_DEFER, self._request_write)
+        else:
+            self._request_write()
+
+    def _request_write(self) -> None:
         if self._queued and not self.closed:
             self._out.request_write()
 
@@ -258,8 +270,7 @@
         for id, attempt in list(self.open.items()):
             if why := attempt.send_blocked_by(self.last_received, self.core.lease):  # it waited too long for this
                 self._return_blocked(id, attempt, why)
-        stale = any(attempt.query.reply.stale for attempt in self.open.values())
-        self.core.timers.call_after_reads(ALWAYS_DEFER if stale else self.limits.late_iteration, self._opened)
+        self.core.timers.call_after_reads(self.limits.late_iteration, self._opened)
 
     def _opened(self) -> None:
         if self.closed:  # lost meanwhile, or what came on it was no answer
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -21,7 +21,7 @@
 
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt, AttemptState, Query
-from rackhub.core.timers import Clock
+from rackhub.core.timers import ALWAYS_DEFER, Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
 from rackhub.net.outgoing import Outgoing
@@ -250,6 +250,9 @@
         if reason := attempt.send_blocked_by(now, self.core.lease):
             self._end(reason)
             return
+        if attempt.query.reply.stale:  # the client's disconnect may be among what is still to be read
+            self.core.timers.call_after_reads(ALWAYS_DEFER, self._call)
+            return
         try:
             body = codec.rpc(PROCEDURE, self._arguments(attempt.query, now))
         except UnicodeEncodeError:  # a statement that is not UTF-8 can't be sent as nvarchar
--- a/tests/test_unread_clients.py
+++ b/tests/test_unread_clients.py
@@ -4,18 +4,31 @@
 its close among it, lies in the kernel. The tests play such orders on real connections with a clock of their own.
 """
 
+import random
+import socket
+
 import pytest
-from stands import LIMITS, MS, Site, Stand, spin
-from test_crossings_requests import Raw, empty, script, turn, turns, wants, warm
+from stands import LIMITS, MS, RespEngine, S, Site, Stand, TdsEngine, spin
+from test_core import Core
+from test_crossings_requests import Raw, answers, empty, script, turn, turns, wants, warm
+from test_gather import Client as GatherClient
+from test_gather import Gateway
 
 from rackhub import interface as t
+from rackhub.core.request import AttemptState, Query
+from rackhub.net.outgoing import Outgoing
 
+GONE_FOR = 100 * MS  # after its client's end no attempt may begin
+BIG_PAGE = b"".join(b"%040d\tb\tc\n" % number for number in range(100))
 RETRY_TIMER = 77
+SMALL_BUFFER = 16_384  # bytes of a socket's buffers, so that a few answers fill them
 
 
 @pytest.fixture
 def site(request):
-    here = Site(Stand(), Stand(), **getattr(request, "param", {}))
+    more = getattr(request, "param", {})
+    protocol = TdsEngine if more.get("tds_engines") else RespEngine
+    here = Site(Stand(protocol), Stand(protocol), **more)
     here.raw = []
     yield here
     for client in here.raw:
@@ -109,3 +122,209 @@
     spin(lambda: turn(site) or len(wants(site)) == 2)
     first, second = ({part for part in words[2].split(b",") if part.startswith(b"max=")} for words in wants(site))
     assert first == second
+
+
+# ---- other ways to the engine
+
+
+class FullSocket:
+    """Connections to an engine whose socket takes nothing until the test says so."""
+
+    def __init__(self, monkeypatch):
+        self.full, send = True, Outgoing.send
+        monkeypatch.setattr(Outgoing, "send", lambda out, data: not self.full and send(out, data))
+
+
+# Guards against an attempt that waits for its socket and leaves as reading goes on, before the client's end is read.
+@pytest.mark.parametrize("site", [{}, {"tds_engines": True}], ids=["resp", "tds"], indirect=True)
+@pytest.mark.parametrize("goes", [True, False])
+def test_an_attempt_behind_a_full_socket_waits_until_its_client_is_read_again(site, monkeypatch, goes):
+    site.stands[0].act = answers
+    script(site, lambda event: [t.Send(event.query, "e0")])
+    Raw(site).ask(0xFFF)  # so that a connection is up
+    spin(lambda: site.counters["served"] == 1)
+    site.stands[0].act = lambda *_: None
+    site.stands[0].heard.clear()
+    client, socket_state = Raw(site), FullSocket(monkeypatch)
+    client.ask(1)
+    spin(lambda: turn(site) or site.core.in_flight)
+    (attempt,) = site.core.in_flight.values()
+    client.served_by.pauseProducing()
+    if goes:
+        client.socket.close()
+    site.clock.advance(120 * MS)  # with the event loop in time
+    client.served_by.resumeProducing()
+    socket_state.full = False
+    (link,) = (link for pool in site.pools.pools.values() for link in pool.links if link.load())
+    link._writable()  # the iteration's events come in this order: the engine's socket first
+    assert wants(site) == [] and attempt.unsent
+    turns(site)
+    spin(lambda: turn(site) or len(wants(site)) == (not goes))
+    turns(site)
+    assert len(wants(site)) == (not goes) and len(site.core.queries) == (not goes)
+
+
+# Guards against held attempts that begin as the endpoint list is confirmed, before their client's end is read.
+@pytest.mark.parametrize("goes", [True, False])
+def test_an_attempt_held_for_the_endpoint_list_waits_until_its_client_is_read_again(goes):
+    here = Core()
+    here.ask()
+    (attempt,) = here.port.sent
+    here.port.sent.clear()
+    attempt.state = AttemptState.PENDING
+    here.core.attempts.gate.hold(attempt)
+    here.port.stale = True
+    here.core.attempts.gate.poll_confirmed(here.clock.now())
+    assert here.port.sent == []
+    if goes:
+        here.core.disconnect_client(attempt.query)
+    here.port.stale = False
+    here.clock.advance(MS)
+    assert here.port.sent == ([] if goes else [attempt])
+
+
+# Guards against parts of a gathered request that begin while its client's end may lie unread.
+def test_the_parts_of_a_gathered_request_begin_only_while_its_client_is_read_from():
+    gateway = Gateway()
+    client = GatherClient()
+    client.reading_paused = True
+    query = Query("1" * 16, "report", b"SELECT 1", gateway.clock.now() + 3 * S, client, tenant="acme")
+    gateway.core.submit(query)
+    gateway.clock.advance(3 * S)
+    assert gateway.engines.out == [] and not gateway.reactor.tcpClients, "neither here nor at another gateway"
+    assert not gateway.core.queries and len(client.said) == 1
+
+
+# Guards against a TDS front that takes a full read for all that there was.
+def test_a_full_read_of_a_tds_client_is_no_proof_that_all_is_read(site):
+    site.tds_client()
+    (connection,) = site.fronts[1].connections
+    connection.stale, connection.stale_since = True, site.clock.now() - S
+    connection.record_read(LIMITS.read)
+    assert connection.stale
+    connection.record_read(LIMITS.read - 1)
+    assert not connection.stale and not connection.stale_since
+
+
+# ---- random orders
+
+
+class SlowReader:
+    """A run of one client that reads in sips and goes at some time, its answers big and its retries many."""
+
+    def __init__(self, site, seed):
+        self.site, self.random = site, random.Random(seed)
+        self.begun, self.gone_at = [], {}
+        for stand in site.stands:
+            stand.act = self.engine
+        self.client = Raw(site)
+        self.client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        self.client.served_by.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        self.client.socket.setblocking(False)
+        self.delayed, self.pages = [], 10
+        self.resumed = 0
+        resume = self.client.served_by.resumeProducing
+
+        def count_and_resume():
+            self.resumed += 1
+            resume()
+
+        self.client.served_by.resumeProducing = count_and_resume
+        script(site, self.send, AttemptCompleted=self.completed, TimerFired=self.timer_fired)
+
+    def send(self, event):
+        return [t.Send(event.query, self.random.choice(["e0", "e1"]))]
+
+    def completed(self, event):
+        if event.settled:
+            return []
+        if event.outcome != "FULL" or event.attempt == 2:
+            return [t.Reject(event.query, 100 * MS)]
+        delay = self.random.choice([0, 5, 20, 40, 90, 160]) * MS
+        return [t.Timer(delay, int(event.query, 16))] if delay else self.send(event)
+
+    def timer_fired(self, event):
+        return [t.Send(f"{event.ref:016x}", self.random.choice(["e0", "e1"]))]
+
+    def engine(self, connection, word, id, *rest):
+        if word == b"turn":
+            connection.say(id, b"chunk", b"at=%d" % int(rest[0]), BIG_PAGE)
+        elif word == b"want":
+            self.begun.append((int(id, 16), self.site.clock.now()))
+            self.delayed.append((connection, id))
+
+    def answer_one(self):
+        connection, id = self.delayed.pop(self.random.randrange(len(self.delayed)))
+        if self.random.random() < 0.4:
+            connection.say(id, b"503")
+        else:
+            connection.say(id, b"200", b"chunks=%d" % self.pages, BIG_PAGE)
+
+    def sip(self):
+        if not self.gone_at.get("close"):
+            try:
+                self.client.socket.recv(self.random.choice([2_000, 20_000, 60_000]))
+            except BlockingIOError:
+                pass
+
+    def go(self, step):
+        if step > 80 and self.random.random() < 0.6:
+            self.gone_at["close"] = self.site.clock.now()
+            self.client.socket.close()
+        else:
+            number = self.random.randrange(1, 17)
+            try:
+                self.client.cancel(number)
+                self.gone_at.setdefault(number, self.site.clock.now())
+            except BlockingIOError:
+                pass
+
+    def fill_or_drain(self):
+        """As the transport says when its buffer fills, or drains, or drains and fills again."""
+        connection = self.client.served_by
+        if connection.reading_stopped:
+            connection.resumeProducing()
+        if not connection.reading_stopped and self.random.random() < 0.6:
+            connection.pauseProducing()
+
+    def run(self):
+        for number in range(1, 17):
+            self.client.ask(number, budget=5_000)
+        for step in range(200):
+            for _ in range(self.random.choice([0, 0, 1, 3])):
+                self.sip()
+            if self.random.random() < 0.2:
+                self.fill_or_drain()
+            if self.delayed and self.random.random() < 0.5:
+                self.answer_one()
+            if self.random.random() < 0.03 and "close" not in self.gone_at:
+                self.go(step)
+            if self.random.random() < 0.6:
+                self.site.clock.time += self.random.choice([1, 3, 8, 15, 25]) * MS
+            for _ in range(self.random.choice([1, 1, 2, 4])):
+                turn(self.site)
+
+    def check(self):
+        for number, at in self.begun:
+            gone_at = min(self.gone_at.get("close", at), self.gone_at.get(number, at))
+            assert at <= gone_at + GONE_FOR, (
+                f"request {number}: an attempt begun {(at - gone_at) // MS} ms after its end"
+            )
+
+
+@pytest.mark.parametrize("first_seed", range(0, 200, 25))
+def test_no_attempt_begins_for_a_gone_slow_reader_in_random_orders(first_seed):
+    resumed = 0
+    for seed in range(first_seed, first_seed + 25):
+        here = Site(Stand(), Stand())
+        here.raw = []
+        try:
+            run = SlowReader(here, seed)
+            run.run()
+            run.check()
+            resumed += run.resumed
+        finally:
+            for client in here.raw:
+                client.socket.close()
+            here.close()
+    assert resumed >= 25, "the clients' buffers fill and drain"
