Read from a TDS client again whose penalty ends while its rows are written

Callers saw: a TDS client that had sent several invalid requests and then a valid one with a large result was never read from again; its next request, its Attention and its close were not seen.

Cause: Client.should_stop_reading holds back a client that does not take its answers, which is right for JSON-RPC. The TDS front writes a page at a time and reads on meanwhile, but asked the same as the penalty ended, and not again once the rows were written. Evidence: 60 s after the last row reading was still stopped.

Change: the TDS front stops reading for invalid requests alone, so that the penalty's end is the only time to ask.

--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -136,7 +136,11 @@
 
     def should_stop_reading(self) -> bool:
         """Whether it is not to be read from now."""
-        return not self.ending and (self.write_blocked_since > 0 or self.core.clock.now() < self.penalty_until)
+        return not self.ending and (self.write_blocked_since > 0 or self.is_penalised())
+
+    def is_penalised(self) -> bool:
+        """Whether it is not read from for its invalid messages."""
+        return self.core.clock.now() < self.penalty_until
 
     def update_reading(self) -> None:
         """Stop reading or go on, as it should be now. Nothing else pauses or resumes the transport."""
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -130,6 +130,10 @@
         if query is not None:
             self.core.disconnect_client(query)
 
+    def should_stop_reading(self) -> bool:
+        """Whether it is not to be read from now: also while rows are written Attention and the end have to show."""
+        return not self.ending and self.is_penalised()
+
     def busy(self) -> bool:
         """Whether a request is running or its result is being written."""
         return self.state in (State.BUSY, State.ROWS)
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -898,10 +898,31 @@
     @invariant()
     def agrees(self):
         assert len(self.core.open) == (self.state == "busy")
+        if self.state in LOGGED_IN:  # its Attention and its end have to show, also while rows are written
+            penalised = self.core.clock.now() < self.connection.penalty_until
+            assert self.connection.reading_stopped == (self.wire.producerState == "paused") == penalised
         assert self.state not in LOGGED_IN or self.connection.state is tds.ClientConnectionState[self.state.upper()]
 
 
 logging.getLogger("rackhub").setLevel(logging.ERROR)
+
+
+# Guards against a TDS client that is never read from again: its penalty ended while its rows were written.
+def test_a_tds_client_whose_penalty_ends_while_its_rows_are_written_is_read_from_again():
+    model = TdsModel()
+    model.begin(logged_in=True, busy=False)
+    for _ in range(LIMITS.free_faults + 1):
+        model.fault(cuts=[], fault=(codec.RPC, codec.rpc("sp_who", {}), 50005))
+    model.request(cuts=[], batch=True)
+    model.answered(how="big", late=False)
+    assert model.state == "rows" and model.connection.reading_stopped
+    model.core.clock.advance(model.connection.penalty_until - model.core.clock.now())
+    model.agrees()
+    while model.state == "rows":
+        model.rows()
+    model.agrees()
+
+
 TestJsonRpc = reaching(JsonRpcModel, STEPS)
 TestResp = reaching(RespModel, STEPS, ["dialling", "up", "lost"])
 TestTds = reaching(
