Take the endpoint list of a reloaded file where it is newer

Callers saw: after SIGHUP with a file that tells of a drain, requests went to the draining engine after its grace while the new resolver was behind.

Cause: a reload took the resolver's address alone; the list under `known` was read and dropped.

Change: a list with a later revision than the one in force is applied, as one of the resolver is, but renews no lease, as it may be older than the file. The resolver's older answers are rejected by the number as before.

--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -25,7 +25,7 @@
 from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.listen import SharedPort
 from rackhub.net.loop import ReactorWaker
-from rackhub.net.platform_source import PlatformSource
+from rackhub.net.platform_source import PlatformSource, ReloadedFile
 from rackhub.net.resp import resp_pools
 from rackhub.net.tds.engine import tds_pools
 from rackhub.net.tds.front import tds_front
@@ -85,7 +85,7 @@
             config.nameserver,
             config.limits,
             self.counters,
-            self._reload_nameserver,
+            self._reread_file,
         )
 
     def _create_coordinator(self) -> Coordinator:
@@ -238,13 +238,13 @@
             if name not in self.components and name in components.RELOADABLE
         }
 
-    def _reload_nameserver(self) -> Address:
-        """The nameserver that the configuration names now; a warning names changes that take a restart."""
+    def _reread_file(self) -> ReloadedFile:
+        """What a reload uses of the configuration; a warning names changes that take a restart."""
         config = self._read_config()
         changed = [name for name in RESTART_FIELDS if getattr(config, name) != getattr(self._file_config, name)]
         if changed:
             log.warning("reload: %s changed too, which takes a restart", ", ".join(changed))
-        return config.nameserver
+        return ReloadedFile(config.nameserver, config.engines)
 
     def print_summary(self) -> None:
         """Print the counters and the components' summaries on standard error."""
--- a/rackhub/net/platform_source.py
+++ b/rackhub/net/platform_source.py
@@ -1,7 +1,7 @@
 """The platform as the source of settings and endpoint lists: its file at the start, then its resolver."""
 
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 from twisted.internet.error import CannotListenError
 
@@ -27,6 +27,13 @@
     return EndpointSnapshot(revision, present, {entry.engine: addresses[entry.engine] for entry in present})
 
 
+class ReloadedFile(NamedTuple):
+    """What a reload uses of the platform's file: the resolver's address, and the endpoint list as the file has it."""
+
+    server: Address
+    endpoints: EndpointSnapshot
+
+
 class PlatformSource:
     """Settings and endpoint lists of the platform: see `core.source.Source`."""
 
@@ -38,11 +45,11 @@
         server: Address,
         limits: Limits,
         counters: Counters,
-        reread: Callable[[], Address],
+        reread: Callable[[], ReloadedFile],
     ):
         """`reactor` provides Twisted's `IReactorUDP` and `IReactorTime`; `server` is the resolver's address.
 
-        `reread` reads and checks the file again and returns the resolver's address; `ValueError` where it is invalid.
+        `reread` reads and checks the file again; `ValueError` where it is invalid.
         """
         self.settings = settings
         self.start = start
@@ -100,7 +107,7 @@
         """Read the file again; one that is invalid, or half written, is logged and changes nothing."""
         self._counters.add("reloads")
         try:
-            server = self._reread()
+            server, endpoints = self._reread()
         except ValueError as invalid:
             self._counters.add("reloads_bad")
             log.error("reload: bad configuration, the old one holds: %s", invalid)
@@ -108,3 +115,4 @@
         log.info("reloaded", resolver=f"{server[0]}:{server[1]}")
         if self._resolver is not None:
             self._resolver.move(server)
+            self._resolver.apply_configured(endpoints)
--- a/rackhub/net/resolver.py
+++ b/rackhub/net/resolver.py
@@ -94,6 +94,16 @@
             self._schedule.server_changed()
             self._poll_after(0)
 
+    def apply_configured(self, snapshot: EndpointSnapshot) -> None:
+        """Apply the list of a reloaded file if it is newer: the resolver may be behind it for a while.
+
+        It confirms nothing: the list may be older than the file.
+        """
+        if snapshot.revision > self._last.revision:
+            self._apply(snapshot)
+            self._last = snapshot
+            self._last_answer = b""
+
     def _poll_after(self, delay: int) -> None:
         """Schedule the next poll, in place of the one scheduled before; `delay` in microseconds."""
         if self._next_poll is not None and self._next_poll.active():
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -22,7 +22,7 @@
 from rackhub.core.source import EndpointSnapshot
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
-from rackhub.net.platform_source import PlatformSource
+from rackhub.net.platform_source import PlatformSource, ReloadedFile
 from rackhub.net.poll_schedule import PollSchedule
 from rackhub.net.resolver import PendingPoll, Resolver
 
@@ -70,6 +70,7 @@
     def __init__(self, desk, start=None, told=None):
         self.time, self.counters, self.lists = Timed(), Counters(), []
         self.moved = desk.address
+        self.configured = start or EndpointSnapshot(3, (), {})
         self.platform = PlatformSource(
             self.time,
             SETTINGS,
@@ -77,7 +78,7 @@
             desk.address,
             LIMITS,
             self.counters,
-            lambda: self.moved,
+            lambda: ReloadedFile(self.moved, self.configured),
         )
         self.platform.follow(told or self.lists.append)
 
--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -15,6 +15,7 @@
 import fcntl
 import io
 import itertools
+import json
 import signal
 import struct
 import termios
@@ -23,6 +24,7 @@
 import pytest
 from real_process import DRAINING, EngineStandIn, ResolverStandIn, Served, frame, read_command, request, until
 from test_config import SETTINGS as SITE
+from test_config import endpoint, notice, told
 
 GRACE = 0.3  # seconds after it was told that an engine drains, in which a process may still send to it
 SMALL = 4_096  # bytes that a socket of a stalled engine takes
@@ -248,3 +250,24 @@
     assert late_wants(drains, drains.drains_at + 1.5 + GRACE) == []
     if told_by_refusals:
         assert served > 50  # the engine that goes on taking requests gets them
+
+
+# Guards against a reload that goes by the resolver's address alone: the new resolver is behind, the file is not.
+def test_a_drain_that_only_the_reloaded_file_tells_of_is_heeded(tmp_path, things):
+    drained, sound = things(EngineStandIn("a").start()), things(EngineStandIn("b").start())
+    resolver = things(ResolverStandIn(drained.entry(), sound.entry()))
+    behind = things(ResolverStandIn(drained.entry(), sound.entry()))
+    process = things(Served(tmp_path, resolver, drained, sound, settings=SETTINGS))
+    client = things(process.client())
+    change = endpoint("a") | {"address": "{}:{}".format(*drained.place), "status": "draining"}
+    notices = [*process.told["known"]["notices"], notice(4, change)]
+    process.told |= {"nameserver": behind.address, "known": {"rev": 4, "notices": notices}}
+    process.file.write_text(json.dumps(told(**process.told)))
+    process.child.send_signal(signal.SIGHUP)
+    until(lambda: behind.answered, "an answer of the new resolver")
+    reloaded_at = time.monotonic()
+    until(lambda: time.monotonic() > reloaded_at + GRACE, "the end of the grace")
+    client.send(*(request(number) for number in range(1, 17)))
+    until(lambda: all(number in client.answers for number in range(1, 17)), "the answers")
+    assert late_wants(drained, reloaded_at + GRACE) == []
+    assert process.lines("list_taken", "rev=4") and process.lines("answer_rejected", "older than the list in force")
