Don't end a client as idle or silent while it writes a message

Callers saw: a client that had rested and then wrote a request in pieces was closed where its idle time, or that for a first message, ended between the pieces; its last byte came too late and the request had no answer.

Cause: Front._end_if_timed_out asked of a begun message only whether its own time was over, then went on to the times of silent and idle clients.

Change: a client that has begun a message is ended by that message's time alone, which bounds it as before.

--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -25,7 +25,7 @@
     garbage_collection_interval: int = 5 * SECOND
     client_connections: int = 400
     client_check_interval: int = 250 * MS  # of the client timeouts below
-    first_message_timeout: int = 1_750 * MS  # from connecting to a first complete message
+    first_message_timeout: int = 1_750 * MS  # from connecting to the first byte of a message
     message_timeout: int = 1_750 * MS  # from the first byte of a message to its last
     client_idle_timeout: int = 5 * SECOND  # with no request open
     crowded_idle_timeout: int = 1 * SECOND  # the same where more than half of the connections are in use
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -121,7 +121,9 @@
             self._abort(client, "clients_lingering")
         elif client.ending:
             return False
-        elif client.incomplete_since and now - client.incomplete_since >= timeouts.half:
+        elif client.incomplete_since:  # it is writing, so it is neither silent nor idle
+            if now - client.incomplete_since < timeouts.half:
+                return False
             self._count_ended(client, "clients_half")
             client.end_with_error("the message did not come whole in time")
         elif client.busy():
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -7,6 +7,7 @@
 import logging
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -817,7 +818,7 @@
         self.core.late = late
         getattr(query.reply, how[0])(query, how[1])
         if how[0] == "served":
-            self.state = "rows"
+            self.state, self.rows_asked_at = "rows", self.core.clock.now()
             self.rows_due = [line.split("\t") for line in b"".join(how[1]).decode().splitlines()]
             return self.rows_are_through()  # a transport asks a new producer at once, and the pages may fill no packet
         (answer,) = self.heard()
@@ -831,6 +832,7 @@
     @rule()
     def rows(self):
         """The client has read what was written: the transport asks for more."""
+        self.rows_asked_at = self.core.clock.now()
         self.connection.resumeProducing()
         self.rows_are_through()
 
@@ -894,6 +896,10 @@
         if self.state in ("prelogin", "login"):
             assert self.wire.aborted  # who does not log in holds no descriptor
             self.state = "closed"
+        elif self.state == "rows":  # nor does who never reads its rows
+            unread_for = self.core.clock.now() - self.rows_asked_at
+            assert self.wire.aborted == (unread_for >= LIMITS.tds_unread)
+            self.state = "closed" if self.wire.aborted else "rows"
 
     @invariant()
     def agrees(self):
@@ -907,6 +913,25 @@
 logging.getLogger("rackhub").setLevel(logging.ERROR)
 
 
+# Guards against a request whose client is cut off as idle or silent while it writes: its last byte comes too late then.
+@pytest.mark.parametrize("spoke", [True, False])
+def test_a_message_that_has_begun_has_its_time_where_the_client_was_about_to_be_ended_as_idle(spoke):
+    model = JsonRpcModel()
+    if spoke:
+        model.alive(cuts=[])
+    for span in [2 * S, 2 * S] if spoke else [S]:
+        model.time(span=span)
+    model.half_a_line(cuts=[])
+    model.time(span=S)  # the idle time, or that for a first message, ends meanwhile
+    assert model.taking
+    model.half_a_line(cuts=[])  # its rest
+    model.agrees()
+    model.half_a_line(cuts=[])
+    model.time(span=2 * S)
+    model.agrees()
+    assert not model.taking, "a message that stays half ends the connection"
+
+
 # Guards against a TDS client that is never read from again: its penalty ended while its rows were written.
 def test_a_tds_client_whose_penalty_ends_while_its_rows_are_written_is_read_from_again():
     model = TdsModel()
