Forget evidence of engines that the endpoint list has outdated

Change: a confirmed list removes what is not newer than it. Such evidence decides nothing: an acceptance before the confirmation allows less than the confirmation does, a rejection before it is not looked at.

Measured: the new test compares the lease with one that keeps all over 12,000 random steps, same answers; it failed before, as evidence was left.

--- a/rackhub/core/lease.py
+++ b/rackhub/core/lease.py
@@ -49,6 +49,9 @@
         """Renew the lease: the list holds all that had happened when the poll started."""
         self._confirmed_at = max(self._confirmed_at, started_at)
         self._waiting_since = None
+        for evidence in (self._accepted_at, self._rejected_at):  # older evidence than the list says nothing more
+            for engine in [engine for engine, at in evidence.items() if at <= self._confirmed_at]:
+                del evidence[engine]
 
     def standing(self, now: int) -> Standing:
         """Whether the list may be relied on at `now`."""
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,5 +1,7 @@
 """The lease on the list of engines: when it holds, when an answer is to be waited for, when it is over."""
 
+import random
+
 import pytest
 from msgspec.structs import replace
 
@@ -88,3 +90,36 @@
     here.engine_rejected("a", S)
     here.poll_confirmed(2 * S)
     assert here.allows("a", 2 * S + PROMPT)
+
+
+# Guards against evidence that is kept of every engine ever listed, and so grows with their number.
+def test_evidence_of_engines_is_forgotten_once_the_list_is_newer_and_changes_no_answer():
+    draw = random.Random(1)
+    for _ in range(200):
+        kept, forgotten = lease(), lease()
+        forget = forgotten.poll_confirmed
+        kept.poll_confirmed = lambda at, kept=kept: confirm_only(kept, at)
+        now = 0
+        for _ in range(60):
+            now += draw.randrange(400 * MS)
+            engine, step = f"e{draw.randrange(4)}", draw.randrange(4)
+            for one in (kept, forgotten):
+                if step == 0:
+                    one.engine_accepted(engine, max(now - 100 * MS, 0))
+                elif step == 1:
+                    one.engine_rejected(engine, now)
+                elif step == 2:
+                    one.poll_started(now)
+                else:
+                    one.poll_confirmed(max(now - 50 * MS, 0))
+            engines = [f"e{number}" for number in range(4)]
+            assert kept.standing(now) is forgotten.standing(now)
+            assert [kept.allows(each, now) for each in engines] == [forgotten.allows(each, now) for each in engines]
+        forget(now)
+        assert not forgotten._accepted_at and not forgotten._rejected_at
+
+
+def confirm_only(kept, at):
+    """As `poll_confirmed`, with all evidence kept."""
+    kept._confirmed_at = max(kept._confirmed_at, at)
+    kept._waiting_since = None
