--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -271,3 +271,18 @@
     until(lambda: all(number in client.answers for number in range(1, 17)), "the answers")
     assert late_wants(drained, reloaded_at + GRACE) == []
     assert process.lines("list_taken", "rev=4") and process.lines("answer_rejected", "older than the list in force")
+
+
+# Guards against requests after the grace to an engine that drains and goes on taking them while nothing is heard of it.
+def test_an_engine_that_drains_in_a_silence_and_takes_requests_gets_nothing_after_the_grace(tmp_path, things):
+    drains, sound = things(EngineStandIn("a").start()), things(EngineStandIn("b").start())
+    resolver = things(ResolverStandIn(drains.entry(), sound.entry()))
+    process = things(Served(tmp_path, resolver, drains, sound, settings=SETTINGS))
+    client = things(process.client())
+    numbers = itertools.count(1)
+    until(lambda: was_served(client, next(numbers)) and not drains.wants.empty(), "service by both engines")
+    resolver.silent = True  # it answers, and the answer is lost: told of the drain all the same
+    told_at = time.monotonic() + 1.5
+    while time.monotonic() < told_at + GRACE + 1.5:
+        was_served(client, next(numbers))
+    assert late_wants(drains, told_at + GRACE) == []
