--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,8 @@
 One of those that passes fails the run, and so does one that is gone.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any
 
 import fixed_draws
 import known_red
@@ -26,3 +27,17 @@
             item.add_marker(pytest.mark.xfail(reason=f"{entry.seen} ({entry.issue}; {entry.command})", strict=True))
         elif not (config.rootpath / file).exists() or file in files and not config.args[0].count("::"):
             raise pytest.UsageError(f"KNOWN-RED.txt: there is no test {entry.test}")
+
+
+@pytest.fixture
+def things() -> Iterator[Callable[[Any], Any]]:
+    """Closes what a test hands to it at the test's end, the last one first."""
+    made: list[Any] = []
+
+    def keep(thing: Any) -> Any:
+        made.append(thing)
+        return thing
+
+    yield keep
+    for thing in reversed(made):
+        thing.close()
--- a/tests/test_distribution_voter.py
+++ b/tests/test_distribution_voter.py
@@ -257,8 +257,8 @@
     assert stand.net.nodes["v2"].counts["distribution_catch_ups"] == 0
 
 
-def test_a_voter_that_missed_what_the_register_no_longer_has_takes_it_from_another_one():
-    stand = Stand()
+def catch_up_to_revision_7(stand):
+    """v2 is away for so many edits that it takes a snapshot of another voter."""
     stand.edit("e1", 0, a=1)
     stand.wait(lambda: stand.processes["v2"].version == 1)
     stand.kill("v2")
@@ -268,6 +268,11 @@
     stand.restart("v2")
     stand.wait(lambda: stand.processes["v2"].version == 7)
     assert stand.net.nodes["v2"].counts["distribution_catch_ups"] == 1
+
+
+def test_a_voter_that_missed_what_the_register_no_longer_has_takes_it_from_another_one():
+    stand = Stand()
+    catch_up_to_revision_7(stand)
     assert stand.content("v2") == {"p": {"a": 7}} and stand.parts["v2"].held[-1] == (7, {"a": 7})
     with pytest.raises(NotKept, match="revision 3 is not kept here: there are 7 to 7"):
         stand.ask("v2", "e9", 3, parts={"p": {"a": 9}})
@@ -478,15 +483,7 @@
 # Guards against a lost history after a catch-up from another voter: it begins anew and is stored from there on.
 def test_a_voter_that_caught_up_by_a_snapshot_keeps_its_new_history_over_a_restart():
     stand = Stand()
-    stand.edit("e1", 0, a=1)
-    stand.wait(lambda: stand.processes["v2"].version == 1)
-    stand.kill("v2")
-    for number in range(2, 8):
-        stand.edit(f"e{number}", number - 1, a=number)
-        stand.wait(lambda number=number: stand.processes["v0"].replication.replicated() == number)
-    stand.restart("v2")
-    stand.wait(lambda: stand.processes["v2"].version == 7)
-    assert stand.net.nodes["v2"].counts["distribution_catch_ups"] == 1
+    catch_up_to_revision_7(stand)
     assert not list(stand.disks["v2"].scan("distribution/history/")), "of before the snapshot nothing is known"
     stand.net.time.run(2 * SECOND)
     stand.edit("e8", 7, "v2", a=8)
--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -92,19 +92,6 @@
     return late
 
 
-@pytest.fixture
-def things():
-    made = []
-
-    def keep(thing):
-        made.append(thing)
-        return thing
-
-    yield keep
-    for thing in reversed(made):
-        thing.close()
-
-
 @pytest.mark.parametrize("plant", [SMALL_SOCKETS, ""], ids=["small sockets", "usual sockets"])
 def test_nothing_reaches_an_engine_that_drains_after_the_grace(tmp_path, things, plant):
     stalled, sound = things(StalledEngine("a")), things(EngineStandIn("b").start())
--- a/tests/test_momentary_faults.py
+++ b/tests/test_momentary_faults.py
@@ -21,19 +21,6 @@
 """
 
 
-@pytest.fixture
-def things():
-    made = []
-
-    def keep(thing):
-        made.append(thing)
-        return thing
-
-    yield keep
-    for thing in reversed(made):
-        thing.close()
-
-
 @pytest.mark.parametrize(
     "call, number",
     [
