--- a/rackhub/fleet/distribution/applying.py
+++ b/rackhub/fleet/distribution/applying.py
@@ -63,6 +63,7 @@
         return _key_faults(faults)
 
     def key_faults(self) -> tuple[KeyFault, ...]:
+        """The keys whose wanted value is not in force, with the reason, in order of key."""
         return _key_faults(self.faults)
 
     # ---- one part after the other
--- a/rackhub/fleet/distribution/catching_up.py
+++ b/rackhub/fleet/distribution/catching_up.py
@@ -33,8 +33,14 @@
         limits: Limits,
         taken: Callable[[Apply, Revision], None],
     ):
-        self._fleet, self._identity, self._inbox = fleet, identity, inbox
-        self._store, self._history, self._learner, self._limits, self._taken = store, history, learner, limits, taken
+        self._fleet = fleet
+        self._identity = identity
+        self._inbox = inbox
+        self._store = store
+        self._history = history
+        self._learner = learner
+        self._limits = limits
+        self._taken = taken
         self._endpoint: Endpoint | None = None
         self._wanted: Revision = 0
         self._boot = identity.boot
@@ -42,6 +48,7 @@
 
     @property
     def running(self) -> bool:
+        """Whether changes are being fetched from another voter."""
         return self._endpoint is not None
 
     def begin(self, wanted: Revision) -> None:
@@ -60,6 +67,7 @@
         self._endpoint.start()
 
     def stop(self) -> None:
+        """End the catch-up; what was stored of it stays."""
         if self._endpoint is not None:
             self._endpoint.stop()
         self._endpoint = None
--- a/rackhub/fleet/distribution/coordinator.py
+++ b/rackhub/fleet/distribution/coordinator.py
@@ -38,10 +38,12 @@
 
     @property
     def held(self) -> Held:
+        """The entries on the disk, with their revision."""
         return self._watcher.held
 
     @property
     def upstream(self) -> str:
+        """The relay that is watched; empty while there is none."""
         return self._watcher.upstream or ""
 
     @property
@@ -51,9 +53,11 @@
 
     @property
     def damage(self) -> str:
+        """What of the disk could not be read; empty where all could."""
         return self._store.damage
 
     def part(self, name: str, part: RulePart) -> None:
+        """Register the component that takes the rules of this name; before `start`."""
         self._keys.parts[name] = part
 
     def start(self) -> None:
@@ -63,9 +67,11 @@
         self._endpoint.start()
 
     def stop(self) -> None:
+        """Watch no longer; the rules in force stay."""
         self._endpoint.stop()
 
     def figures(self) -> dict[str, float]:
+        """The metrics, by name."""
         return {
             "distribution_revision": float(self.version),
             "distribution_held": float(self.held.revision),
--- a/rackhub/fleet/distribution/decisions.py
+++ b/rackhub/fleet/distribution/decisions.py
@@ -36,6 +36,7 @@
 
     @property
     def newest(self) -> Revision:
+        """The revision of the last change."""
         return self.settled + len(self.changes)
 
 
@@ -86,6 +87,7 @@
 
 
 def encode_tail(tail: Tail) -> bytes:
+    """The register's value that holds the tail."""
     return _encode(tail)
 
 
--- a/rackhub/fleet/distribution/editor.py
+++ b/rackhub/fleet/distribution/editor.py
@@ -56,8 +56,12 @@
         proposer: Proposer,
         ask_zones: Callable[[CheckAsked], None],
     ):
-        self._learner, self._history, self._keys = learner, history, keys
-        self._replication, self._proposer, self._ask_zones = replication, proposer, ask_zones
+        self._learner = learner
+        self._history = history
+        self._keys = keys
+        self._replication = replication
+        self._proposer = proposer
+        self._ask_zones = ask_zones
         self._checking: dict[int, _Planned] = {}
         self._last_mark = 0
 
@@ -92,6 +96,7 @@
         new_log = secrets.token_hex(LOG_BYTES)
 
         def propose(value: bytes | None) -> tuple[bytes | None, Any]:
+            """The register's next value, and the tail or the refusal that it means."""
             tail = decode_tail(value) if value is not None else self._first_tail(new_log)
             try:
                 after = self._appended(tail, planned)
--- a/rackhub/fleet/distribution/history.py
+++ b/rackhub/fleet/distribution/history.py
@@ -72,7 +72,10 @@
     def begin_anew(self, newest: Revision) -> dict[str, bytes | None]:
         """A snapshot came: nothing before it is known. Returns what is to be written along with it."""
         dropped = [*self._doomed, *map(_key, self._past)]
-        self._past, self._sizes, self._doomed, self.newest = {}, {}, [], newest
+        self._past = {}
+        self._sizes = {}
+        self._doomed = []
+        self.newest = newest
         return dict.fromkeys(dropped)
 
     def since(self, revision: Revision) -> list[Past]:
@@ -82,9 +85,11 @@
         return [self._past[number] for number in range(revision + 1, self.newest + 1)]
 
     def newest_first(self) -> Iterable[Past]:
+        """All changes that are kept, the last one first."""
         return reversed(self.since(self.oldest))
 
     def by_id(self, id: str) -> Past | None:
+        """The change of the edit with that id, as far as it is kept."""
         return next((past for past in self.newest_first() if past.change.id == id), None)
 
     def _unbroken(self) -> dict[Revision, Past]:
--- a/rackhub/fleet/distribution/learning.py
+++ b/rackhub/fleet/distribution/learning.py
@@ -29,7 +29,10 @@
         tally: Callable[[str, int], None],
     ):
         self._store, self._history = store, history
-        self._begun, self._decided, self._gap, self._tally = begun, decided, gap, tally
+        self._begun = begun
+        self._decided = decided
+        self._gap = gap
+        self._tally = tally
         held = store.held
         self.log: LogId = held.log
         self.revision: Revision = held.revision
@@ -38,6 +41,7 @@
         self._waiting: list[tuple[Revision, Callable[[], None]]] = []
 
     def values(self) -> dict[str, bytes]:
+        """The value of each key as last learned, durable or not."""
         return {key: entry.value for key, entry in self.entries.items() if entry.value is not None}
 
     def learn_tail(self, tail: Tail) -> None:
--- a/rackhub/fleet/distribution/store.py
+++ b/rackhub/fleet/distribution/store.py
@@ -106,7 +106,9 @@
         log.error("fleet: %s; all of it is dropped and fetched anew", self.damage)
         doomed = [self._head_key, self._fallback_key, *(key for key, _ in self._disk.scan(self._entry_prefix))]
         self._disk.write(dict.fromkeys(doomed), lambda: None)
-        self._keys, self.fallback, self.misplaced_history = set(), {}, {}
+        self._keys = set()
+        self.fallback = {}
+        self.misplaced_history = {}
         self.held = Held()
 
 
--- a/rackhub/fleet/distribution/voter.py
+++ b/rackhub/fleet/distribution/voter.py
@@ -68,17 +68,7 @@
             self._store, self.history, self._endpoint.hand, self._learned, self._catch_up, fleet.tally
         )
         self._keys = RuleKeys(self.learner.values(), self._store.fallback)
-        others = tuple(Node(name, Role.VOTER) for name in voters if name != identity.name)
-        self._catching_up = CatchUp(
-            fleet,
-            _as_watcher(identity, others),
-            self.inbox,
-            self._store,
-            self.history,
-            self.learner,
-            limits,
-            self._caught_up,
-        )
+        self._catching_up = self._new_catch_up(identity, voters, limits)
         self.register_voter = AcceptorShell(fleet, voters, disk, identity.boot, REGISTER)
         self._proposer = Proposer(fleet, voters, identity.boot, self.register_voter, REGISTER)
         self.replication = Replication(
@@ -96,6 +86,19 @@
         self._ended = False
         self._refused: dict[Name, tuple[KeyFault, ...]] = {}  # by the relay that last reported them
 
+    def _new_catch_up(self, identity: Identity, voters: tuple[Name, ...], limits: Limits) -> CatchUp:
+        others = tuple(Node(name, Role.VOTER) for name in voters if name != identity.name)
+        return CatchUp(
+            self._fleet,
+            _as_watcher(identity, others),
+            self.inbox,
+            self._store,
+            self.history,
+            self.learner,
+            limits,
+            self._caught_up,
+        )
+
     @property
     def version(self) -> Revision:
         """The newest revision on the disk here."""
@@ -107,9 +110,11 @@
         return "; ".join(filter(None, (self._store.damage, self.history.damage, self.register_voter.damage)))
 
     def part(self, name: str, part: RulePart) -> None:
+        """Register the component that takes the rules of this name; before `start`."""
         self._keys.parts[name] = part
 
     def start(self) -> None:
+        """Put in force what the disk has, then vote, learn and serve."""
         self._keys.start(self.version)
         self.inbox.start()
         self._endpoint.start()
@@ -119,6 +124,7 @@
         self.replication.start()
 
     def stop(self) -> None:
+        """Vote, learn and serve no longer; further edits are rejected."""
         self._ended = True
         self.replication.stop()
         self._catching_up.stop()
@@ -138,6 +144,7 @@
         self._editor.edit(request, done)
 
     def status(self, revision: Revision | None = None) -> FleetStatus:
+        """How far the fleet has that revision in force; None: the newest."""
         return self._source.status(self._fleet.clock.now(), revision)
 
     def refused_keys(self) -> list[KeyFault]:
@@ -145,6 +152,7 @@
         return sorted({fault for faults in self._refused.values() for fault in faults}, key=lambda fault: fault.key)
 
     def figures(self) -> dict[str, float]:
+        """The metrics, by name."""
         status = self.status()
         return {
             "distribution_revision": float(self.version),
