--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -475,6 +475,7 @@
         self.operator_port = 0
         self.process: asyncio.subprocess.Process | None = None
         self.extra_arguments = ""
+        self.limits: dict[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.config_path = folder / f"{name}.json"
         self.tmpdir = folder / f"{name}.tmp"
         self.log_path = folder / f"{name}.log"
@@ -485,7 +486,7 @@
             "name": self.name,
             "listen": f"127.0.0.1:{self.port}",
             "seed": secrets.token_hex(8),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": self.limits,
             "nameserver": f"127.0.0.1:{self.resolver.port}",
             "known": self.resolver.known(),
             "settings": self.tree,
