--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A site that allows second copies and rations further attempts: do second copies keep within the ration."""
+"""An engine drains while the resolver's answers are lost for 3 s: does it get new work after the grace."""
 
 import asyncio
 import time
@@ -14,111 +14,107 @@
     Record,
     Resolver,
     disrupted,
+    request_class,
     run_case,
     settings,
 )
 
-FREE_RESENDS = 3.0
-REPEAT_RATIO = 0.05
-COUNTED_OVER = 10.0  # seconds
+ENGINES = 4  # one of them drains: a quarter
+DRAIN_AT = 6.0  # seconds after the first request
+LOST_FOR = 3.0  # seconds in which no answer of the resolver comes: the page's limit
+TOLD_AFTER = 1.5  # seconds after an event at which it counts as told at the latest
+GRACE = 1.0  # seconds: `StopSendingWithin` of the site
 SLACK = 0.05  # seconds: each time limit is longer by this on sockets
-BUDGET = 3.0  # seconds: the deadline of the site's class `lookup`
-ENGINES = 5
-WORK = 0.06  # seconds that an engine takes for a lookup
-SLOWED = 9.0  # times slower, of 2.6 to 9.9 on the page; one engine of five is 20% of them
-SLOW_AT, SLOW_FOR = 4.0, 20.0  # seconds, of 11 to 32 on the page
-SENDING = 26.0
-USUAL_CLIENTS = 5
-INTERVAL = 0.2  # seconds between two lookups of one client
+CUTOFF = TOLD_AFTER + GRACE + SLACK  # seconds after the event: the latest that the pages allow
+LOAD_WORK, LOOKUP_WORK = 0.9, 0.1  # seconds that an engine takes
+ENDS_AFTER = CUTOFF + LOAD_WORK + 0.05  # seconds after the event: all that came in time is done then
+SENDING = 12.0
+CLASSES = [request_class("lookup", "retryable", 3 * SECOND), request_class("load", "fragile", 5 * SECOND)]
+BUDGETS = {"lookup": 3.0, "load": 5.0}
+INTERVALS = {"lookup": 0.1, "load": 0.2}  # seconds between two requests of one client
+CLIENTS_OF_A_CLASS = 3
 STATEMENT = b"SELECT name FROM trips_3.docks"
-OPERATOR_FILE = """
-[[timings.route]]
-class = "lookup"
-second_copy = { after_ms = 150, most_share = 0.2 }
-"""
 
 
-class SlowableEngine(Engine):
-    """An engine whose work can be slowed."""
-
-    times_slower = 1.0
+class WorkingEngine(Engine):
+    """An engine whose work takes its time by class. While it drains it takes work, as not all may have been told."""
 
     async def serve_at_once(self, attempt: Attempt) -> None:
         """Serve after the work's time."""
-        await asyncio.sleep(WORK * self.times_slower)
+        await asyncio.sleep(LOAD_WORK if attempt.fields["profile"] == "load" else LOOKUP_WORK)
         self.answer(attempt)
 
 
-async def _usual_client(client: Client) -> None:
+async def _usual_client(client: Client, cls: str) -> None:
     until = time.time() + SENDING
     while time.time() < until:
-        client.call("lookup", STATEMENT, BUDGET)
-        await asyncio.sleep(INTERVAL)
-
-
-async def _slow_engine(record: Record, engine: SlowableEngine) -> None:
-    await asyncio.sleep(SLOW_AT)
-    if disrupted():
-        record.line(f"{engine.name} is {SLOWED} times slower for {SLOW_FOR} s")
-        engine.times_slower = SLOWED
-        await asyncio.sleep(SLOW_FOR)
-        engine.times_slower = 1.0
-        record.line(f"{engine.name} is as fast as before")
+        client.call(cls, STATEMENT, BUDGETS[cls])
+        await asyncio.sleep(INTERVALS[cls])
+
+
+async def _replace_engine(record: Record, resolver: Resolver, engine: Engine) -> float:
+    """Let the engine drain, lose the resolver's answers for the page's time, end the engine; return when it began."""
+    await asyncio.sleep(DRAIN_AT)
+    resolver.losing = disrupted()
+    engine.status = "draining"
+    resolver.changed(f"{engine.name} drains")
+    began = time.time()
+    await asyncio.sleep(LOST_FOR)
+    resolver.losing = False
+    record.line("resolver: its answers arrive")
+    await asyncio.sleep(max(began + ENDS_AFTER - time.time(), 0))
+    record.line(f"{engine.name} ends: all that came in time is done")
+    engine.stop()
+    engine.status = "gone"
+    resolver.changed(f"{engine.name} is gone")
+    return began
 
 
 async def _case(record: Record, folder: Path) -> int:
     resolver = Resolver(record)
     await resolver.start()
-    engines = [SlowableEngine(record, f"s-{number}") for number in range(ENGINES)]
-    resolver.engines = list(engines)
-    for engine in engines:
+    resolver.engines = [WorkingEngine(record, f"s-{number}") for number in range(ENGINES)]
+    for engine in resolver.engines:
         await engine.start()
-    ration = {"FreeResends": FREE_RESENDS, "RepeatRatio": REPEAT_RATIO, "CountedOver": int(COUNTED_OVER * SECOND)}
-    tree = settings(Permissions={"SecondCopies": True}, Obligations=ration)
-    operator_file = folder / "operator.toml"
-    operator_file.write_text(OPERATOR_FILE)
-    coordinator = Coordinator(record, folder, "n1", resolver, tree)
-    coordinator.extra_arguments = f" --operator {operator_file}"
+    family = {"Dop": [1, 1], "HoldsTables": [False, False], "BlockedByLoads": [False, False]}
+    coordinator = Coordinator(record, folder, "n1", resolver, settings(CLASSES, FamilyInfo=family))
+    drained = resolver.engines[0]
     try:
         await coordinator.start()
         clients = [
-            await Client(record, coordinator.port, f"client {number}").connect() for number in range(USUAL_CLIENTS)
+            (await Client(record, coordinator.port, f"{cls} client {number}").connect(), cls)
+            for cls in BUDGETS
+            for number in range(CLIENTS_OF_A_CLASS)
         ]
-        await asyncio.gather(_slow_engine(record, engines[0]), *(_usual_client(client) for client in clients))
-        await asyncio.sleep(BUDGET)
+        sending = [asyncio.create_task(_usual_client(client, cls)) for client, cls in clients]
+        began = await _replace_engine(record, resolver, drained)
+        await asyncio.gather(*sending)
+        await asyncio.sleep(max(BUDGETS.values()))
     finally:
         await coordinator.kill()
-        for engine in engines:
+        for engine in resolver.engines:
             engine.stop()
         resolver.close()
-    calls = [call for client in clients for call in client.calls.values()]
-    return _judge(record, calls, [attempt for engine in engines for attempt in engine.attempts])
-
-
-def _judge(record: Record, calls: list[Call], attempts: list[Attempt]) -> int:
-    """Compare the further attempts of each period with the ration; the slack favours the program."""
-    seen: set[str] = set()
-    further: list[float] = []
-    for attempt in sorted(attempts, key=lambda each: each.came):
-        if attempt.id in seen:
-            further.append(attempt.came)
-        seen.add(attempt.id)
-    worst, broken = "no further attempt", 0
-    most_over = float("-inf")
-    for at in further:
-        counted = sum(at - COUNTED_OVER + SLACK < each <= at for each in further)
-        taken = sum(at - COUNTED_OVER - SLACK < call.sent <= at for call in calls)
-        allowed = FREE_RESENDS + REPEAT_RATIO * taken
-        broken += counted > allowed
-        if counted - allowed > most_over:
-            most_over = counted - allowed
-            worst = f"{counted} further attempts in {COUNTED_OVER:g} s, {taken} requests taken, {allowed:.2f} allowed"
-    answered = sum(len(call.answers) == 1 for call in calls)
-    summary = f"{len(calls)} lookups, {answered} answered once; {len(further)} further attempts; worst: {worst}"
+    calls = [call for client, _ in clients for call in client.calls.values()]
+    return _judge(record, calls, drained, began)
+
+
+def _judge(record: Record, calls: list[Call], drained: Engine, began: float) -> int:
+    late = [attempt for attempt in drained.attempts if attempt.came > began + CUTOFF]
+    answers = {call.rid: call.kind for call in calls}
+    for attempt in late:
+        record.line(
+            f"LATE {attempt.id} {attempt.fields['profile']} came {attempt.came - began:.3f} s after the event, "
+            f"{attempt.how}; its client: {answers.get(attempt.id)}"
+        )
+    failed = sum(attempt.fields["profile"] == "load" and answers.get(attempt.id) == "failed" for attempt in late)
+    summary = (
+        f"{len(calls)} requests; {len(late)} sent to the draining engine later than {CUTOFF:.2f} s after the event; "
+        f"{failed} of them loads that ended with it and were answered as failed"
+    )
     record.line(summary)
-    record.line(f"{broken} further attempts were over the ration")
-    print(f"{summary}; {broken} over the ration")
-    return 1 if broken else 0
+    print(summary)
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -159,14 +159,14 @@
 
 
 class Resolver(asyncio.DatagramProtocol):
-    """Answers the SRV query with the list of `engines`; `silent` drops all queries, as a resolver that is down."""
+    """Answers the SRV query with the list of `engines`. While `losing` is set, its answers are lost on the way."""
 
     def __init__(self, record: Record):
         self.record = record
         self.engines: list[Engine] = []
         self.revision = 1
-        self.silent = False
-        self.answered_at = 0.0  # time of the last answer
+        self.losing = False
+        self.sent_at: dict[int, float] = {}  # revision -> time at which an answer with it was first sent
         self.port = 0
         self._transport: Any = None
 
@@ -187,10 +187,14 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Answer a query (asyncio)."""
-        if self.silent or len(data) < 12:
+        if len(data) < 12:
             return
-        self._transport.sendto(self._answer(data), addr)
-        self.answered_at = time.time()
+        answer = self._answer(data)
+        if self.revision not in self.sent_at:
+            self.sent_at[self.revision] = time.time()
+            self.record.line(f"resolver: first answer with revision {self.revision}, lost: {self.losing}")
+        if not self.losing:
+            self._transport.sendto(answer, addr)
 
     def _answer(self, query: bytes) -> bytes:
         listed = [engine for engine in self.engines if engine.status != "gone"]
