Review: an interrupted case ends what it started

Cause: SIGTERM ended a script before its clean-up: case 1, cut off after 8 s, left its coordinator running. Change: SIGTERM and SIGINT cancel the case, whose clean-up then runs; case 2 ends its bad clients in any event.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -60,9 +60,15 @@
         )
         for _ in range(BAD_PROCESSES)
     ]
-    for process in started:
-        said, _ = await process.communicate()
-        record.line(f"bad clients: {said.decode().strip() or 'ended by the loss of the coordinator'}")
+    try:
+        for process in started:
+            said, _ = await process.communicate()
+            record.line(f"bad clients: {said.decode().strip() or 'ended by the loss of the coordinator'}")
+    finally:
+        for process in started:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
 
 
 async def _case(record: Record, folder: Path) -> int:
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -563,6 +563,10 @@
 
 
 async def _with_folder(case: Callable[[Record, Path], Any], record: Record) -> int:
+    running = asyncio.current_task()
+    assert running is not None
+    for number in (signal.SIGTERM, signal.SIGINT):  # an interrupted case ends what it started, too
+        asyncio.get_running_loop().add_signal_handler(number, running.cancel)
     folder = Path(tempfile.mkdtemp(prefix="rackhub-review-"))
     try:
         return int(await case(record, folder))
@@ -580,6 +584,9 @@
     record = Record(folder / "record.txt")
     try:
         status = asyncio.run(_with_folder(case, record))
+    except asyncio.CancelledError:
+        record.line("the case was interrupted")
+        status = 2
     except Exception as error:  # noqa: BLE001 - whatever fails here says nothing about the rule
         record.line(f"the case could not run: {error!r}")
         status = 2
