Scan a statement in time that is in proportion to its length

Cause: the pattern for quoted names in rackhub/statement.py read to the end of the statement at each open bracket, found no end of the name and went back, in the square of the length. Two more of the kind in the same module: dense statements were linear but took 65 ms for 48,000 bytes, over the 50 ms at which new requests are shed; a schema's number of over 4,300 digits raised ValueError in int(), which closed the connection with its open requests unanswered.

Change: possessive patterns, which never read a byte twice; a quote without an end extends to the end of the statement; at most 8,192 tokens are scanned; a number of over 18 digits is no group.

Evidence: tests/test_input_cost.py compares processor time at 4,000 and 32,000 bytes.

--- a/rackhub/statement.py
+++ b/rackhub/statement.py
@@ -3,25 +3,31 @@
 Strings, comments and quotes are recognised, so that 'x_3.y' in a string or a commented-out clause does not select a
 wrong group. This runs for every request: most statements have no quoted names or block comments and take two regular
 expression searches; the others are scanned token by token.
+
+Statements come from clients and need not be valid SQL. The time is linear in their length: the patterns are possessive,
+so that they never read the same bytes again, and a quote or bracket without an end extends to the end of the statement.
 """
 
 import re
 
-NAME = rb"""(?:[A-Za-z_][\w$#]*|"(?:[^"]|"")*"|\[(?:[^\]]|\]\])*\]|`[^`]*`)"""
+NAME = rb"""(?:[A-Za-z_][\w$#]*+|"(?:[^"]++|"")*+(?:"|\Z)|\[(?:[^\]]++|\]\])*+(?:\]|\Z)|`[^`]*+(?:`|\Z))"""
 TOKEN = re.compile(
     rb"""
-    (?P<skip>--[^\n]* | '(?:[^']|'')*(?:'|\Z))
+    (?P<skip>--[^\n]*+ | '(?:[^']++|'')*+(?:'|\Z))
   | (?P<open>/\*)
   | (?P<comma>,)
-  | (?P<dotted>(?<![\w$\#.])NAME(?:\s*\.\s*NAME)+)
+  | (?P<dotted>(?<![\w$\#.])NAME(?:\s*+\.\s*+NAME)++)
   | (?P<word>(?<![\w$\#.])NAME)
 """.replace(b"NAME", NAME.replace(b"#", rb"\#")),
     re.X | re.S,
 )
 NAME_PART = re.compile(NAME)
 COMMENT_DELIMITER = re.compile(rb"/\*|\*/")
-GROUP = re.compile(rb".*_([0-9]+)\Z", re.S)
-STRING_OR_LINE_COMMENT = re.compile(rb"'(?:[^']|'')*'|--[^\n]*")
+MAX_GROUP_DIGITS = 18  # a longer number is no group of tables; the result fits into 64 bits
+GROUP = re.compile(rb".*_([0-9]{1,%d})\Z" % MAX_GROUP_DIGITS, re.S)
+# At most this many names, strings and comments of a statement are scanned, which bounds the time of one request.
+MAX_SCANNED_TOKENS = 8_192
+STRING_OR_LINE_COMMENT = re.compile(rb"'(?:[^']++|'')*+(?:'|\Z)|--[^\n]*+")
 QUOTE_OR_BLOCK_COMMENT = re.compile(rb"""['"\[`]|/\*""")
 TABLE = re.compile(
     rb"\b(?:FROM|JOIN|INTO|UPDATE|TABLE|USING)\s+"
@@ -56,7 +62,10 @@
     is_table_position = False
     is_table_list = False
     position = 0
-    while found := TOKEN.search(statement, position):
+    for _ in range(MAX_SCANNED_TOKENS):
+        found = TOKEN.search(statement, position)
+        if found is None:
+            break
         position, kind = found.end(), found.lastgroup
         if kind == "word":
             word = found.group().upper()
@@ -72,10 +81,22 @@
                 first_group = int(match[1]) if first_group is None else first_group
             is_table_position = False
         elif kind == "open":
-            depth = 1  # comments may be nested
-            while depth and (mark := COMMENT_DELIMITER.search(statement, position)):
-                depth += 1 if mark.group() == b"/*" else -1
-                position = mark.end()
-            if depth:
-                return first_group
+            position = end_of_comment(statement, position)
     return first_group
+
+
+def end_of_comment(statement: bytes, position: int) -> int:
+    """Return the position behind the end of a block comment, in which `position` is. Comments may be nested.
+
+    A comment without an end, or with more than `MAX_SCANNED_TOKENS` comments in it, extends to the statement's end.
+    """
+    depth = 1
+    for _ in range(MAX_SCANNED_TOKENS):
+        mark = COMMENT_DELIMITER.search(statement, position)
+        if mark is None:
+            break
+        position = mark.end()
+        depth += 1 if mark.group() == b"/*" else -1
+        if not depth:
+            return position
+    return len(statement)
--- /dev/null
+++ b/tests/test_input_cost.py
@@ -0,0 +1,64 @@
+"""The work on a peer's input grows at most in proportion to its length, whatever the input is.
+
+A statement of 48,000 open brackets stopped a process: the pattern for quoted names read to the end of the statement at
+each bracket and found no end of the name. No client got an answer for over 30 s, 136 of 200 lookups among them. Work is
+measured as processor time of the thread at two lengths; quadratic work grows `GROWTH` times more than linear work.
+"""
+
+import time
+
+import pytest
+
+from rackhub.statement import MAX_GROUP_DIGITS, MAX_SCANNED_TOKENS, table_group
+
+SMALL, GROWTH = 4_000, 8  # bytes of the shorter input; ratio of the two lengths
+MAX_RATIO = 2 * GROWTH  # linear work has a ratio of `GROWTH`, quadratic work of its square
+
+
+def processor_time(work):
+    """Return the least processor time of several calls, in nanoseconds."""
+    spent = []
+    for _ in range(5):
+        began = time.thread_time_ns()
+        work()
+        spent.append(time.thread_time_ns() - began)
+    return min(spent)
+
+
+def assert_linear(work_on, small=SMALL):
+    """Fail unless `work_on(size)` takes processor time in proportion to the size."""
+    work_on(small)
+    short = processor_time(lambda: work_on(small))
+    long = processor_time(lambda: work_on(small * GROWTH))
+    assert long <= MAX_RATIO * short, f"{long / short:.0f} times the work for {GROWTH} times the input"
+
+
+# Guards against a statement that holds the event loop: all clients of the process would get no answer.
+@pytest.mark.parametrize("start", [b"", b'"x" ', b"a.", b"/* "], ids=["bare", "quoted", "dotted", "comment"])
+@pytest.mark.parametrize(
+    "piece",
+    [b"[", b"[[a", b"a.[", b"`[", b'"["', b"'[", b"/*", b"/*[", b",", b"a . ", b"a  ", b"_1", b"FROM  .", b"FROM$"],
+)
+def test_the_work_on_a_statement_is_in_proportion_to_its_length(start, piece):
+    assert_linear(lambda size: table_group(start + piece * (size // len(piece))))
+
+
+# Guards against valid but dense statements of the largest size, which are linear and still hold the event loop.
+@pytest.mark.parametrize("piece", [b"a,", b",", b"/**/", b'"" ', b"--\n"])
+def test_only_a_limited_number_of_tokens_is_scanned(piece):
+    scanned = piece * MAX_SCANNED_TOKENS
+    assert table_group(b'"x" ' + piece + b" FROM a_3.b") == 3
+    assert table_group(b'"x" ' + scanned + b" FROM a_3.b") is None
+
+
+# Guards against a number that Python refuses to convert: the connection was closed without an answer.
+@pytest.mark.parametrize("quote", [b"", b'"'])
+def test_a_schema_with_a_number_of_thousands_of_digits_has_no_group(quote):
+    for digits in (MAX_GROUP_DIGITS + 1, 5_000):
+        assert table_group(b"SELECT 1 FROM " + quote + b"x_" + b"9" * digits + quote + b".t") is None
+
+
+def test_a_quote_without_an_end_extends_to_the_end_of_the_statement():
+    for quote in (b"[", b'"', b"`", b"'", b"/*"):
+        assert table_group(b"SELECT 1 FROM a_3.b WHERE " + quote + b" FROM a_5.c") == 3
+        assert table_group(b"SELECT " + quote + b" FROM a_3.b") is None
