Hold the rest of a read while reading is paused, and bound what all clients keep

Cause: JsonRpcConnection.dataReceived handled all lines of one read, 32,768 in 64 kB, and wrote an error of 90 bytes for each. A pause for faults or for a full send buffer was asked for after them, and only stopped the next read. Nothing bounded the sum.

Change: after each message the connection asks whether reading has to pause; the lines left are held and handled when reading resumes, their deadlines counted from when they came. So all that is answered at once is bounded by the send buffer, whether errors, answers to alive or rejections. BufferBudget bounds unhandled input and unsent output of all connections of a front by a quarter of the spare memory that the settings tell, and resets the connection with faults, else the one that keeps most. Lines are taken out of a LineBuffer, which searches each byte once: a line that came in single bytes was copied and searched with each.

--- a/rackhub/config.py
+++ b/rackhub/config.py
@@ -362,6 +362,7 @@
         max_engine_connections=resources.sockets - RESERVED_DESCRIPTORS - clients,
         max_open_requests=max(spare_bytes // BYTES_PER_OPEN_REQUEST, MINIMUM_OPEN_REQUESTS),
         max_statement_bytes=spare_bytes // 4,
+        max_client_buffer_bytes=spare_bytes // 4,
         max_request_bytes=min(max(spare_bytes // 4 // clients, MINIMUM_REQUEST_BYTES), MAXIMUM_REQUEST_BYTES),
         **site_limits,
     )
--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -14,6 +14,7 @@
         "clients_idle",
         "clients_unread",
         "clients_slowed",
+        "clients_over_budget",
         "clients_lingering",
         "lines_dropped",
         "halves_dropped",
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -26,6 +26,7 @@
     cancellation_delay: int = 10 * MS
     max_open_requests: int = 1_000  # open requests of all clients
     max_statement_bytes: int = 16_777_216  # statements of all open requests together
+    max_client_buffer_bytes: int = 44_040_192  # unhandled input and unsent output of all client connections of a front
     garbage_collection_interval: int = 5 * SECOND
     max_client_connections: int = 400
     client_check_interval: int = 250 * MS  # interval between two checks of the client timeouts below
--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -42,9 +42,22 @@
         self.faults = 0  # number of invalid messages received
 
     def has_open_request(self) -> bool:
-        """Return whether a request is open on this connection."""
+        """Return whether a request is open on this connection, or received and not handled yet."""
         raise NotImplementedError
 
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes that the connection keeps: input not handled yet, and output not sent yet."""
+        return self.unsent_bytes()
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes in the transport's buffer, which the socket has not accepted yet."""
+        transport = self.transport
+        unsent: int = len(transport.dataBuffer) - transport.offset + transport._tempDataLen  # noqa: SLF001
+        return unsent
+
+    def handle_held_input(self) -> None:
+        """Handle input that was received before reading was paused and held since then; it may pause reading again."""
+
     def end(self) -> None:
         """Accept no further requests, answer the open ones, then close."""
         raise NotImplementedError
@@ -103,6 +116,7 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Record that the send buffer has been sent (Twisted)."""
         self.write_blocked_since = 0
+        self.front.buffers.update(self)
         self.update_reading()
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -149,8 +163,10 @@
         if self.reading_stopped:
             self.may_have_unread_input = self.may_have_unread_input or self.reading_paused
             self.reading_stopped = False
-            self.transport.resumeProducing()
-            self._clear_unread_input_after_reads()
+            self.handle_held_input()
+            if not self.reading_stopped:
+                self.transport.resumeProducing()
+                self._clear_unread_input_after_reads()
         else:
             self._reading_stopped_at = self.core.clock.now()
             self.unread_input_since = self.unread_input_since or self._reading_stopped_at
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -15,6 +15,7 @@
 from rackhub.core.coordinator import Coordinator
 from rackhub.counters import Counters
 from rackhub.limits import Limits
+from rackhub.net.buffer_budget import BufferBudget
 from rackhub.net.client import Client
 
 log = logs.logger(__name__)
@@ -52,6 +53,7 @@
         self.counters = counters
         self.connections: set[Client] = set()
         self._aborted: set[Client] = set()  # aborted connections whose descriptors are not free yet
+        self.buffers = BufferBudget(limits.max_client_buffer_bytes, self._abort_over_budget)
         self.replaced = False  # set when the process ends and another one serves on the same address
         core.timers.call_at(core.clock.now() + limits.client_check_interval, self.check_timeouts)
 
@@ -83,6 +85,9 @@
         self._aborted.add(client)
         client.abort()
 
+    def _abort_over_budget(self, client: Client) -> None:
+        self._abort(client, "clients_over_budget")
+
     def connected(self, client: Client) -> None:
         """Add an established connection."""
         self.counters.add("clients_accepted")
@@ -92,6 +97,7 @@
     def lost(self, client: Client) -> None:
         """Remove a closed connection."""
         self.counters.add("clients_closed")
+        self.buffers.remove(client)
         self.connections.discard(client)
         self._aborted.discard(client)
 
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -15,6 +15,7 @@
 from rackhub.limits import Limits
 from rackhub.net.client import Client
 from rackhub.net.front import ClientTimeouts, Front
+from rackhub.net.line_buffer import LineBuffer
 from rackhub.net.request_validation import InvalidRequestError, build_query
 
 log = logs.logger(__name__)
@@ -83,8 +84,9 @@
         self.open: dict[Any, Query] = {}  # the open requests by JSON-RPC id
         self.has_accepted = False  # True after the first accepted request
         self.draining = False
-        self._buffer = b""  # the beginning of an incomplete line
+        self._buffer = LineBuffer()
         self._processing_lines = False
+        self._holds_lines = False  # True while complete lines wait in the buffer because reading is paused
         self._discarded_bytes = 0  # bytes received after the end of acceptance
 
     # ---- Twisted
@@ -110,28 +112,62 @@
         """Handle the complete lines, and buffer the rest (Twisted)."""
         if self.ending:
             self._discarded_bytes += len(data)
-        else:
-            complete = data.rfind(b"\n") + 1
-            self.record_received(complete > 0, complete < len(data))
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
-        max_length = self.front.limits.max_request_bytes
+        self._buffer.append(data)
+        completed = self._handle_lines()
+        if not self.ending:
+            self.record_received(completed, len(self._buffer) > 0 and not self._holds_lines)
+        if not self._holds_lines:
+            self.record_read(len(data))
+        self._input_handled()
+
+    def _handle_lines(self) -> bool:
+        """Handle the complete lines until reading has to be paused; return whether there was one.
+
+        The rest of the lines is held until reading resumes. Otherwise the answers to one read could take far more
+        memory than the read, as a line of one byte causes an error message.
+        """
+        handled = 0
+        self._holds_lines = False
         self._processing_lines = True
-        for line in lines:
-            if self.ending:
-                self._discard(line)
-            elif len(line) > max_length:
-                self._too_long()
-            else:
-                self.lineReceived(line)
+        while (line := self._buffer.take_line()) is not None:
+            handled += 1
+            self._handle_line(line)
+            if not self.ending and self.should_stop_reading():
+                self._holds_lines = self._buffer.has_complete_line()
+                break
         self._processing_lines = False
-        self.record_read(len(data))
-        if len(self._buffer) > max_length:
-            self._buffer = self._buffer[:max_length]
+        return handled > 0
+
+    def _handle_line(self, line: bytes) -> None:
+        if self.ending:
+            self._discard(line)
+        elif len(line) > self.front.limits.max_request_bytes:
+            self._too_long()
+        else:
+            self.lineReceived(line)
+
+    def _input_handled(self) -> None:
+        """Limit the incomplete line, pause or resume reading, and end the connection if it is done."""
+        if not self._holds_lines and len(self._buffer) > self.front.limits.max_request_bytes:
+            self._buffer.truncate(self.front.limits.max_request_bytes)
             if not self.ending:
                 self._too_long()
+        self.front.buffers.update(self)
         self.update_reading()
         self._end_if_done()
 
+    def handle_held_input(self) -> None:
+        """Handle the lines that were held while reading was paused."""
+        if self._holds_lines:
+            self._handle_lines()
+            if not self.ending and not self._holds_lines and len(self._buffer):
+                self.incomplete_since = self.core.clock.now()
+            self._input_handled()
+
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes of unhandled input and unsent output."""
+        return len(self._buffer) + self.unsent_bytes()
+
     def should_stop_reading(self) -> bool:
         """Return whether reading has to be paused now.
 
@@ -148,8 +184,11 @@
             super().update_reading()
 
     def has_open_request(self) -> bool:
-        """Return whether a request is open on this connection."""
-        return bool(self.open)
+        """Return whether a request is open, or may be among the held lines.
+
+        The held lines of a client that sends invalid messages don't count, so that it can be evicted.
+        """
+        return bool(self.open) or self._holds_lines and not self.is_paused_for_faults()
 
     def end_with_error(self, why: str) -> None:
         """Answer with an error, then end the connection."""
@@ -324,15 +363,23 @@
 
     def _write(self, id: Any, *pieces: bytes) -> None:
         self.transport.writeSequence((b'{"jsonrpc":"2.0","id":', msgspec.json.encode(id), b",", *pieces, b"}\n"))
+        if not self._processing_lines:
+            self.front.buffers.update(self)
 
     # ---- closing
 
     def end(self) -> None:
         """Accept no further requests, answer the open ones, then close."""
+        self._accept_held_lines()
         self.ending = True
         self.update_reading()
         self._end_if_done()
 
+    def _accept_held_lines(self) -> None:
+        """Handle the held lines although reading is paused; those after an invalid message are discarded instead."""
+        while self._holds_lines and not self._processing_lines and not self.is_paused_for_faults():
+            self._handle_lines()
+
     def drain(self) -> None:
         """Accept and answer the requests already on their way, then close."""
         self.draining = True
