Bound the responses to a TDS client that sends messages and does not read

What callers would see: the same end of the process as from unreadable JSON-RPC lines, by a TDS client after its login; found by looking for that cause on the other front, no report is known.

Cause: each Attention of 8 bytes is answered with 21 at once, an invalid request with some 150, up to 8,192 of them in one read; TDS reads on while its send buffer is full, so that it sees Attention, and nothing bounded what was written meanwhile.

Change: messages behind a pause wait in the assembler; an Attention with no request since the last one counts as an invalid message; a client with over 64 kB of unread responses outside a result is reset (clients_unread), as TDS has it read each before the next request; incomplete messages and unsent output count towards the sum of all connections.

Evidence: the new TDS tests of tests/test_client_buffers.py, red on the code before where they ask for the bound, 17 passed now.

--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -77,6 +77,7 @@
     tds_idle_timeout: int = 600 * SECOND  # long, because drivers pool their connections
     tds_write_timeout: int = 60 * SECOND  # long, because a person may read the rows
     max_tds_message_bytes: int = 262_144
+    max_unsent_response_bytes: int = 65_536  # responses that a TDS client has not read, without rows of results
     max_tds_token_bytes: int = 65_536  # size of one token of an engine's response
     max_tds_connections_per_engine: int = 32  # a TDS connection carries one attempt at a time
 
--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -166,6 +166,10 @@
         """Whether part of a message has been received."""
         return bool(self._buffer or self._body)
 
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes of the incomplete message, and of packets that are not taken yet."""
+        return len(self._buffer) + len(self._body)
+
     def feed(self, data: bytes) -> Iterator[tuple[int, int, bytes]]:
         """Add received bytes and yield each message that is now complete.
 
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -114,6 +114,8 @@
         self._sent_rows = 0
         self._done_token_type = codec.DONE  # the DONE token that ends the current response
         self._reset_pending = False  # the next response has to acknowledge a connection reset
+        self._holds_messages = False  # complete messages may wait in the assembler because reading is paused
+        self._attention_expected = False  # a request has been received since the last Attention
 
     def _new_packetizer(self) -> codec.Packetizer:
         return codec.Packetizer(codec.REPLY, self._packet_bytes)
@@ -180,19 +182,56 @@
         """Process received bytes; raises `TdsProtocolError`."""
         if self._is_closed():
             return
+        complete = self._process_messages(data)
+        if not self._holds_messages:
+            self.record_read(len(data))
+        self._record_messages(complete)
+
+    def _process_messages(self, data: bytes) -> bool:
+        """Process the complete messages until reading has to be paused; return whether there was one.
+
+        The others wait in the assembler until reading resumes, as each message may cause a response.
+        """
         complete = False
+        self._holds_messages = False
         for kind, status, body in self._assembler.feed(data):
             if self._is_closed():
-                return
+                return complete
             complete = True
             if kind == codec.ATTENTION:
                 self._process_attention()
-            elif not status & codec.IGNORE:  # IGNORE: cancelled by its client, Attention follows
+            elif status & codec.IGNORE:  # cancelled by its client, Attention follows
+                self._attention_expected = True
+            else:
                 self._process_message(kind, status, body)
-        self.record_read(len(data))
+            self._limit_unsent_responses()
+            if self.should_stop_reading():
+                self._holds_messages = True
+                break
+        return complete
+
+    def _record_messages(self, complete: bool) -> None:
+        self.front.buffers.update(self)
         # Until the login is complete the time limit runs from the start of the connection.
         self.record_received(complete and self.login is not None, self._assembler.has_partial_message)
 
+    def handle_held_input(self) -> None:
+        """Process the messages that were held while reading was paused."""
+        if self._holds_messages and not self._is_closed():
+            self.guard(lambda: self._record_messages(self._process_messages(b"")))
+
+    def _limit_unsent_responses(self) -> None:
+        """Reset a client that sends messages without reading the responses, which TDS has it read before the next."""
+        if self.state != State.ROWS and self.unsent_bytes() > self.front.limits.max_unsent_response_bytes:
+            self.counters.add("clients_unread")
+            log.debug("tds: client reset, as it does not read its responses")
+            self.state = State.CLOSED
+            self.abort()
+
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes of incomplete or held messages and of unsent output."""
+        return self._assembler.buffered_bytes() + self.unsent_bytes()
+
     def _process_message(self, kind: int, status: int, body: bytes) -> None:
         if self.state == State.PRELOGIN:
             self._process_prelogin(kind, body)
@@ -250,6 +289,7 @@
 
     def _process_request(self, kind: int, body: bytes, reset: bool) -> None:
         self.counters.add("tds_requests")
+        self._attention_expected = True
         self._reset_pending = reset
         self._done_token_type = codec.DONEPROC if kind == codec.RPC else codec.DONE
         if self.ending:
@@ -322,7 +362,10 @@
         self.core.submit(query)
 
     def _process_attention(self) -> None:
-        """Stop the running request or its result, if there is one, and acknowledge the Attention."""
+        """Stop the running request or its result, if there is one, and acknowledge the Attention.
+
+        One that cancels no request counts as an invalid message, as it is answered too.
+        """
         self.counters.add("tds_attentions")
         if self.state in (State.PRELOGIN, State.LOGIN):
             raise codec.TdsProtocolError("Attention received before the login")
@@ -334,6 +377,9 @@
             self._end_response((ack,))
         else:
             self._send_response((ack,))
+        if not self._attention_expected:
+            self.record_fault()
+        self._attention_expected = False
 
     # ---- responses
 
--- a/rackhub/net/tds/stream.py
+++ b/rackhub/net/tds/stream.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.protocols.basic import LineReceiver
@@ -27,8 +27,12 @@
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process received bytes (Twisted)."""
+        self.guard(lambda: self.data_received(data))
+
+    def guard(self, process: Callable[[], None]) -> None:
+        """Process received bytes, and abort the connection if they are malformed."""
         try:
-            self.data_received(data)
+            process()
         except TdsProtocolError as error:
             log.warning("tds: connection aborted: %s", error)
             self.malformed_data_received()
--- a/tests/test_client_buffers.py
+++ b/tests/test_client_buffers.py
@@ -7,10 +7,13 @@
 
 import pytest
 from harness import MS, EngineServer, spin
-from test_crossings_close import ALIVE, LIMITS, RawClient, ask, site  # noqa: F401 - `site` is a fixture
+from test_crossings_close import ALIVE, LIMITS, ask, site  # noqa: F401 - `site` is a fixture
+from test_wire_models import TdsModel
 from twisted.internet import reactor
 
+from rackhub.net.buffer_budget import BufferBudget
 from rackhub.net.line_buffer import LineBuffer
+from rackhub.net.tds import codec
 
 SEND_BUFFER_BYTES = 65_536  # unsent output at which a transport pauses its producer
 ANSWER_BYTES = 200  # more than an error or an answer to `alive` has
@@ -119,3 +122,65 @@
     buffer.truncate(2)
     buffer.append(b"\nnext\n")
     assert buffer.has_complete_line() and [buffer.take_line(), buffer.take_line()] == [b"re", b"next"]
+
+
+# ---- TDS
+
+
+def logged_in_client():
+    """Return the model of a TDS client after its login."""
+    client = TdsModel()
+    client.begin("ready")
+    return client
+
+
+def packet(kind, body=b""):
+    return b"".join(codec.encode_message(kind, body))
+
+
+def count_responses(client):
+    return client.wire.take_output().count(codec.encode_done(codec.DONE_ATTN)) + client.counters["tds_unsupported"]
+
+
+# Guards against a response to each message of one read, as a message of 8 bytes causes a longer one.
+@pytest.mark.parametrize("message", [packet(codec.ATTENTION), packet(codec.SSPI, b"x")], ids=["attention", "invalid"])
+def test_tds_messages_of_one_read_are_answered_up_to_the_pause(message):
+    client = logged_in_client()
+    client.connection.dataReceived(message * 5_000)
+    assert count_responses(client) == LIMITS.faults_before_pause + 1
+    assert client.connection.reading_stopped
+    client.core.clock.advance(LIMITS.fault_pause)
+    assert client.counters["tds_attentions"] + client.counters["tds_unsupported"] == LIMITS.faults_before_pause + 2
+
+
+def test_an_attention_for_each_request_causes_no_pause():
+    client = logged_in_client()
+    for _ in range(10 * LIMITS.faults_before_pause):
+        client.request(split_sizes=[], batch=True)
+        client.attention(split_sizes=[])
+    assert not client.connection.reading_stopped and not client.connection.faults
+
+
+# Guards against responses that fill the memory: unlike other fronts, TDS reads on while they are not read.
+def test_a_tds_client_that_sends_requests_without_reading_the_responses_is_reset():
+    client = logged_in_client()
+    client.core.submit = lambda query: query.reply.rejected(query, 100 * MS)
+    client.wire.writeSequence = lambda pieces: client.wire.write(b"".join(pieces))  # counted as unsent
+    request = packet(codec.SQL_BATCH, codec.encode_sql_batch("SELECT 1 FROM a_3.b"))
+    for _ in range(40):
+        if not client.wire.aborted:
+            client.connection.dataReceived(request * 100)
+    assert client.wire.aborted and client.counters["clients_unread"] == 1
+    assert client.connection.unsent_bytes() <= LIMITS.max_unsent_response_bytes + 2 * ANSWER_BYTES
+
+
+def test_the_bytes_of_tds_clients_count_towards_the_sum():
+    client = logged_in_client()
+    client.front.buffers = BufferBudget(100_000, client.front._abort_over_budget)
+    client.front.connected(client.connection)
+    part = codec.HEADER.pack(codec.SQL_BATCH, 0, 30_008, 0, 1, 0) + b"x" * 30_000
+    for number in range(1, 4):
+        client.connection.dataReceived(part)
+        assert client.front.buffers.total == number * 30_000
+    client.connection.dataReceived(part)
+    assert client.wire.aborted and client.counters["clients_over_budget"] == 1
