Resume the parsing of an engine's TDS tokens instead of starting them again

What callers would see: one engine that sends a row in small packets stops the process; found by looking for the cause of the statement that did so, on the sites with TDS engines.

Cause: TokenReader parsed an incomplete token from its beginning with each packet, in the square of its length: a row of 16,000 bytes in chunks of one byte and packets of one byte took 37 s (4,000: 2.4 s, 1,000: 0.2 s).

Change: the readers of tokens are generators that ask for the next bytes and resume where they waited; the reader of (max) values is shared with the parameters of calls.

--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -5,8 +5,8 @@
 """
 
 import struct
-from collections.abc import Iterable, Iterator, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Generator, Iterable, Iterator, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 # Packet types (MS-TDS 2.2.3.1.1).
 SQL_BATCH = 1
@@ -99,8 +99,22 @@
     """The TDS is valid but uses a feature that is not implemented."""
 
 
+def decode_text(raw: bytes) -> str:
+    """Decode UTF-16 text. Raises `TdsProtocolError`."""
+    try:
+        return raw.decode("utf-16-le")
+    except UnicodeDecodeError:
+        raise TdsProtocolError("text is not valid UTF-16") from None
+
+
 class IncompleteTokenError(Exception):
-    """The buffered bytes end inside a token; more are expected."""
+    """The bytes end inside a value."""
+
+
+T = TypeVar("T")
+# A generator that yields the number of bytes to read next, is sent these bytes, and returns the value that it has read.
+# It can wait for bytes without starting again, so that its work is linear in their number.
+Reading = Generator[int, bytes, T]
 
 
 class ByteCursor:
@@ -126,10 +140,17 @@
 
     def read_text(self, code_units: int) -> str:
         """Read the next UTF-16 text of `code_units` code units."""
+        return decode_text(self.read(2 * code_units))
+
+    def run(self, reading: Reading[T]) -> T:
+        """Return the result of a reading that is given the next bytes."""
         try:
-            return self.read(2 * code_units).decode("utf-16-le")
-        except UnicodeDecodeError:
-            raise TdsProtocolError("text is not valid UTF-16") from None
+            size = next(reading)
+            while True:
+                size = reading.send(self.read(size))
+        except StopIteration as finished:
+            result: T = finished.value
+            return result
 
     def remaining(self) -> int:
         """Return the number of bytes not yet read."""
@@ -397,23 +418,27 @@
     return struct.pack("<QI", len(raw), len(raw)) + raw + b"\0\0\0\0" if raw else b"\0" * 12
 
 
-def read_plp(cursor: ByteCursor, max_bytes: int) -> bytes | None:
-    """Read a partially length-prefixed value; None for NULL."""
-    total = cursor.read_int(8)
+def read_plp(max_bytes: int) -> Reading[bytes | None]:
+    """Read a partially length-prefixed value of at most `max_bytes`; None for NULL."""
+    total = int.from_bytes((yield 8), "little")
     if total == PLP_NULL:
         return None
     if total != PLP_UNKNOWN_LENGTH and total > max_bytes:
         raise TdsProtocolError(f"value of {total} bytes exceeds the limit of {max_bytes} bytes")
-    chunks: list[bytes] = []
-    size = 0
-    while chunk := cursor.read_int(4):
-        size += chunk
-        if size > max_bytes:
+    value = bytearray()
+    while chunk := int.from_bytes((yield 4), "little"):
+        if len(value) + chunk > max_bytes:
             raise TdsProtocolError(f"value exceeds the limit of {max_bytes} bytes")
-        chunks.append(cursor.read(chunk))
-    if total not in (PLP_UNKNOWN_LENGTH, size):
-        raise TdsProtocolError(f"value has {size} bytes, its declared length is {total}")
-    return b"".join(chunks)
+        value += yield chunk
+    if total not in (PLP_UNKNOWN_LENGTH, len(value)):
+        raise TdsProtocolError(f"value has {len(value)} bytes, its declared length is {total}")
+    return bytes(value)
+
+
+def read_short_value() -> Reading[bytes | None]:
+    """Read a value with a two-byte length; None for NULL."""
+    size = int.from_bytes((yield 2), "little")
+    return None if size == USHORT_MAX else (yield size)
 
 
 def encode_rpc(name: str, arguments: dict[str, str | int | float]) -> bytes:
@@ -483,7 +508,7 @@
 def _read_text_argument(cursor: ByteCursor, encoding: str) -> str | None:
     declared = cursor.read_int(2)
     cursor.read(len(COLLATION))
-    raw = read_plp(cursor, cursor.end) if declared == USHORT_MAX else _read_short_value(cursor)
+    raw = cursor.run(read_plp(cursor.end) if declared == USHORT_MAX else read_short_value())
     if raw is None:
         return None
     try:
@@ -492,12 +517,6 @@
         raise TdsProtocolError(f"text argument is not valid {encoding}") from None
 
 
-def _read_short_value(cursor: ByteCursor) -> bytes | None:
-    """Read a value with a two-byte length; None for NULL."""
-    size = cursor.read_int(2)
-    return None if size == USHORT_MAX else cursor.read(size)
-
-
 def parse_rpc(body: bytes) -> RpcCall:
     """Parse the body of an RPC message with one call."""
     cursor = skip_all_headers(body)
@@ -584,86 +603,3 @@
 
     status: int
     rows: int
-
-
-class TokenReader:
-    """Parses the tokens of a response incrementally, each of at most `max_bytes`."""
-
-    def __init__(self, max_bytes: int):
-        self._max_bytes = max_bytes
-        self._buffer = bytearray()
-        self._columns: list[tuple[str, int]] = []  # encoding and declared length of each column
-
-    def feed(self, data: bytes) -> Iterator[tuple[int, Any]]:
-        """Add received bytes and yield (type, content) of each token that is now complete.
-
-        The content of a token that is not used is None or empty.
-        """
-        self._buffer += data
-        while self._buffer:
-            cursor = ByteCursor(self._buffer)
-            try:
-                kind = cursor.read_int(1)
-                value = self._read_value(kind, cursor)
-            except IncompleteTokenError:
-                if len(self._buffer) > self._max_bytes:
-                    raise TdsProtocolError(f"token exceeds the limit of {self._max_bytes} bytes") from None
-                return
-            del self._buffer[: cursor.position]
-            yield kind, value
-
-    def at_token_boundary(self) -> bool:
-        """Whether all received tokens are complete."""
-        return not self._buffer
-
-    def _read_value(self, kind: int, cursor: ByteCursor) -> Any:
-        if kind == ROW:
-            return [self._read_cell(encoding, declared, cursor) for encoding, declared in self._columns]
-        if kind in DONE_TOKENS:
-            status, _, rows = struct.unpack("<HHQ", cursor.read(12))
-            return Done(status, rows)
-        if kind in (ERROR, INFO):
-            return self._read_notice(cursor)
-        if kind == COLMETADATA:
-            count = cursor.read_int(2)
-            self._columns = [] if count == USHORT_MAX else [self._read_column(cursor) for _ in range(count)]
-            return list(self._columns)
-        if kind == RETURNSTATUS:
-            return cursor.read_int(4, signed=True)
-        if kind == RETURNVALUE:  # calls to engines have no output parameters
-            raise UnsupportedTdsError("RETURNVALUE")
-        if kind in SKIPPED_TOKENS:
-            return self._nested_cursor(cursor).read(0)
-        raise TdsProtocolError(f"unknown token type 0x{kind:02x}")
-
-    def _read_notice(self, cursor: ByteCursor) -> Notice:
-        inner = self._nested_cursor(cursor)
-        try:
-            number, state, severity = struct.unpack("<iBB", inner.read(6))
-            return Notice(number, state, severity, inner.read_text(inner.read_int(2)))
-        except IncompleteTokenError:
-            raise TdsProtocolError("ERROR or INFO token is truncated") from None
-
-    @staticmethod
-    def _nested_cursor(cursor: ByteCursor) -> ByteCursor:
-        size = cursor.read_int(2)
-        body = cursor.read(size)
-        return ByteCursor(body)
-
-    @staticmethod
-    def _read_column(cursor: ByteCursor) -> tuple[str, int]:
-        cursor.read(6)
-        kind = cursor.read_int(1)
-        if kind not in CHARACTER_ENCODINGS:
-            raise UnsupportedTdsError(f"columns of type 0x{kind:02x}")
-        size = cursor.read_int(2)
-        cursor.read(5)
-        cursor.read_text(cursor.read_int(1))
-        return CHARACTER_ENCODINGS[kind], size
-
-    def _read_cell(self, encoding: str, declared: int, cursor: ByteCursor) -> str:
-        raw = read_plp(cursor, self._max_bytes) if declared == USHORT_MAX else _read_short_value(cursor)
-        try:
-            return (raw or b"").decode(encoding)
-        except UnicodeDecodeError:
-            raise TdsProtocolError(f"column value is not valid {encoding}") from None
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -31,6 +31,7 @@
 from rackhub.net.resp_protocol import parse_load_report
 from rackhub.net.tds import codec
 from rackhub.net.tds.stream import TdsStream
+from rackhub.net.tds.token_reader import TokenReader
 from rackhub.operatorfile import TdsEngineSettings
 
 log = logging.getLogger(__name__)
@@ -101,7 +102,7 @@
         self.closed = True
 
     def _reset_response(self) -> None:
-        self._tokens = codec.TokenReader(self.limits.max_tds_token_bytes)
+        self._tokens = TokenReader(self.limits.max_tds_token_bytes)
         self._rows: list[str] = []
         self._result_length = 0
         self._first_error = 0  # number of the first ERROR token; 0: none was received
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -19,6 +19,7 @@
 from rackhub.net.tds import codec
 from rackhub.net.tds.engine import tds_pools
 from rackhub.net.tds.front import tds_front
+from rackhub.net.tds.token_reader import TokenReader
 from rackhub.operatorfile import TdsEngineSettings, TdsFrontSettings, TdsLogin, hash_password
 
 S, MS = 1_000_000, 1_000
@@ -216,7 +217,7 @@
     """A TDS client, which collects complete answers as lists of tokens."""
 
     def __init__(self):
-        self.packets, self.tokens = codec.MessageAssembler(1 << 24), codec.TokenReader(1 << 20)
+        self.packets, self.tokens = codec.MessageAssembler(1 << 24), TokenReader(1 << 20)
         self.answers, self.tokens_of_answer = [], []
         self.greeted = False
 
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -5,10 +5,15 @@
 measured as processor time of the thread at two lengths; quadratic work grows `GROWTH` times more than linear work.
 """
 
+import random
+import struct
 import time
 
 import pytest
 
+from rackhub.net.line_buffer import LineBuffer
+from rackhub.net.tds import codec
+from rackhub.net.tds.token_reader import TokenReader
 from rackhub.statement import MAX_GROUP_DIGITS, MAX_SCANNED_TOKENS, table_group
 
 SMALL, GROWTH = 4_000, 8  # bytes of the shorter input; ratio of the two lengths
@@ -62,3 +67,50 @@
     for quote in (b"[", b'"', b"`", b"'", b"/*"):
         assert table_group(b"SELECT 1 FROM a_3.b WHERE " + quote + b" FROM a_5.c") == 3
         assert table_group(b"SELECT " + quote + b" FROM a_3.b") is None
+
+
+# ---- TDS, and lines in pieces
+
+
+def result_with_small_chunks(size):
+    """Return a response whose one row is sent in chunks of two bytes."""
+    columns = codec.encode_columns(("a", "b", "c"))
+    return columns + bytes([codec.ROW]) + struct.pack("<Q", codec.PLP_UNKNOWN_LENGTH) + b"\2\0\0\0xy" * (size // 6)
+
+
+# Guards against parsing an incomplete token again with each packet: 16,000 bytes in single bytes took 37 s.
+def test_the_work_on_an_engines_tokens_is_in_proportion_to_their_length_in_pieces_of_any_size():
+    def read_in_bytes(size):
+        reader, response = TokenReader(1 << 20), result_with_small_chunks(size)
+        for position in range(len(response)):
+            assert all(kind == codec.COLMETADATA for kind, _ in reader.feed(response[position : position + 1]))
+
+    assert_linear(read_in_bytes, small=1_000)
+
+
+def test_tokens_are_the_same_in_pieces_of_any_size():
+    rows = [("a", "bb", "ccc"), ("", "\u20ac", "x" * 300)]
+    notice = codec.encode_notice(codec.INFO, 51001, 1, 0, "0.5", "s")
+    response = codec.encode_columns(("a", "b", "c")) + notice + b"".join(map(codec.encode_row, rows))
+    response += bytes([codec.RETURNSTATUS, 0, 0, 0, 0]) + codec.encode_done(codec.DONE_COUNT, len(rows))
+    whole = list(TokenReader(1_000).feed(response))
+    assert [value for kind, value in whole if kind == codec.ROW] == [list(row) for row in rows]
+    draw = random.Random(1)
+    for _ in range(50):
+        reader, tokens, position = TokenReader(1_000), [], 0
+        while position < len(response):
+            size = draw.randrange(1, 40)
+            tokens += reader.feed(response[position : position + size])
+            position += size
+        assert tokens == whole and reader.at_token_boundary()
+
+
+# Guards against copying and searching an incomplete line again with each piece of it.
+def test_the_work_on_a_line_in_single_bytes_is_in_proportion_to_its_length():
+    def receive(size):
+        buffer = LineBuffer()
+        for _ in range(size):
+            buffer.append(b"x")
+            assert buffer.take_line() is None
+
+    assert_linear(receive, small=8_000)
