Reject a PRELOGIN whose options overlap

What callers would see: a client of the TDS front holds the event loop before its login, over and over.

Cause: each option of 5 bytes was copied out of the message with up to 64 kB, and nothing kept options from naming the same bytes: a message of 260,000 bytes took 0.66 s, one of 40,000 13 ms.

Change: the options together have no more bytes than the message.

Evidence: test_the_work_on_the_options_of_a_prelogin_is_in_proportion_to_its_length, which finds no error on the code before.

--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -285,6 +285,7 @@
 def parse_prelogin(body: bytes) -> dict[int, bytes]:
     """Parse the body of a PRELOGIN message into its options by option number."""
     options: dict[int, bytes] = {}
+    total_size = 0
     position = 0
     while position < len(body) and body[position] != PRELOGIN_TERMINATOR:
         if position + PRELOGIN_OPTION_BYTES > len(body):
@@ -292,6 +293,9 @@
         option, offset, size = struct.unpack_from(">BHH", body, position)
         if offset + size > len(body):
             raise TdsProtocolError(f"PRELOGIN option {option} ends at byte {offset + size} of {len(body)}")
+        total_size += size
+        if total_size > len(body):  # thousands of options that all extend over the whole message
+            raise TdsProtocolError(f"PRELOGIN options overlap: {total_size} bytes in a message of {len(body)}")
         options[option] = body[offset : offset + size]
         position += PRELOGIN_OPTION_BYTES
     if position >= len(body):
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -105,6 +105,17 @@
         assert tokens == whole and reader.at_token_boundary()
 
 
+# Guards against options that each extend over the whole message: 260,000 bytes before the login took 0.66 s.
+def test_the_work_on_the_options_of_a_prelogin_is_in_proportion_to_its_length():
+    def read_options(size):
+        count = size // codec.PRELOGIN_OPTION_BYTES
+        option_table = b"".join(struct.pack(">BHH", number % 250, 0, min(size, 60_000)) for number in range(count))
+        with pytest.raises(codec.TdsProtocolError, match="overlap"):
+            codec.parse_prelogin(option_table + b"\xff")
+
+    assert_linear(read_options, small=32_000)
+
+
 # Guards against copying and searching an incomplete line again with each piece of it.
 def test_the_work_on_a_line_in_single_bytes_is_in_proportion_to_its_length():
     def receive(size):
