Send nothing on an endpoint list that is not confirmed, and let requests wait

Cause: without answers the list stayed in force for 7 s, and an engine that took a request within the last grace was held for not draining. One that drains and still takes work renewed its own permission.

Change: on a list older than 1.5 s and the grace nothing is sent. Requests wait in front of the routing policy until the first valid answer, and go to the engines of its list; after 7 s and the grace they are refused, as before. One whose time ends while it waits is rejected instead of failed, as nothing of it was sent. New counter requests_deferred.

--- a/rackhub/core/admission.py
+++ b/rackhub/core/admission.py
@@ -1,5 +1,7 @@
 """Admission of requests: a request is admitted, or rejected at once if this process can't serve it."""
 
+from functools import partial
+
 from rackhub import interface, logs
 from rackhub.core.decision_driver import DecisionDriver
 from rackhub.core.endpoint_gate import EndpointGate
@@ -48,7 +50,7 @@
         if not query.is_subrequest:  # the deadline of the gathered request includes the margin already
             query.deadline -= self._deadline_margin(query)
         if not self._pass_to_gather_port(query):
-            self._dispatch(query)
+            self._dispatch_when_confirmed(query)
 
     def _reject_early(self, query: Query) -> bool:
         """Reject a request that can't be admitted; return whether it was rejected.
@@ -96,6 +98,25 @@
         query.is_gathered = False
         return False
 
+    def _dispatch_when_confirmed(self, query: Query) -> None:
+        """Pass an admitted request to the routing policy, now or once the endpoint list is confirmed.
+
+        If the list expires meanwhile, a request that waited is rejected, as new requests are.
+        """
+        if query.closed:  # cancelled, or out of time, while it waited
+            return
+        status = self._gate.lease_status()
+        if status is LeaseStatus.UNCONFIRMED:
+            log.debug("request_deferred", request=query.id, reason="the endpoint list is not confirmed")
+            self._state.counters.add("requests_deferred")
+            query.deferred = True
+            self._gate.call_when_settled(partial(self._dispatch_when_confirmed, query))
+        elif status is LeaseStatus.EXPIRED and query.deferred:
+            self._reject(query, "over_lease", self._state.overload_backoff())
+        else:
+            query.deferred = False
+            self._dispatch(query)
+
     def _dispatch(self, query: Query) -> None:
         """Pass an admitted request to the routing policy."""
         state = self._state
--- a/rackhub/core/deadline_monitor.py
+++ b/rackhub/core/deadline_monitor.py
@@ -27,13 +27,13 @@
         self._next_sweep_at = state.clock.now()
 
     def sweep(self) -> None:
-        """Time out attempts, fail requests that are open past their deadline, and schedule the next sweep."""
+        """Time out attempts, complete requests that are open past their deadline, and schedule the next sweep."""
         now = self._state.clock.now()
         self._measure_loop_delay(now)
         self._time_out_attempts(now)
         self._attempts.gate.update_ineligible(now)
         self._attempts.gate.resume_if_settled()
-        self._fail_expired_requests(now)
+        self._complete_expired_requests(now)
         self._next_sweep_at = now + self._state.limits.deadline_check_interval
         self._state.timers.call_at(self._next_sweep_at, self.sweep)
 
@@ -55,12 +55,19 @@
         for attempt in expired:
             self._attempts.give_up(attempt, Outcome.TIMED_OUT)
 
-    def _fail_expired_requests(self, now: int) -> None:
+    def _complete_expired_requests(self, now: int) -> None:
         # A late sweep runs before those timers of the policy that expired after the sweep was due.
         latest_deadline = min(now, self._next_sweep_at) - self._state.limits.deadline_grace
         expired = [query for query in self._state.queries.values() if query.deadline <= latest_deadline]
         for query in expired:
-            log.debug("request_failed", request=query.id, reason="backstop: deadline passed")
-            if self._attempts.completion.complete(query, RequestOutcome.FAILED, "deadline passed"):
+            if self._complete_expired(query):
                 self._state.counters.add("backstop_answers")
                 self._abandon(query)
+
+    def _complete_expired(self, query: Query) -> bool:
+        """Complete a request past its deadline, as rejected if it was deferred: then a retry is safe."""
+        log.debug("request_failed", request=query.id, reason="backstop: deadline passed", deferred=query.deferred)
+        if query.deferred:
+            backoff = self._state.overload_backoff()
+            return self._attempts.completion.complete(query, RequestOutcome.REJECTED, backoff)
+        return self._attempts.completion.complete(query, RequestOutcome.FAILED, "deadline passed")
--- a/rackhub/core/endpoint_gate.py
+++ b/rackhub/core/endpoint_gate.py
@@ -1,7 +1,8 @@
-"""Defers attempts and excludes engines while the lease of the endpoint list is not confirmed."""
+"""Defers requests and attempts and excludes engines while the lease of the endpoint list is not confirmed."""
 
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from rackhub import interface, logs
 from rackhub.core.decision_driver import DecisionDriver
@@ -13,14 +14,14 @@
 
 
 class EndpointGate:
-    """Defers attempts until the endpoint list is confirmed or expired, and excludes single engines."""
+    """Defers requests and attempts until the endpoint list is confirmed or expired, and excludes single engines."""
 
     def __init__(self, state: CoordinatorState, decisions: DecisionDriver, resume: Callable[[Attempt], None]) -> None:
         """`resume` begins a deferred attempt again."""
+        self._resume = resume
         self._state = state
         self._decisions = decisions
-        self._resume = resume
-        self._waiting: list[Attempt] = []
+        self._waiting: list[Callable[[], None]] = []
         self._ineligible: frozenset[str] = frozenset()
         self._allocation = interface.FleetAllocation()  # the fleet's last allocation, without the ineligible engines
 
@@ -33,10 +34,14 @@
 
     def defer(self, attempt: Attempt) -> None:
         """Queue an attempt until the endpoint list is confirmed or has expired."""
-        self._waiting.append(attempt)
+        self.call_when_settled(partial(self._resume, attempt))
+
+    def call_when_settled(self, resume: Callable[[], None]) -> None:
+        """Call `resume` once the endpoint list is confirmed or has expired."""
+        self._waiting.append(resume)
 
     def resume_if_settled(self) -> None:
-        """Resume the deferred attempts unless the endpoint list is still unconfirmed."""
+        """Resume what was deferred unless the endpoint list is still unconfirmed."""
         if self._waiting and self.lease_status() is not LeaseStatus.UNCONFIRMED:
             self._resume_all()
 
@@ -72,5 +77,5 @@
     def _resume_all(self) -> None:
         waiting = self._waiting
         self._waiting = []
-        for attempt in waiting:
-            self._resume(attempt)
+        for resume in waiting:
+            resume()
--- a/rackhub/core/lease.py
+++ b/rackhub/core/lease.py
@@ -2,14 +2,13 @@
 
 An engine may begin to drain right after the last answered poll. The gateway counts as notified of the drain after
 `notification_time`, whether or not the notification arrived, and may send to the engine for the grace period after it.
-So the list is valid for `notification_time` plus the grace period after the start of the last answered poll. While the
-resolver does not respond, `max_notification_time` replaces `notification_time`. The limit has no effect while polls are
-answered; it is reached if the process was suspended and did not poll, or if the resolver does not respond.
+So the list is valid for `notification_time` plus the grace period after the start of the last answered poll. The limit
+has no effect while polls are answered; it is reached if the process was suspended and did not poll, or if no answer
+comes. Beyond it nothing is sent, and requests wait for the next answer: any engine may be draining, also one that still
+accepts requests. After `max_notification_time` plus the grace period without an answer, requests are rejected.
 
-Once the last answered poll is older than `poll_answer_timeout`, the engines' responses are evidence too: an engine that
-accepts a request is not draining, an engine that rejects one may be. An engine that rejects a request is excluded until
-it accepts a later one or a poll confirms the list. Beyond `notification_time` plus the grace period, an engine gets
-requests only until the grace period after the last request that it accepted has passed.
+Once the last answered poll is older than `poll_answer_timeout`, an engine that rejects a request may be draining. It is
+excluded until it accepts a later one or a poll confirms the list.
 
 The module does no I/O. Times are microseconds.
 """
@@ -23,9 +22,9 @@
 class LeaseStatus(enum.Enum):
     """Status of the lease on the endpoint list."""
 
-    VALID = enum.auto()  # confirmed recently, or the resolver does not respond and the list is not too old yet
-    UNCONFIRMED = enum.auto()  # the list may be outdated, and a poll is pending or due: wait for its answer
-    EXPIRED = enum.auto()  # the list may be outdated, and the resolver does not respond: send nothing
+    VALID = enum.auto()  # confirmed recently
+    UNCONFIRMED = enum.auto()  # the list may be outdated: send nothing, requests wait for an answer
+    EXPIRED = enum.auto()  # the resolver has not answered for too long: send nothing, requests are rejected
 
 
 class EndpointLease:
@@ -69,7 +68,7 @@
             return LeaseStatus.UNCONFIRMED  # no poll is pending, as after a suspension: wait for the next one
         if now - unanswered_since < self._answer_timeout:
             return LeaseStatus.UNCONFIRMED  # the pending poll may still be answered
-        return LeaseStatus.VALID if age <= self._max_age_while_unanswered else LeaseStatus.EXPIRED
+        return LeaseStatus.UNCONFIRMED if age <= self._max_age_while_unanswered else LeaseStatus.EXPIRED
 
     # ---- single engines
 
@@ -82,18 +81,12 @@
         self._rejected_at[engine] = now
 
     def allows(self, engine: str, now: int) -> bool:
-        """Return whether requests may be sent to the engine, by the list's age and the engine's responses.
-
-        An engine without a response counts as having accepted a request when the list was last confirmed.
-        """
-        age = now - self._confirmed_at
-        if age <= self._answer_timeout:
+        """Return whether requests may be sent to the engine while the lease is valid, by the engine's responses."""
+        if now - self._confirmed_at <= self._answer_timeout:
             return True
         accepted_at = self._accepted_at.get(engine, self._confirmed_at)
         rejected_at = self._rejected_at.get(engine, self._confirmed_at)
-        if rejected_at > max(accepted_at, self._confirmed_at):
-            return False
-        return age <= self._max_age_while_answered or now <= accepted_at + self._usable_grace
+        return rejected_at <= max(accepted_at, self._confirmed_at)
 
     def ineligible(self, engines: Iterable[str], now: int) -> frozenset[str]:
         """Return those of the engines to which no request may be sent."""
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -67,6 +67,7 @@
         "gather_status",
         "is_subrequest",
         "is_gathered",
+        "deferred",
         "possibly_executed",
     )
 
@@ -107,6 +108,7 @@
         self.hedge_requested = False  # the policy is handling a `HedgeDue` event for the request
         self.zones: tuple[str, ...] = ()  # zones in which a subrequest may run; empty: all zones
         self.is_subrequest = False
+        self.deferred = False  # waits for the endpoint list, so that nothing of it was sent
         self.is_gathered = False  # the gather port has accepted the request
         self.gather_status: Any = None  # `core.gather.GatherStatus` of a gathered answer
 
--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -37,6 +37,7 @@
         "over_held",
         "over_behind",
         "over_lease",
+        "requests_deferred",
         "attempts",
         "attempts_not_sent",
         "out_good",
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -104,6 +104,7 @@
             self.counters.add("halves_dropped")
         unanswered = list(self.open.values())
         self.open = {}
+        self._holds_lines = False  # the client of the held requests is gone
         log.debug("client_lost", client=self, open=len(unanswered), half_read=len(self._buffer), reason=reason)
         for query in unanswered:
             self.core.disconnect_client(query)
--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -259,6 +259,91 @@
     assert process.lines("list_taken", "rev=4") and process.lines("answer_rejected", "older than the list in force")
 
 
+# ---- an engine that drains while the resolver's answers are lost, and accepts requests
+#
+# An engine began to drain while all answers of the resolver were lost for 3 s, the longest time that the pages name. It
+# took work as long as some gateway might not have been notified. Each request that it accepted counted as evidence that
+# it did not drain, so it got six to eight requests later than the grace period, and its end cut off two or three loads.
+
+LONGEST_LOSS = 3.0  # seconds for which all answers of a working resolver may be lost
+REQUEST_INTERVAL = 0.08  # seconds between two requests; a client may have 32 open ones
+
+
+def send_until(client, numbers, end):
+    """Send a request in each interval until the time `end`, without waiting for the answers; return their numbers."""
+    sent = []
+    while time.monotonic() < end:
+        sent.append(next(numbers))
+        client.send(request(sent[-1]))
+        time.sleep(REQUEST_INTERVAL)
+    return sent
+
+
+# Guards against requests after the grace period, to any engine, while it is not known which of them drains.
+def test_no_engine_gets_requests_after_the_grace_while_answers_are_lost(tmp_path, things):
+    drains, sound = things(EngineStandIn("a").start()), things(EngineStandIn("b").start())
+    resolver = things(ResolverStandIn(drains.entry(), sound.entry()))
+    process = things(Served(tmp_path, resolver, drains, sound, settings=SETTINGS))
+    client = things(process.client())
+    numbers = itertools.count(1)
+    until(lambda: was_served(client, next(numbers)) and not drains.wants.empty(), "service by both engines")
+    resolver.silent = True
+    resolver.set_list(4, drains.entry(DRAINING), sound.entry())
+    told_at = time.monotonic() + 1.5
+    sent = send_until(client, numbers, time.monotonic() + LONGEST_LOSS)
+    resolver.silent = False
+    until(lambda: resolver.first_answered_at(4), "the list")
+    sent += send_until(client, numbers, time.monotonic() + 1)
+    until(lambda: all(number in client.answers for number in sent), "the answers")
+    assert late_wants(drains, told_at + GRACE) == []
+    confirmed_at = resolver.first_answered_at(4)
+    assert [at for at, _ in list(sound.wants.queue) if told_at + GRACE < at < confirmed_at] == []
+    # The requests of that time waited, and none was rejected.
+    assert process.lines("request_deferred")
+    assert all(len(client.answers[number]) == 1 and "result" in client.answers[number][0] for number in sent)
+
+
+# Guards against rejecting what can wait: the resolver is away for longer than its answers may be lost.
+def test_requests_wait_for_a_resolver_that_is_away_and_are_served_when_it_answers(tmp_path, things):
+    engines = [things(EngineStandIn(name).start()) for name in "ab"]
+    resolver = things(ResolverStandIn(*(engine.entry() for engine in engines)))
+    process = things(Served(tmp_path, resolver, *engines, settings=SETTINGS))
+    client, numbers = things(process.client()), itertools.count(1)
+    until(lambda: was_served(client, next(numbers)), "service")
+    resolver.silent = True
+    away_at = time.monotonic()
+    sent = []
+    for _ in range(4):
+        client = things(process.client())
+        sent += [(client, number) for number in send_until(client, numbers, time.monotonic() + 1.4)]
+    resolver.silent = False
+    until(lambda: all(number in each.answers for each, number in sent), "the answers")
+    answered_at = next(each.at for each in resolver.answered if each.at > away_at + 1)
+    arrivals = [at for engine in engines for at, _ in list(engine.wants.queue)]
+    assert not [at for at in arrivals if away_at + 1.5 + GRACE < at < answered_at]
+    assert all("result" in each.answers[number][0] for each, number in sent)
+
+
+def test_a_deferred_request_is_rejected_at_its_deadline_and_not_sent_after_a_cancel(tmp_path, things):
+    engine = things(EngineStandIn("a").start())
+    resolver = things(ResolverStandIn(engine.entry()))
+    process = things(Served(tmp_path, resolver, engine, settings=SETTINGS))
+    client = things(process.client())
+    until(lambda: was_served(client, 1), "service")
+    resolver.silent = True
+    end = time.monotonic() + 1.5 + GRACE + 0.2
+    until(lambda: time.monotonic() > end, "a list that is not confirmed")
+    client.send(request(2, budget=400), request(3), request(4))
+    until(lambda: len(process.lines("request_deferred")) == 3, "the requests")
+    client.send({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": 3}})
+    until(lambda: 2 in client.answers, "the answer at the deadline")
+    assert client.answers[2][0]["error"]["code"] == -32008  # nothing of it was sent: a retry is safe
+    resolver.silent = False
+    until(lambda: 4 in client.answers, "the answer after the list")
+    assert "result" in client.answers[4][0] and 3 not in client.answers
+    assert [words[1][-1:] for _, words in list(engine.wants.queue)] == [b"1", b"4"]
+
+
 # Guards against requests after the grace period to an engine that drains and accepts them without a resolver.
 def test_an_engine_that_drains_in_a_silence_and_takes_requests_gets_nothing_after_the_grace(tmp_path, things):
     drains, sound = things(EngineStandIn("a").start()), things(EngineStandIn("b").start())
