Reject decimal parameters of sizes that TDS does not have

What callers saw: a TDS client whose call had a decimal of 255 bytes lost its connection by an OverflowError in the log instead of as malformed.

Change: 5, 9, 13 or 17 bytes and a scale of 38 at most, as MS-TDS has them; anything else is malformed.

--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -468,6 +468,8 @@
     FLT4TYPE: ("<f", 4),
     FLT8TYPE: ("<d", 8),
 }
+DECIMAL_SIZES = frozenset((5, 9, 13, 17))  # sign and magnitude, in bytes (MS-TDS 2.2.5.5.1.6)
+MAX_DECIMAL_SCALE = 38
 INTEGER_FORMATS = {1: "<B", 2: "<h", 4: "<i", 8: "<q"}
 FLOAT_FORMATS = {4: "<f", 8: "<d"}
 
@@ -505,6 +507,8 @@
     size = cursor.read_int(1)
     if not size:
         return None
+    if size not in DECIMAL_SIZES or scale > MAX_DECIMAL_SCALE:
+        raise TdsProtocolError(f"decimal of {size} bytes with scale {scale}")
     sign = 1 if cursor.read_int(1) else -1
     return float(sign * cursor.read_int(size - 1) / 10**scale)
 
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -125,3 +125,12 @@
             assert buffer.take_line() is None
 
     assert_linear(receive, small=8_000)
+
+
+# Guards against a number that Python refuses to convert: the connection was closed without a reason in the log.
+@pytest.mark.parametrize("size, scale", [(255, 0), (18, 2), (1, 0), (17, 39), (5, 255)])
+def test_a_decimal_of_an_impossible_size_is_malformed(size, scale):
+    value = bytes([codec.DECIMALN, size, 38, scale, size, 1]) + b"\xff" * (size - 1)
+    call = codec.ALL_HEADERS + struct.pack("<H", 1) + "p".encode("utf-16-le") + b"\0\0" + b"\0\0" + value
+    with pytest.raises(codec.TdsProtocolError, match="decimal"):
+        codec.parse_rpc(call)
