Apply the deletes and the leases of a store's batch that has both

Found beside it: with a delete of a missing key the lease was not attached in memory, and the key outlived it.

Cause: Store compared the number of entries with the number of changes to tell whether there are deletes, and whether there are entries of leases. A put with a lease has two entries, a delete of a missing key none.

Change: puts are counted by their keys, entries of leases are looked for.

--- a/rackhub/store/engine.py
+++ b/rackhub/store/engine.py
@@ -341,7 +341,9 @@
         entries = self._resolve(batch, revision)
         if not entries:
             return self._commit_without_changes(True, acknowledged)
-        self._append(entries, revision, batch.size, acknowledged, has_internal_keys=len(entries) > len(batch.changes))
+        # An internal entry comes with the data entry that causes it, so a single entry needs no look.
+        has_internal_keys = len(entries) > 1 and any(entry.key[:1] != DATA for entry in entries)
+        self._append(entries, revision, batch.size, acknowledged, has_internal_keys)
         return Commit(revision, True)
 
     def _commit_without_changes(self, applied: bool, acknowledged: AcknowledgeCallback | None) -> Commit:
@@ -378,7 +380,7 @@
                 old = 0
             if change.lease or old:
                 self._move_lease(entries, change.key, old, change.lease)
-        if len(entries) < len(batch.changes):
+        if len(changed) < len(batch.changes):  # not by the entries, which include those of leases
             self._resolve_deletes(batch, revision, entries, changed)
         return entries
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -715,3 +715,12 @@
         assert store.commit(Batch().put(b"new", b"2", lease).delete(b"old")).applied
         assert store.get(b"new").value == b"2"
         assert store.get(b"old") is None
+
+
+# Guards against the same count: the lease was not attached in memory if the batch also deleted a missing key.
+def test_a_leased_key_ends_with_its_lease_although_its_batch_deleted_a_missing_key():
+    with Store.open("memory", files=MemoryFiles()) as store:
+        lease = store.grant(3_600 * S)
+        assert store.commit(Batch().put(b"new", b"2", lease).delete(b"missing")).applied
+        store.revoke(lease)
+        assert store.get(b"new") is None
