--- a/tests/test_incident_drain.py
+++ b/tests/test_incident_drain.py
@@ -279,13 +279,17 @@
     return sent
 
 
+def serve_two_engines(tmp_path, things):
+    """Return two engines, their resolver, and a process that serves with them."""
+    engines = [things(EngineStandIn(name).start()) for name in "ab"]
+    resolver = things(ResolverStandIn(*(engine.entry() for engine in engines)))
+    return *engines, resolver, things(Served(tmp_path, resolver, *engines, settings=SETTINGS))
+
+
 # Guards against requests after the grace period, to any engine, while it is not known which of them drains.
 def test_no_engine_gets_requests_after_the_grace_while_answers_are_lost(tmp_path, things):
-    drains, sound = things(EngineStandIn("a").start()), things(EngineStandIn("b").start())
-    resolver = things(ResolverStandIn(drains.entry(), sound.entry()))
-    process = things(Served(tmp_path, resolver, drains, sound, settings=SETTINGS))
-    client = things(process.client())
-    numbers = itertools.count(1)
+    drains, sound, resolver, process = serve_two_engines(tmp_path, things)
+    client, numbers = things(process.client()), itertools.count(1)
     until(lambda: was_served(client, next(numbers)) and not drains.wants.empty(), "service by both engines")
     resolver.silent = True
     resolver.set_list(4, drains.entry(DRAINING), sound.entry())
@@ -305,9 +309,7 @@
 
 # Guards against rejecting what can wait: the resolver is away for longer than its answers may be lost.
 def test_requests_wait_for_a_resolver_that_is_away_and_are_served_when_it_answers(tmp_path, things):
-    engines = [things(EngineStandIn(name).start()) for name in "ab"]
-    resolver = things(ResolverStandIn(*(engine.entry() for engine in engines)))
-    process = things(Served(tmp_path, resolver, *engines, settings=SETTINGS))
+    *engines, resolver, process = serve_two_engines(tmp_path, things)
     client, numbers = things(process.client()), itertools.count(1)
     until(lambda: was_served(client, next(numbers)), "service")
     resolver.silent = True
