--- /dev/null
+++ b/review/stand_ins_2/bad_logins.py
@@ -0,0 +1,28 @@
+"""Bad TDS clients in a process of their own: they log in with words that don't exist, again when they are turned away.
+
+Usage: bad_logins.py PORT CLIENTS SECONDS
+"""
+
+import asyncio
+import sys
+import time
+from collections import Counter
+
+from review.stand_ins_2.tds import failed_login
+
+
+async def main(port: int, clients: int, seconds: float) -> None:
+    """Run the clients, and print how their tries ended."""
+    ends: Counter[str] = Counter()
+    stop = time.monotonic() + seconds
+
+    async def client(number: int) -> None:
+        while time.monotonic() < stop:
+            ends[await failed_login(port, f"nobody-{number}", "guessed")] += 1
+
+    await asyncio.gather(*(client(number) for number in range(clients)))
+    print(dict(ends), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])))
--- /dev/null
+++ b/review/stand_ins_2/tds.py
@@ -0,0 +1,128 @@
+"""Stand-ins that speak TDS: an engine, and clients that only log in. The encoding of packets is the project's own."""
+
+import asyncio
+import re
+from typing import Any
+
+from rackhub.net.tds import codec
+from review.stand_ins_2.engines import Engine, Run, rows_of
+
+REPEAT_MS = re.compile(rb"\bms=(\d+)")
+
+
+def message(kind: int, *tokens: bytes) -> bytes:
+    """Encode a whole message."""
+    return b"".join(codec.encode_message(kind, b"".join(tokens)))
+
+
+class TdsEngine(Engine):
+    """One engine over TDS.
+
+    `second_copy`: seconds after which every `copy_every`-th answer is sent again; 0: none. `copies` counts them.
+    """
+
+    second_copy = 0.0
+    copy_every = 1
+    copies = 0
+    answers = 0
+
+    async def listen(self) -> "TdsEngine":
+        """Open the engine's address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: TdsPeer(self), "127.0.0.1", self.port, reuse_address=True)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+
+class TdsPeer(asyncio.Protocol):
+    """One connection of a coordinator's: PRELOGIN, LOGIN7, then one call at a time."""
+
+    def __init__(self, engine: TdsEngine):
+        self.engine = engine
+        self.transport: Any = None
+        self.run: Run | None = None
+        self._assembler = codec.MessageAssembler(1 << 20)
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        self.engine.peers.add(self)  # type: ignore[arg-type]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up the running call."""
+        self.engine.peers.discard(self)  # type: ignore[arg-type]
+        self._stop("connection lost")
+
+    def _stop(self, how: str) -> None:
+        run, self.run = self.run, None
+        if run is not None:
+            if run.task:
+                run.task.cancel()
+            self.engine.end(run, how)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle the whole messages."""
+        for kind, _, body in self._assembler.feed(data):
+            if kind == codec.PRELOGIN:
+                self.transport.write(message(codec.REPLY, codec.encode_prelogin()))
+            elif kind == codec.LOGIN7:
+                ack = codec.encode_login_ack(codec.VERSION_74, "engine")
+                self.transport.write(message(codec.REPLY, ack, codec.encode_done(0)))
+            elif kind == codec.RPC:
+                self._call(codec.parse_rpc(body).arguments)
+            elif kind == codec.ATTENTION:
+                self._stop("given up")
+                self.transport.write(message(codec.REPLY, codec.encode_done(codec.DONE_ATTN)))
+
+    def _call(self, arguments: dict[str, Any]) -> None:
+        engine, statement = self.engine, arguments["@statement"].encode()
+        fields = {"max": str(arguments["@budget_ms"]), "level": str(arguments["@level"])}
+        id, cls, key = arguments["@id"], arguments["@class"], arguments.get("@key", "")
+        run = self.run = Run(engine.name, id, cls, key, engine.world.now(), fields, statement, self)
+        engine.runs.append(run)
+        engine.world.note(f"{engine.name}: call {run.id} {run.cls} {statement[:60]!r}")
+        run.task = asyncio.get_running_loop().create_task(self._serve(run))
+
+    async def _serve(self, run: Run) -> None:
+        found = REPEAT_MS.search(run.statement)
+        await asyncio.sleep((int(found[1]) if found else 20) / 1000 * self.engine.slow)
+        if self.run is not run or self.engine.silent:
+            return
+        self.run = None
+        rows = rows_of(self.engine.name, run.statement)
+        run.pages = [b"".join(rows)]
+        tokens = [codec.encode_columns(("c1", "c2", "c3"))]
+        tokens += [codec.encode_row(row.decode().rstrip("\n").split("\t")) for row in rows]
+        tokens.append(codec.encode_done(codec.DONE_COUNT, len(rows), codec.DONEPROC))
+        answer = message(codec.REPLY, *tokens)
+        self.transport.write(answer)
+        engine = self.engine
+        engine.end(run, "served")
+        engine.answers += 1
+        if engine.second_copy and engine.answers % engine.copy_every == 0:
+            asyncio.get_running_loop().call_later(engine.second_copy, self._again, run, answer)
+
+    def _again(self, run: Run, answer: bytes) -> None:
+        if not self.transport.is_closing():
+            self.engine.copies += 1
+            self.engine.world.note(f"{self.engine.name}: {run.id} SECOND COPY of its answer")
+            self.transport.write(answer)
+
+
+async def failed_login(port: int, user: str, password: str, seconds: float = 10) -> str:
+    """Connect, log in with these words, read what comes, and return how it ended."""
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), seconds)
+    except (OSError, TimeoutError) as error:
+        return type(error).__name__
+    how = "closed"
+    try:
+        writer.write(message(codec.PRELOGIN, codec.encode_prelogin()))
+        writer.write(message(codec.LOGIN7, codec.encode_login7(user, password, "", 4096)))
+        while data := await asyncio.wait_for(reader.read(4096), seconds):
+            how = "refused" if "Login failed".encode("utf-16-le") in data else how
+    except (OSError, TimeoutError) as error:
+        how = type(error).__name__
+    finally:
+        writer.close()
+    return how
