--- a/review/stand_ins_2/tds.py
+++ b/review/stand_ins_2/tds.py
@@ -19,11 +19,14 @@
     """One engine over TDS.
 
     `second_copy`: seconds after which every `copy_every`-th answer is sent again; 0: none. `copies` counts them.
+    `short_every`: every so many answers one stops short, with a part of its rows and no DONE; 0: none. `shorts` counts.
     """
 
     second_copy = 0.0
     copy_every = 1
     copies = 0
+    short_every = 0
+    shorts = 0
     answers = 0
 
     async def listen(self) -> "TdsEngine":
@@ -93,12 +96,20 @@
         run.pages = [b"".join(rows)]
         tokens = [codec.encode_columns(("c1", "c2", "c3"))]
         tokens += [codec.encode_row(row.decode().rstrip("\n").split("\t")) for row in rows]
+        engine = self.engine
+        engine.answers += 1
+        if engine.short_every and engine.answers % engine.short_every == 0 and len(rows) > 1:
+            engine.shorts += 1
+            engine.world.note(
+                f"{engine.name}: {run.id} its answer STOPS SHORT after {len(rows) // 2} of {len(rows)} rows"
+            )
+            self.transport.write(message(codec.REPLY, *tokens[: 1 + len(rows) // 2]))
+            engine.end(run, "stopped short")
+            return
         tokens.append(codec.encode_done(codec.DONE_COUNT, len(rows), codec.DONEPROC))
         answer = message(codec.REPLY, *tokens)
         self.transport.write(answer)
-        engine = self.engine
         engine.end(run, "served")
-        engine.answers += 1
         if engine.second_copy and engine.answers % engine.copy_every == 0:
             asyncio.get_running_loop().call_later(engine.second_copy, self._again, run, answer)
 
