--- a/review/stand_ins_2/engines.py
+++ b/review/stand_ins_2/engines.py
@@ -83,6 +83,7 @@
         self.runs: list[Run] = []
         self.slow = 1.0
         self.silent = False
+        self.noted = True  # False: its requests are not in the record, and are forgotten when they end
         self.on_run: Callable[[Run], bool] | None = None  # True: the case handles the run itself
         self.on_word: Callable[[Any, list[bytes]], bool] | None = None
         self.peers: set[Peer] = set()
@@ -123,7 +124,8 @@
         """Note the end of a run."""
         if run.state == "out":
             run.state, run.ended = state, self.world.now()
-            self.world.note(f"{self.name}: {run.id} {state}")
+            if self.noted:
+                self.world.note(f"{self.name}: {run.id} {state}")
 
     async def serve(self, run: Run) -> None:
         """Run a statement, with notes each second, and answer it."""
@@ -219,9 +221,10 @@
             statement,
             self,
         )
-        engine.runs.append(run)
         self.open[id] = run
-        engine.world.note(f"{engine.name}: want {run.id} {text.decode()} {statement[:60]!r}")
+        if engine.noted:
+            engine.runs.append(run)
+            engine.world.note(f"{engine.name}: want {run.id} {text.decode()} {statement[:60]!r}")
         if engine.on_run and engine.on_run(run):
             return
         run.task = asyncio.get_running_loop().create_task(engine.serve(run))
