--- a/review/stand_ins_2/tds.py
+++ b/review/stand_ins_2/tds.py
@@ -1,4 +1,4 @@
-"""Stand-ins that speak TDS: an engine, and clients that only log in. The encoding of packets is the project's own."""
+"""A stand-in engine that speaks TDS. The encoding of packets is the project's own."""
 
 import asyncio
 import re
@@ -118,27 +118,3 @@
             self.engine.copies += 1
             self.engine.world.note(f"{self.engine.name}: {run.id} SECOND COPY of its answer")
             self.transport.write(answer)
-
-
-def long_prelogin(options: int) -> bytes:
-    """Encode a PRELOGIN message with so many empty options."""
-    return b"".join(codec.encode_message(codec.PRELOGIN, b"\x05\0\0\0\0" * options + b"\xff", codec.MAX_PACKET_BYTES))
-
-
-async def failed_login(port: int, user: str, password: str, prelogin: bytes, seconds: float = 20) -> str:
-    """Connect, send this PRELOGIN and a login with these words, read what comes, and return how it ended."""
-    try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), seconds)
-    except (OSError, TimeoutError) as error:
-        return type(error).__name__
-    how = "closed"
-    try:
-        writer.write(prelogin)
-        writer.write(message(codec.LOGIN7, codec.encode_login7(user, password, "", 4096)))
-        while data := await asyncio.wait_for(reader.read(4096), seconds):
-            how = "refused" if "Login failed".encode("utf-16-le") in data else how
-    except (OSError, TimeoutError) as error:
-        how = type(error).__name__
-    finally:
-        writer.close()
-    return how
