Review: a case that is cut off ends what it started

Cause: a killed script left its coordinator. Change: the system ends each process with the one that started it, and SIGTERM leads through the usual end.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import subprocess
-import sys
 from collections import Counter
 from pathlib import Path
 
@@ -39,9 +37,8 @@
     if not world.trouble:
         return
     script = str(ROOT / "review" / "stand_ins_2" / "bad_withdrawals.py")
-    words = [sys.executable, script, str(port), str(BAD_CONNECTIONS), str(BAD_SECONDS)]
-    started = [subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE) for _ in range(BAD_PROCESSES)]
-    world.processes += started
+    words = (script, str(port), str(BAD_CONNECTIONS), str(BAD_SECONDS))
+    started = [world.helper(*words) for _ in range(BAD_PROCESSES)]
     world.note(f"bad clients begin, on {BAD_PROCESSES * BAD_CONNECTIONS} connections")
     await until(lambda: all(process.poll() is not None for process in started), BAD_SECONDS + 25)
     for process in started:
--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -1,6 +1,7 @@
 """What every case shares: the record, free ports, the coordinators' processes, and their end."""
 
 import asyncio
+import ctypes
 import os
 import shutil
 import signal
@@ -25,6 +26,11 @@
         return int(probe.getsockname()[1])
 
 
+def end_with_parent() -> None:
+    """Make the system end this process when the one that started it ends, however that comes about."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # 1: PR_SET_PDEATHSIG
+
+
 class World:
     """The record, the temporary folder and the processes of one run."""
 
@@ -71,11 +77,20 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
+                preexec_fn=end_with_parent,
             )
         self.processes.append(process)
         self.note(f"platform: started {name}, pid {process.pid}")
         return process
 
+    def helper(self, *words: str) -> subprocess.Popen[bytes]:
+        """Start a program of the stand-ins in a process of its own; what it prints can be read at its end."""
+        process = subprocess.Popen(
+            [sys.executable, *words], cwd=ROOT, stdout=subprocess.PIPE, preexec_fn=end_with_parent
+        )
+        self.processes.append(process)
+        return process
+
     def signal(self, process: subprocess.Popen[bytes], number: int) -> None:
         """Send a signal to a process that this run started."""
         self.note(f"platform: {signal.Signals(number).name} to pid {process.pid}")
@@ -115,6 +130,7 @@
     """Run a case, an async function of the world, and exit with its verdict."""
     world = World(folder)
     status = CANNOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))  # by way of `finally`
     try:
         asyncio.run(asyncio.wait_for(case(world), limit))
         status = BROKEN if world.broken else HELD
