--- a/tests/test_client_buffers.py
+++ b/tests/test_client_buffers.py
@@ -202,7 +202,7 @@
     assert client.connection.unsent_bytes() <= LIMITS.max_unsent_response_bytes + 2 * ANSWER_BYTES
 
 
-def test_the_bytes_of_tds_clients_count_towards_the_sum():
+def test_the_bytes_of_tds_clients_count_towards_the_sum(monkeypatch):
     client = logged_in_client()
     client.front.buffers = BufferBudget(100_000, client.front._abort_over_budget)
     client.front.connected(client.connection)
@@ -211,6 +211,6 @@
         client.connection.dataReceived(part)
         assert client.front.buffers.total == number * 30_000
     client.wire._tempDataBuffer = []
-    type(client.wire)._tempDataLen = 0
+    monkeypatch.setattr(type(client.wire), "_tempDataLen", 0)
     client.connection.dataReceived(part)
     assert client.wire.aborted and client.counters["clients_over_budget"] == 1
