Bound the work on clients' messages in an iteration, and share it fairly

Cause: an event-loop iteration handled a full read of every connection, in the order in which they were read.

Change: net/input_scheduler.py, one for both fronts. A message costs a step and one more for each 1,024 bytes; an iteration has 64 steps; what is left waits in its connection, which is not read meanwhile, and has its turns by start-time fair queueing. The twins that held lines and messages during a pause are one mechanism in Client now. TDS is handled packet by packet. Lines on a closed connection are counted and dropped unread. A line buffer frees what is taken by a copy, as a bytearray keeps up to twice its content.

The counters of dropped lines and halves are as before.

--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -22,6 +22,7 @@
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.limits import SECOND
+from rackhub.net.front import input_scheduler
 from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.listen import SharedPort
 from rackhub.net.loop import ReactorWaker
@@ -107,10 +108,12 @@
     def _create_listeners(self, operator: Operator) -> list[tuple[Address, Any]]:
         """Return the address and the protocol factory of each listener for clients."""
         config = self.config
-        listeners = [(config.listen, jsonrpc_front(self.core, config.limits, self.counters))]
+        scheduler = input_scheduler(self.core, config.limits)
+        listeners = [(config.listen, jsonrpc_front(self.core, config.limits, self.counters, scheduler))]
         if operator.tds_front:
             tds_address = parse_address(operator.tds_front.listen, "tds_front.listen")
-            listeners.append((tds_address, tds_front(operator.tds_front, self.core, config.limits, self.counters)))
+            front = tds_front(operator.tds_front, self.core, config.limits, self.counters, scheduler=scheduler)
+            listeners.append((tds_address, front))
         return listeners
 
     def _create_context(self, operator: Operator) -> ComponentContext:
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -24,6 +24,9 @@
     max_event_loop_delay: int = 50 * MS  # new requests are rejected above this delay of the event loop
     # time between cancelling an attempt and completing it, so that a retry does not overtake the cancellation
     cancellation_delay: int = 10 * MS
+    max_input_steps: int = (
+        64  # steps of the work on clients' messages in one event-loop iteration, see `input_scheduler`
+    )
     max_open_requests: int = 1_000  # open requests of all clients
     max_statement_bytes: int = 16_777_216  # statements of all open requests together
     max_client_buffer_bytes: int = 44_040_192  # unhandled input and unsent output of all client connections of a front
--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -33,6 +33,9 @@
         self.write_blocked_since = 0  # time at which the send buffer became full
         self.fault_pause_until = 0  # end of the pause in reading after faults
         self.closed_at = 0  # time at which the writing side was closed
+        self.virtual_time = 0  # see `InputScheduler`
+        self.input_pending = False  # True while complete messages wait in the buffer
+        self._handling_input = False
         self.reading_stopped = False  # True while the transport is paused
         self.unread_input_since = 0  # earliest arrival of input that may still be unread in the socket
         self._reading_stopped_at = 0
@@ -66,8 +69,66 @@
         transport._tempDataBuffer = []  # noqa: SLF001
         transport._tempDataLen = 0  # noqa: SLF001
 
-    def handle_held_input(self) -> None:
-        """Handle input that was received before reading was paused and held since then; it may pause reading again."""
+    # ---- received messages: the front's scheduler decides when they are handled
+
+    def handle_next_message(self) -> int:
+        """Handle the next complete message; return its steps (see `input_scheduler`), or 0 if there is none."""
+        raise NotImplementedError
+
+    def has_complete_message(self) -> bool:
+        """Return whether `handle_next_message` has something to do."""
+        raise NotImplementedError
+
+    def has_partial_message(self) -> bool:
+        """Return whether the buffer ends in an incomplete message."""
+        raise NotImplementedError
+
+    def bytes_received(self, size: int) -> None:
+        """Have the messages handled that a read of `size` bytes has completed, now or later."""
+        may_be_drained = size < self.front.limits.socket_read_bytes
+        if may_be_drained and not self.may_have_unread_input and not self.reading_stopped:
+            self.unread_input_since = 0  # all stops so far were short, and the socket is empty
+        self.input_pending = self.has_complete_message()
+        if not self.input_pending and not self.ending:
+            self.record_received(False, self.has_partial_message())
+        if self.input_pending and self.reading_stopped and self.is_blocked():
+            self._handle_messages(1)  # the read had begun before the pause; no other will before its end
+        self.front.input.submit(self)
+        if not self.input_pending:
+            self.record_read(size)
+        self.input_handled()
+
+    def can_handle_input(self) -> bool:
+        """Return whether a complete message waits, and reading is not paused for another reason."""
+        return self.input_pending and not self.is_blocked()
+
+    def handle_input(self, max_steps: int) -> int:
+        """Handle messages until `max_steps` are reached, none is left, or reading has to be paused; return the steps.
+
+        The input of a connection that was not read for long may be old, and the client's end may be behind it.
+        """
+        self.may_have_unread_input = self.may_have_unread_input or self.reading_paused
+        return self._handle_messages(max_steps)
+
+    def _handle_messages(self, max_steps: int) -> int:
+        steps = handled = 0
+        self._handling_input = True
+        while steps < max_steps and (size := self.handle_next_message()):
+            steps += size
+            handled += 1
+            if self.is_blocked():
+                break
+        self._handling_input = False
+        self.input_pending = self.has_complete_message()
+        if not self.ending:
+            self.record_received(handled > 0, not self.input_pending and self.has_partial_message())
+        return steps
+
+    def input_handled(self) -> None:
+        """Count what the connection keeps, and pause or resume reading, after messages were handled."""
+        if not self._handling_input:
+            self.front.buffers.update(self)
+            self.update_reading()
 
     def end(self) -> None:
         """Accept no further requests, answer the open ones, then close."""
@@ -158,26 +219,35 @@
         else:
             self.update_reading()
 
-    def should_stop_reading(self) -> bool:
-        """Return whether reading has to be paused now."""
+    def is_blocked(self) -> bool:
+        """Return whether no more messages may be handled now, so that reading has to be paused."""
         return not self.ending and (self.write_blocked_since > 0 or self.is_paused_for_faults())
 
+    def should_stop_reading(self) -> bool:
+        """Return whether reading has to be paused now: messages wait, or must not be handled."""
+        return self.input_pending or self.is_blocked()
+
     def is_paused_for_faults(self) -> bool:
         """Return whether reading is paused because of faults."""
         return self.core.clock.now() < self.fault_pause_until
 
     def update_reading(self) -> None:
-        """Pause or resume the transport as `should_stop_reading` says. Nothing else pauses or resumes it."""
+        """Pause or resume the transport as `should_stop_reading` says. Nothing else pauses or resumes it.
+
+        Messages that waited while reading was paused are handled first.
+        """
+        if self._handling_input:
+            return
+        if self.can_handle_input():
+            self.front.input.submit(self)  # which calls this method again after it has handled messages
         if self.should_stop_reading() == self.reading_stopped:
             return
         self._check_number += 1
         if self.reading_stopped:
             self.may_have_unread_input = self.may_have_unread_input or self.reading_paused
             self.reading_stopped = False
-            self.handle_held_input()
-            if not self.reading_stopped:
-                self.transport.resumeProducing()
-                self._clear_unread_input_after_reads()
+            self.transport.resumeProducing()
+            self._clear_unread_input_after_reads()
         else:
             self._reading_stopped_at = self.core.clock.now()
             self.unread_input_since = self.unread_input_since or self._reading_stopped_at
@@ -210,7 +280,9 @@
 
         Pauses up to `limits.late_iteration_delay` don't count, as one answer that fills the send buffer causes a pause
         of one event-loop iteration. The time counts from `unread_input_since`, not from the start of this pause:
-        reading can resume and pause again without a read in between.
+        reading can resume and pause again without a read in between. While messages are handled it is open whether
+        reading goes on after them: `may_have_unread_input` makes their attempts wait for that.
         """
         unread_for = self.core.clock.now() - self.unread_input_since
-        return self.reading_stopped and unread_for > self.front.limits.late_iteration_delay
+        stopped = self.reading_stopped and not self._handling_input
+        return stopped and unread_for > self.front.limits.late_iteration_delay
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -17,6 +17,7 @@
 from rackhub.limits import Limits
 from rackhub.net.buffer_budget import BufferBudget
 from rackhub.net.client import Client
+from rackhub.net.input_scheduler import InputScheduler
 
 log = logs.logger(__name__)
 
@@ -30,6 +31,15 @@
     write: int  # maximum time with a full send buffer
 
 
+def input_scheduler(core: Coordinator, limits: Limits) -> InputScheduler:
+    """Return a scheduler of received messages, whose iterations are those of the core's timers."""
+
+    def call_in_next_iteration(call: Callable[[], None]) -> None:
+        core.timers.call_at(core.clock.now(), call)
+
+    return InputScheduler(call_in_next_iteration, limits.max_input_steps)
+
+
 class Front(protocol.ServerFactory):
     """The listening side of one front: its connections, their maximum number, and their timeouts."""
 
@@ -43,8 +53,9 @@
         counters: Counters,
         max_connections: int,
         timeouts: ClientTimeouts,
+        scheduler: InputScheduler | None = None,
     ):
-        """`make` builds the protocol object of a new connection."""
+        """`make` builds the protocol object of a new connection; `scheduler` is shared with other fronts."""
         self._make = make
         self._max_connections = max_connections
         self._timeouts = timeouts
@@ -53,6 +64,7 @@
         self.counters = counters
         self.connections: set[Client] = set()
         self._aborted: set[Client] = set()  # aborted connections whose descriptors are not free yet
+        self.input = scheduler or input_scheduler(core, limits)
         self.buffers = BufferBudget(limits.max_client_buffer_bytes, self._abort_over_budget)
         self.replaced = False  # set when the process ends and another one serves on the same address
         core.timers.call_at(core.clock.now() + limits.client_check_interval, self.check_timeouts)
@@ -99,6 +111,7 @@
         """Remove a closed connection."""
         self.counters.add("clients_closed")
         self.buffers.remove(client)
+        self.input.remove(client)
         self.connections.discard(client)
         self._aborted.discard(client)
 
--- a/rackhub/net/jsonrpc.py
+++ b/rackhub/net/jsonrpc.py
@@ -15,6 +15,7 @@
 from rackhub.limits import Limits
 from rackhub.net.client import Client
 from rackhub.net.front import ClientTimeouts, Front
+from rackhub.net.input_scheduler import InputScheduler, message_steps
 from rackhub.net.line_buffer import LineBuffer
 from rackhub.net.request_validation import InvalidRequestError, build_query
 
@@ -85,9 +86,9 @@
         self.has_accepted = False  # True after the first accepted request
         self.draining = False
         self._buffer = LineBuffer()
-        self._processing_lines = False
-        self._holds_lines = False  # True while complete lines wait in the buffer because reading is paused
+        self._end_requested = False  # True if the connection ends once the lines that wait are handled
         self._discarded_bytes = 0  # bytes received after the end of acceptance
+        self._discarded_half = False  # True if the input discarded after the close ends in an incomplete line
 
     # ---- Twisted
 
@@ -100,102 +101,99 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report the client of each open request as disconnected (Twisted)."""
         self.front.lost(self)
-        if self._buffer:
+        if self._buffer or self._discarded_half:
             self.counters.add("halves_dropped")
         unanswered = list(self.open.values())
         self.open = {}
-        self._holds_lines = False  # the client of the held requests is gone
+        self.input_pending = False  # the client of the requests that wait is gone
         log.debug("client_lost", client=self, open=len(unanswered), half_read=len(self._buffer), reason=reason)
         for query in unanswered:
             self.core.disconnect_client(query)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Handle the complete lines, and buffer the rest (Twisted)."""
+        """Buffer the received bytes, and have the complete lines handled (Twisted)."""
         if self.ending:
             self._discarded_bytes += len(data)
-        self._buffer.append(data)
-        completed = self._handle_lines()
-        if not self.ending:
-            self.record_received(completed, len(self._buffer) > 0 and not self._holds_lines)
-        if not self._holds_lines:
-            self.record_read(len(data))
-        self._input_handled()
-
-    def _handle_lines(self) -> bool:
-        """Handle the complete lines until reading has to be paused; return whether there was one.
-
-        The rest of the lines is held until reading resumes. Otherwise the answers to one read could take far more
-        memory than the read, as a line of one byte causes an error message.
-        """
-        handled = 0
-        self._holds_lines = False
-        self._processing_lines = True
-        while (line := self._buffer.take_line()) is not None:
-            handled += 1
-            self._handle_line(line)
-            if not self.ending and self.should_stop_reading():
-                self._holds_lines = self._buffer.has_complete_line()
-                break
-        self._processing_lines = False
-        return handled > 0
-
-    def _handle_line(self, line: bytes) -> None:
+        if self.closed_at:
+            self._count_discarded(data)
+            self.update_reading()
+        else:
+            self._buffer.append(data)
+            self.bytes_received(len(data))
+
+    def _count_discarded(self, data: bytes) -> None:
+        """Count the lines of input that nobody handles any more, and note whether the last one is incomplete."""
+        lines = data.count(b"\n")
+        if lines:
+            self.counters.add("lines_dropped", lines)
+            log.debug("lines_discarded", client=self, reason="the connection is closed", lines=lines, size=len(data))
+        if data:
+            self._discarded_half = not data.endswith(b"\n")
+
+    def handle_next_message(self) -> int:
+        """Handle the next complete line; return its steps, or 0 if there is none."""
+        line = self._buffer.take_line()
+        if line is None:
+            return 0
         if self.ending:
             self._discard(line)
         elif len(line) > self.front.limits.max_request_bytes:
             self._too_long()
         else:
             self.lineReceived(line)
+        return message_steps(len(line))
+
+    def has_complete_message(self) -> bool:
+        """Return whether a complete line waits."""
+        return self._buffer.has_complete_line()
+
+    def has_partial_message(self) -> bool:
+        """Return whether the buffer ends in an incomplete line, when no complete one waits."""
+        return len(self._buffer) > 0
 
-    def _input_handled(self) -> None:
+    def input_handled(self) -> None:
         """Limit the incomplete line, pause or resume reading, and end the connection if it is done."""
-        if not self._holds_lines and len(self._buffer) > self.front.limits.max_request_bytes:
+        if self._handling_input:
+            return
+        self._buffer.discard_taken()
+        if not self.input_pending and len(self._buffer) > self.front.limits.max_request_bytes:
             self._buffer.truncate(self.front.limits.max_request_bytes)
             if not self.ending:
                 self._too_long()
-        self.front.buffers.update(self)
-        self.update_reading()
+        if self._end_requested and not self.can_handle_input():
+            self._end_now()
         self._end_if_done()
-
-    def handle_held_input(self) -> None:
-        """Handle the lines that were held while reading was paused."""
-        if self._holds_lines:
-            self._handle_lines()
-            if not self.ending and not self._holds_lines and len(self._buffer):
-                self.incomplete_since = self.core.clock.now()
-            self._input_handled()
+        super().input_handled()
 
     def discard_buffers(self) -> None:
         """Free what an aborted connection keeps."""
         super().discard_buffers()
-        self._buffer = LineBuffer()
-        self._holds_lines = False
+        self._buffer.take_all()
+        self.input_pending = False
 
     def buffered_bytes(self) -> int:
         """Return the number of bytes of unhandled input and unsent output."""
         return len(self._buffer) + self.unsent_bytes()
 
-    def should_stop_reading(self) -> bool:
-        """Return whether reading has to be paused now.
+    def is_blocked(self) -> bool:
+        """Return whether no more lines may be handled now, so that reading has to be paused.
 
         On an ending connection reading goes on, to see the client's close and its cancels, until
-        `limits.max_discarded_bytes` have been discarded.
+        `limits.max_discarded_bytes` have been discarded. One that is about to end handles what it has read, whether or
+        not the client reads the answers.
         """
         if self.ending:
             return self._discarded_bytes > self.front.limits.max_discarded_bytes
-        return super().should_stop_reading()
-
-    def update_reading(self) -> None:
-        """Pause or resume reading, but only after all received lines are handled."""
-        if not self._processing_lines:
-            super().update_reading()
+        if self._end_requested:
+            return self.is_paused_for_faults()
+        return super().is_blocked()
 
     def has_open_request(self) -> bool:
-        """Return whether a request is open, or may be among the held lines.
+        """Return whether a request is open, or may be among the lines that wait.
 
-        The held lines of a client that sends invalid messages don't count, so that it can be evicted.
+        The lines of a client that sends invalid messages don't count, so that it can be evicted.
         """
-        return bool(self.open) or self._holds_lines and not self.is_paused_for_faults()
+        return bool(self.open) or self.input_pending and not self.is_paused_for_faults()
 
     def end_with_error(self, why: str) -> None:
         """Answer with an error, then end the connection."""
@@ -371,23 +369,28 @@
     def _write(self, id: Any, *pieces: bytes) -> None:
         """Write one message, joined: the transport would keep each piece of an unsent one as an object of its own."""
         self.transport.write(b"".join((b'{"jsonrpc":"2.0","id":', msgspec.json.encode(id), b",", *pieces, b"}\n")))
-        if not self._processing_lines:
+        if not self._handling_input:
             self.front.buffers.update(self)
 
     # ---- closing
 
     def end(self) -> None:
-        """Accept no further requests, answer the open ones, then close."""
-        self._accept_held_lines()
+        """Accept no further requests, answer the open ones, then close.
+
+        The lines that wait are accepted before; those after an invalid message are discarded instead.
+        """
+        self._end_requested = True
+        if self._handling_input or not self.can_handle_input():
+            self._end_now()
+        else:
+            self.update_reading()
+
+    def _end_now(self) -> None:
+        self._end_requested = False
         self.ending = True
         self.update_reading()
         self._end_if_done()
 
-    def _accept_held_lines(self) -> None:
-        """Handle the held lines although reading is paused; those after an invalid message are discarded instead."""
-        while self._holds_lines and not self._processing_lines and not self.is_paused_for_faults():
-            self._handle_lines()
-
     def drain(self) -> None:
         """Accept and answer the requests already on their way, then close."""
         self.draining = True
@@ -397,6 +400,10 @@
     def _end_if_done(self) -> None:
         if self.ending and not self.open:
             self.close()
+            self._count_discarded(self._buffer.take_all())
+            self.input_pending = False
+            self.front.buffers.update(self)
+            self.update_reading()
         elif self.draining and not self.open:
             # Two timers in a row: only between them are all sockets sure to have been read.
             now = self.core.clock.now()
@@ -408,9 +415,11 @@
             self.end()
 
 
-def jsonrpc_front(core: Coordinator, limits: Limits, counters: Counters) -> Front:
-    """Return the listening side of the JSON-RPC front."""
+def jsonrpc_front(
+    core: Coordinator, limits: Limits, counters: Counters, scheduler: InputScheduler | None = None
+) -> Front:
+    """Return the listening side of the JSON-RPC front; `scheduler` is shared with other fronts."""
     timeouts = ClientTimeouts(
         limits.first_message_timeout, limits.message_timeout, limits.client_idle_timeout, limits.write_timeout
     )
-    return Front(JsonRpcConnection, core, limits, counters, limits.max_client_connections, timeouts)
+    return Front(JsonRpcConnection, core, limits, counters, limits.max_client_connections, timeouts, scheduler)
--- a/rackhub/net/line_buffer.py
+++ b/rackhub/net/line_buffer.py
@@ -3,6 +3,8 @@
 The work is linear in the bytes received: each byte is searched once for the end of a line, in pieces of any size.
 """
 
+MIN_FREED_BYTES = 4_096
+
 
 class LineBuffer:
     """Received bytes that are not taken yet: complete lines, and the beginning of an incomplete one."""
@@ -25,24 +27,36 @@
         end = self._data.find(b"\n", self._searched)
         if end < 0:
             self._searched = len(self._data)
-            self._discard_taken()
             return None
         line = bytes(memoryview(self._data)[self._taken : end])
         self._taken = self._searched = end + 1
         return line
 
     def has_complete_line(self) -> bool:
-        """Return whether `take_line` would return a line, and free the memory of the lines already taken."""
-        self._discard_taken()
-        return self._data.find(b"\n", self._searched) >= 0
+        """Return whether `take_line` would return a line."""
+        end = self._data.find(b"\n", self._searched)
+        self._searched = len(self._data) if end < 0 else end  # no byte is searched twice
+        return end >= 0
+
+    def take_all(self) -> bytes:
+        """Remove and return all bytes that are not taken yet."""
+        rest = bytes(memoryview(self._data)[self._taken :])
+        self._data = bytearray()
+        self._taken = self._searched = 0
+        return rest
 
     def truncate(self, size: int) -> None:
         """Keep only the first `size` bytes that are not taken; they must not contain a complete line."""
-        self._discard_taken()
-        del self._data[size:]
+        self._data = self._data[self._taken : self._taken + size]
+        self._taken = 0
         self._searched = len(self._data)
 
-    def _discard_taken(self) -> None:
-        del self._data[: self._taken]
-        self._searched -= self._taken
-        self._taken = 0
+    def discard_taken(self) -> None:
+        """Free the memory of the lines already taken, once it is worth a copy of the rest.
+
+        Deleting the lines in place would not do: a bytearray keeps up to twice the memory of its content.
+        """
+        if self._taken >= MIN_FREED_BYTES or 0 < self._taken == len(self._data):
+            self._data = self._data[self._taken :]
+            self._searched -= self._taken
+            self._taken = 0
--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -172,8 +172,33 @@
 # ---- packets
 
 
+class Packet(NamedTuple):
+    """A packet without its header; `status` has the bits of the header."""
+
+    kind: int
+    status: int
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Bytes of the packet with its header."""
+        return HEADER.size + len(self.body)
+
+
+class Message(NamedTuple):
+    """A complete message; `status` is that of its last packet, with the RESET bits if any of its packets had them."""
+
+    kind: int
+    status: int
+    body: bytes
+
+
 class MessageAssembler:
-    """Reassembles messages from a byte stream; buffers one message of at most `max_bytes`."""
+    """Reassembles messages from a byte stream; buffers one message of at most `max_bytes`.
+
+    Bytes are added with `append`. `take_packet` and `add_packet` process one packet at a time, so that the caller can
+    bound its work; `feed` and `feed_packets` process all that are complete.
+    """
 
     def __init__(self, max_bytes: int):
         self._max_bytes = max_bytes
@@ -191,44 +216,69 @@
         """Return the number of bytes of the incomplete message, and of packets that are not taken yet."""
         return len(self._buffer) + len(self._body)
 
-    def feed(self, data: bytes) -> Iterator[tuple[int, int, bytes]]:
-        """Add received bytes and yield each message that is now complete.
-
-        A message is (type, status, body); status has the RESET bits if any of its packets had them.
-        """
-        for kind, status, body in self.feed_packets(data):
-            if self._body and kind != self._kind:
-                if kind != ATTENTION:
-                    raise TdsProtocolError(f"packet of type {kind} inside a message of type {self._kind}")
-                # An Attention received inside a request cancels that request.
-                self._body = bytearray()
-                self._reset = False
-            if len(self._body) + len(body) > self._max_bytes:
-                raise TdsProtocolError(f"message exceeds the limit of {self._max_bytes} bytes")
-            self._kind = kind
-            self._body += body
-            self._reset |= bool(status & RESET)
-            if status & EOM:
-                complete = bytes(self._body)
-                reset = self._reset
-                self._body = bytearray()
-                self._reset = False
-                yield kind, status | (RESET if reset else 0), complete
-
-    def feed_packets(self, data: bytes) -> Iterator[tuple[int, int, bytes]]:
-        """Add received bytes and yield (type, status, body) of each packet that is now complete."""
+    def append(self, data: bytes) -> None:
+        """Add received bytes."""
         self._buffer += data
-        while len(self._buffer) >= HEADER.size:
-            kind, status, size, _, _, _ = HEADER.unpack_from(self._buffer)
-            if not HEADER.size <= size <= MAX_PACKET_BYTES:
-                raise TdsProtocolError(f"packet of {size} bytes: must be {HEADER.size} to {MAX_PACKET_BYTES} bytes")
-            if kind not in PACKET_TYPES:
-                raise TdsProtocolError(f"unknown packet type {kind}")
-            if len(self._buffer) < size:
-                return
-            body = bytes(self._buffer[HEADER.size : size])
-            del self._buffer[:size]
-            yield kind, status, body
+
+    def discard(self) -> None:
+        """Free the received bytes."""
+        self._buffer = bytearray()
+        self._body = bytearray()
+
+    def has_packet(self) -> bool:
+        """Whether `take_packet` would return a packet or raise `TdsProtocolError`."""
+        if len(self._buffer) < HEADER.size:
+            return False
+        kind, _, size, _, _, _ = HEADER.unpack_from(self._buffer)
+        return len(self._buffer) >= size or not HEADER.size <= size <= MAX_PACKET_BYTES or kind not in PACKET_TYPES
+
+    def take_packet(self) -> Packet | None:
+        """Remove and return the next packet, or return None if none is complete. Raises `TdsProtocolError`."""
+        if len(self._buffer) < HEADER.size:
+            return None
+        kind, status, size, _, _, _ = HEADER.unpack_from(self._buffer)
+        if not HEADER.size <= size <= MAX_PACKET_BYTES:
+            raise TdsProtocolError(f"packet of {size} bytes: must be {HEADER.size} to {MAX_PACKET_BYTES} bytes")
+        if kind not in PACKET_TYPES:
+            raise TdsProtocolError(f"unknown packet type {kind}")
+        if len(self._buffer) < size:
+            return None
+        body = bytes(memoryview(self._buffer)[HEADER.size : size])
+        del self._buffer[:size]
+        return Packet(kind, status, body)
+
+    def add_packet(self, packet: Packet) -> Message | None:
+        """Add a packet to the message; return the message if it is complete now. Raises `TdsProtocolError`."""
+        if self._body and packet.kind != self._kind:
+            if packet.kind != ATTENTION:
+                raise TdsProtocolError(f"packet of type {packet.kind} inside a message of type {self._kind}")
+            # An Attention received inside a request cancels that request.
+            self._body = bytearray()
+            self._reset = False
+        if len(self._body) + len(packet.body) > self._max_bytes:
+            raise TdsProtocolError(f"message exceeds the limit of {self._max_bytes} bytes")
+        self._kind = packet.kind
+        self._body += packet.body
+        self._reset |= bool(packet.status & RESET)
+        if not packet.status & EOM:
+            return None
+        message = Message(packet.kind, packet.status | (RESET if self._reset else 0), bytes(self._body))
+        self._body = bytearray()
+        self._reset = False
+        return message
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """Add received bytes and yield each message that is now complete."""
+        for packet in self.feed_packets(data):
+            message = self.add_packet(packet)
+            if message is not None:
+                yield message
+
+    def feed_packets(self, data: bytes) -> Iterator[Packet]:
+        """Add received bytes and yield each packet that is now complete."""
+        self.append(data)
+        while (packet := self.take_packet()) is not None:
+            yield packet
 
 
 class Packetizer:
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -26,6 +26,7 @@
 from rackhub.limits import Limits
 from rackhub.net.client import Client
 from rackhub.net.front import ClientTimeouts, Front
+from rackhub.net.input_scheduler import InputScheduler, message_steps
 from rackhub.net.request_validation import InvalidRequestError, build_query
 from rackhub.net.tds import codec
 from rackhub.net.tds.stream import TdsStream
@@ -114,8 +115,8 @@
         self._sent_rows = 0
         self._done_token_type = codec.DONE  # the DONE token that ends the current response
         self._reset_pending = False  # the next response has to acknowledge a connection reset
-        self._holds_messages = False  # complete messages may wait in the assembler because reading is paused
         self._attention_expected = False  # a request has been received since the last Attention
+        self._message_completed = False  # a message, not only a packet, has been handled since the last record
 
     def _new_packetizer(self) -> codec.Packetizer:
         return codec.Packetizer(codec.REPLY, self._packet_bytes)
@@ -130,6 +131,7 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Cancel the running request as the connection is lost (Twisted)."""
         self.state = State.CLOSED
+        self.input_pending = False
         self._unsent_pages = []
         self.front.lost(self)
         self._cancel_request()
@@ -140,13 +142,18 @@
         if query is not None:
             self.core.disconnect_client(query)
 
-    def should_stop_reading(self) -> bool:
-        """Whether reading has to be paused: for a time after invalid messages.
+    def is_blocked(self) -> bool:
+        """Whether no more messages may be handled: for a time after invalid ones.
 
         Unlike in other protocols reading goes on while rows are written, to detect Attention and disconnects.
         """
         return not self.ending and self.is_paused_for_faults()
 
+    def update_reading(self) -> None:
+        """Pause or resume reading, unless the connection is closed and the rest of its output is being sent."""
+        if not self._is_closed():
+            super().update_reading()
+
     def has_open_request(self) -> bool:
         """Whether a request is running or its result is being written."""
         return self.state in (State.BUSY, State.ROWS)
@@ -179,46 +186,56 @@
     # ---- received messages
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes; raises `TdsProtocolError`."""
+        """Have the complete messages handled."""
+        if not self._is_closed():
+            self._assembler.append(data)
+            self.bytes_received(len(data))
+
+    def handle_next_message(self) -> int:
+        """Handle the next packet and the message that it completes; return their steps, or 0 if there is none."""
+        try:
+            return self._handle_next_packet()
+        except codec.TdsProtocolError as error:
+            self.malformed(error)
+            self._assembler.discard()
+            return 0
+
+    def _handle_next_packet(self) -> int:
         if self._is_closed():
-            return
-        complete = self._process_messages(data)
-        if not self._holds_messages:
-            self.record_read(len(data))
-        self._record_messages(complete)
+            self._assembler.discard()
+            return 0
+        packet = self._assembler.take_packet()
+        if packet is None:
+            return 0
+        message = self._assembler.add_packet(packet)
+        if message is None:
+            return message_steps(packet.size)
+        self._handle_message(message)
+        return message_steps(len(message.body))
+
+    def _handle_message(self, message: codec.Message) -> None:
+        self._message_completed = True
+        if message.kind == codec.ATTENTION:
+            self._process_attention()
+        elif message.status & codec.IGNORE:  # cancelled by its client, Attention follows
+            self._attention_expected = True
+        else:
+            self._process_message(*message)
+        self._limit_unsent_responses()
 
-    def _process_messages(self, data: bytes) -> bool:
-        """Process the complete messages until reading has to be paused; return whether there was one.
+    def has_complete_message(self) -> bool:
+        """Whether a complete packet waits."""
+        return not self._is_closed() and self._assembler.has_packet()
 
-        The others wait in the assembler until reading resumes, as each message may cause a response.
-        """
-        complete = False
-        self._holds_messages = False
-        for kind, status, body in self._assembler.feed(data):
-            if self._is_closed():
-                return complete
-            complete = True
-            if kind == codec.ATTENTION:
-                self._process_attention()
-            elif status & codec.IGNORE:  # cancelled by its client, Attention follows
-                self._attention_expected = True
-            else:
-                self._process_message(kind, status, body)
-            self._limit_unsent_responses()
-            if self.should_stop_reading():
-                self._holds_messages = True
-                break
-        return complete
-
-    def _record_messages(self, complete: bool) -> None:
-        self.front.buffers.update(self)
-        # Until the login is complete the time limit runs from the start of the connection.
-        self.record_received(complete and self.login is not None, self._assembler.has_partial_message)
-
-    def handle_held_input(self) -> None:
-        """Process the messages that were held while reading was paused."""
-        if self._holds_messages and not self._is_closed():
-            self.guard(lambda: self._record_messages(self._process_messages(b"")))
+    def has_partial_message(self) -> bool:
+        """Whether part of a message has been received, when no complete packet waits."""
+        return self._assembler.has_partial_message
+
+    def record_received(self, complete: bool, begun: bool) -> None:
+        """Record received bytes; until the login is complete the time limit runs from the start of the connection."""
+        complete = self._message_completed
+        self._message_completed = False
+        super().record_received(complete and self.login is not None, begun)
 
     def _limit_unsent_responses(self) -> None:
         """Reset a client that sends messages without reading the responses, which TDS has it read before the next."""
@@ -228,6 +245,11 @@
             self.state = State.CLOSED
             self.abort()
 
+    def discard_buffers(self) -> None:
+        """Free what an aborted connection keeps."""
+        super().discard_buffers()
+        self._assembler.discard()
+
     def buffered_bytes(self) -> int:
         """Return the number of bytes of incomplete or held messages and of unsent output."""
         return self._assembler.buffered_bytes() + self.unsent_bytes()
@@ -490,11 +512,15 @@
     limits: Limits,
     counters: Counters,
     generate_id: Callable[[], str] | None = None,
+    scheduler: InputScheduler | None = None,
 ) -> Front:
-    """Create the front for TDS clients; `generate_id` returns request ids, random ones by default."""
-    generate_id = generate_id or random_id_generator()
+    """Create the front for TDS clients.
+
+    `generate_id` returns request ids, random ones by default. `scheduler` is shared with other fronts.
+    """
+    make_id = generate_id or random_id_generator()
     return Front(
-        lambda front: TdsConnection(front, settings, generate_id),
+        lambda front: TdsConnection(front, settings, make_id),
         core,
         limits,
         counters,
@@ -502,4 +528,5 @@
         ClientTimeouts(
             limits.tds_login_timeout, limits.tds_message_timeout, limits.tds_idle_timeout, limits.tds_write_timeout
         ),
+        scheduler,
     )
--- a/rackhub/net/tds/stream.py
+++ b/rackhub/net/tds/stream.py
@@ -34,9 +34,13 @@
         try:
             process()
         except TdsProtocolError as error:
-            log.warning("tds: connection aborted: %s", error)
-            self.malformed_data_received()
-            self.transport.abortConnection()
+            self.malformed(error)
+
+    def malformed(self, error: TdsProtocolError) -> None:
+        """Abort the connection, as its peer has sent malformed data."""
+        log.warning("tds: connection aborted: %s", error)
+        self.malformed_data_received()
+        self.transport.abortConnection()
 
     def write(self, pieces: Iterable[bytes]) -> None:
         """Write byte strings in order, without joining them."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -13,6 +13,7 @@
 from rackhub.core.timers import Timers
 from rackhub.counters import Counters
 from rackhub.limits import Limits
+from rackhub.net.input_scheduler import InputScheduler
 from rackhub.net.jsonrpc import jsonrpc_front
 from rackhub.net.resp import resp_pools
 from rackhub.net.resp_protocol import encode_command
@@ -249,6 +250,11 @@
         self.ask(codec.RPC, codec.encode_rpc("rackhub_query", parameters))
 
 
+def scheduler_without_event_loop():
+    """Return a scheduler for connections without an event loop, whose iterations follow one another at once."""
+    return InputScheduler(lambda call: call(), LIMITS.max_input_steps)
+
+
 class CoordinatorTestBed:
     """A coordinator on loopback with the engines e0, e1, ... and a clock that the test advances."""
 
@@ -261,9 +267,10 @@
             if tds_engines
             else resp_pools(reactor, *shared)
         )
+        scheduler = InputScheduler(lambda call: reactor.callLater(0, call), limits.max_input_steps)
         self.fronts = (
-            jsonrpc_front(self.core, limits, self.counters),
-            tds_front(TDS, self.core, limits, self.counters, ids),
+            jsonrpc_front(self.core, limits, self.counters, scheduler),
+            tds_front(TDS, self.core, limits, self.counters, ids, scheduler),
         )
         self.ports = [reactor.listenTCP(0, front, interface="127.0.0.1") for front in self.fronts]
         self.pools.update_endpoints(
--- a/tests/test_client_buffers.py
+++ b/tests/test_client_buffers.py
@@ -18,6 +18,7 @@
 from rackhub.net.tds import codec
 
 SEND_BUFFER_BYTES = 65_536  # unsent output at which a transport pauses its producer
+BLOCKED_ITERATIONS = 100  # without progress; the lines of one read are handled in up to 24 iterations
 ANSWER_BYTES = 200  # more than an error or an answer to `alive` has
 ALIVE_LINE = b'{"jsonrpc":"2.0","id":7,"method":"alive"}\n'
 
@@ -25,7 +26,7 @@
 def send_until_blocked(client, data):
     """Send the data again and again, until the process has stopped reading and the sockets' buffers are full."""
     blocked = 0
-    while blocked < 20:
+    while blocked < BLOCKED_ITERATIONS:
         try:
             client.socket.send(data)
             blocked = 0
--- a/tests/test_crossings_model.py
+++ b/tests/test_crossings_model.py
@@ -14,7 +14,7 @@
 from types import SimpleNamespace
 
 import pytest
-from harness import LIMITS, MS, FakeClock, S
+from harness import LIMITS, MS, FakeClock, S, scheduler_without_event_loop
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule, run_state_machine_as_test
@@ -216,7 +216,7 @@
         if eager is not None:
             self.core.decisions.control = RetryingPolicy(eager, self.states)
         shared = self.clock, LIMITS, self.counters, self.core
-        self.front = jsonrpc_front(self.core, LIMITS, self.counters)
+        self.front = jsonrpc_front(self.core, LIMITS, self.counters, scheduler_without_event_loop())
 
         def dial(pool: EnginePool):
             link = EngineConnection(pool, *shared)
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -11,7 +11,7 @@
 from types import SimpleNamespace
 
 import pytest
-from harness import CLASSES, LIMITS, LOGIN, MS, TDS, FakeClock, S, TdsClient
+from harness import CLASSES, LIMITS, LOGIN, MS, TDS, FakeClock, S, TdsClient, scheduler_without_event_loop
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -156,7 +156,7 @@
     def __init__(self):
         super().__init__()
         self.core, self.counters = FakeCore(), Counters()
-        self.front = jsonrpc_front(self.core, LIMITS, self.counters)
+        self.front = jsonrpc_front(self.core, LIMITS, self.counters, scheduler_without_event_loop())
         self.connection, self.wire = self.front.buildProtocol(None), MemoryTransport()
         self.connection.makeConnection(self.wire)
         self.open_requests, self.ids, self.accepting, self.is_lost = {}, itertools.count(1), True, False
@@ -763,7 +763,9 @@
     def __init__(self):
         super().__init__()
         self.core, self.counters, numbers = FakeCore(), Counters(), itertools.count(1)
-        self.front = tds.tds_front(TDS, self.core, LIMITS, self.counters, lambda: f"{next(numbers):016x}")
+        self.front = tds.tds_front(
+            TDS, self.core, LIMITS, self.counters, lambda: f"{next(numbers):016x}", scheduler_without_event_loop()
+        )
         self.connect()
 
     def connect(self):
