Bound the parts of a TDS message, not only its bytes

Cause: codec.parse_prelogin bounded the bytes of the options, of which an empty one has none: 65 ms for 50,000 here. The same shape: arguments of a call, chunks of a text argument, and the texts of LOGIN7, whose password is decoded byte by byte.

Change: 32 options, 128 characters in each text of a login (MS-TDS 2.2.6.4), 32 arguments, 1,024 chunks.

--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -84,6 +84,10 @@
 PLP_NULL = (1 << 64) - 1
 PLP_UNKNOWN_LENGTH = (1 << 64) - 2
 PRELOGIN_OPTION_BYTES = 5
+MAX_PRELOGIN_OPTIONS = 32  # MS-TDS 2.2.6.5 defines nine
+MAX_LOGIN_TEXT = 128  # code units of each text field of LOGIN7 (MS-TDS 2.2.6.4)
+MAX_RPC_ARGUMENTS = 32
+MAX_PLP_CHUNKS = 1_024  # of a value that a client sends
 PRELOGIN_TERMINATOR = 0xFF
 LOGIN_HEADER_BYTES = 94  # size of the fixed fields of LOGIN7 and of its table of text offsets
 LOGIN_INTEGRATED_SECURITY = 0x80  # bit of OptionFlags2 in LOGIN7
@@ -338,6 +342,8 @@
     total_size = 0
     position = 0
     while position < len(body) and body[position] != PRELOGIN_TERMINATOR:
+        if position >= MAX_PRELOGIN_OPTIONS * PRELOGIN_OPTION_BYTES:
+            raise TdsProtocolError(f"PRELOGIN has more than {MAX_PRELOGIN_OPTIONS} options")
         if position + PRELOGIN_OPTION_BYTES > len(body):
             raise TdsProtocolError(f"PRELOGIN is truncated inside its option table, after {len(body)} bytes")
         option, offset, size = struct.unpack_from(">BHH", body, position)
@@ -416,6 +422,8 @@
     texts = {}
     for index, name in enumerate(LOGIN_TEXT_FIELDS):
         offset, code_units = struct.unpack_from("<HH", body, LOGIN_FIXED_FIELDS.size + 4 * index)
+        if code_units > MAX_LOGIN_TEXT:
+            raise TdsProtocolError(f"LOGIN7 field {name} has {code_units} code units, at most {MAX_LOGIN_TEXT} allowed")
         if offset + 2 * code_units > len(body):
             raise TdsProtocolError(f"LOGIN7 field {name} ends at byte {offset + 2 * code_units} of {len(body)}")
         raw = body[offset : offset + 2 * code_units]
@@ -472,17 +480,21 @@
     return struct.pack("<QI", len(raw), len(raw)) + raw + b"\0\0\0\0" if raw else b"\0" * 12
 
 
-def read_plp(max_bytes: int) -> Reading[bytes | None]:
-    """Read a partially length-prefixed value of at most `max_bytes`; None for NULL."""
+def read_plp(max_bytes: int, max_chunks: int | None = None) -> Reading[bytes | None]:
+    """Read a partially length-prefixed value of at most `max_bytes` and `max_chunks`; None for NULL."""
     total = int.from_bytes((yield 8), "little")
     if total == PLP_NULL:
         return None
     if total != PLP_UNKNOWN_LENGTH and total > max_bytes:
         raise TdsProtocolError(f"value of {total} bytes exceeds the limit of {max_bytes} bytes")
     value = bytearray()
+    chunks = 0
     while chunk := int.from_bytes((yield 4), "little"):
         if len(value) + chunk > max_bytes:
             raise TdsProtocolError(f"value exceeds the limit of {max_bytes} bytes")
+        chunks += 1
+        if max_chunks is not None and chunks > max_chunks:
+            raise TdsProtocolError(f"value has more than {max_chunks} chunks")
         value += yield chunk
     if total not in (PLP_UNKNOWN_LENGTH, len(value)):
         raise TdsProtocolError(f"value has {len(value)} bytes, its declared length is {total}")
@@ -566,7 +578,7 @@
 def _read_text_argument(cursor: ByteCursor, encoding: str) -> str | None:
     declared = cursor.read_int(2)
     cursor.read(len(COLLATION))
-    raw = cursor.run(read_plp(cursor.end) if declared == USHORT_MAX else read_short_value())
+    raw = cursor.run(read_plp(cursor.end, MAX_PLP_CHUNKS) if declared == USHORT_MAX else read_short_value())
     if raw is None:
         return None
     try:
@@ -587,6 +599,8 @@
             # The first byte is the length of a parameter name; no supported parameter has a name as long as these.
             if cursor.data[cursor.position] in RPC_BATCH_FLAGS:
                 raise UnsupportedTdsError("several calls in one message")
+            if len(arguments) >= MAX_RPC_ARGUMENTS:
+                raise UnsupportedTdsError(f"more than {MAX_RPC_ARGUMENTS} arguments")
             label = cursor.read_text(cursor.read_int(1)).lower()
             cursor.read_int(1)
             if label in arguments:
--- a/tests/test_input_cost.py
+++ b/tests/test_input_cost.py
@@ -134,3 +134,39 @@
     call = codec.ALL_HEADERS + struct.pack("<H", 1) + "p".encode("utf-16-le") + b"\0\0" + b"\0\0" + value
     with pytest.raises(codec.TdsProtocolError, match="decimal"):
         codec.parse_rpc(call)
+
+
+# ---- single messages whose work was not bounded by their number
+
+
+# Guards against a PRELOGIN of 50,000 empty options, each of which was parsed: some 70 ms of processor time.
+def test_the_options_of_a_prelogin_are_bounded_in_number():
+    options = b"".join(struct.pack(">BHH", number % 250, 0, 0) for number in range(50_000))
+    with pytest.raises(codec.TdsProtocolError, match="more than 32 options"):
+        codec.parse_prelogin(options + b"\xff")
+    assert len(codec.parse_prelogin(codec.encode_prelogin())) == 5
+
+
+# Guards against a password of 65,535 characters, which is decoded byte by byte.
+def test_the_texts_of_a_login_are_bounded():
+    assert codec.parse_login7(codec.encode_login7("u" * 128, "p" * 128, "rides", 4096)).password == "p" * 128
+    for user, password in (("u" * 129, "p"), ("u", "p" * 129)):
+        with pytest.raises(codec.TdsProtocolError, match="129 code units"):
+            codec.parse_login7(codec.encode_login7(user, password, "rides", 4096))
+
+
+# Guards against a call of tens of thousands of short arguments, and a text in as many chunks.
+def test_the_arguments_of_a_call_and_their_chunks_are_bounded():
+    call = codec.encode_rpc("p", {f"@{number}": number for number in range(codec.MAX_RPC_ARGUMENTS)})
+    assert len(codec.parse_rpc(call).arguments) == codec.MAX_RPC_ARGUMENTS
+    with pytest.raises(codec.UnsupportedTdsError, match="arguments"):
+        codec.parse_rpc(codec.encode_rpc("p", {f"@{number}": number for number in range(33)}))
+    begin = codec.encode_rpc("p", {}) + b"\0\0" + bytes([codec.NVARCHAR]) + b"\xff\xff" + codec.COLLATION
+    begin += struct.pack("<Q", codec.PLP_UNKNOWN_LENGTH)
+    for chunks, is_valid in ((codec.MAX_PLP_CHUNKS, True), (codec.MAX_PLP_CHUNKS + 1, False)):
+        body = begin + b"\2\0\0\0x\0" * chunks + b"\0\0\0\0"
+        if is_valid:
+            assert codec.parse_rpc(body).arguments == {"": "x" * chunks}
+        else:
+            with pytest.raises(codec.TdsProtocolError, match="chunks"):
+                codec.parse_rpc(body)
