Verify the passwords of TDS logins outside of the event loop

Cause: _process_login derived the key of each password, some 10 ms, on the event loop, also for users that don't exist.

What the client sends meanwhile waits unread.

--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -89,6 +89,7 @@
         "tds_refused",
         "tds_logins",
         "tds_bad_logins",
+        "tds_logins_refused",
         "tds_requests",
         "tds_attentions",
         "tds_bad",
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -30,6 +30,7 @@
 from rackhub.net.resp import resp_pools
 from rackhub.net.tds.engine import tds_pools
 from rackhub.net.tds.front import tds_front
+from rackhub.net.tds.login_verifier import LoginVerifier, thread_worker
 from rackhub.operatorfile import Operator
 
 log = logs.logger(__name__)
@@ -112,7 +113,10 @@
         listeners = [(config.listen, jsonrpc_front(self.core, config.limits, self.counters, scheduler))]
         if operator.tds_front:
             tds_address = parse_address(operator.tds_front.listen, "tds_front.listen")
-            front = tds_front(operator.tds_front, self.core, config.limits, self.counters, scheduler=scheduler)
+            verifier = LoginVerifier(operator.tds_front, thread_worker(reactor.callFromThread))
+            front = tds_front(
+                operator.tds_front, self.core, config.limits, self.counters, scheduler=scheduler, verifier=verifier
+            )
             listeners.append((tds_address, front))
         return listeners
 
--- a/rackhub/net/tds/front.py
+++ b/rackhub/net/tds/front.py
@@ -29,6 +29,7 @@
 from rackhub.net.input_scheduler import InputScheduler, message_steps
 from rackhub.net.request_validation import InvalidRequestError, build_query
 from rackhub.net.tds import codec
+from rackhub.net.tds.login_verifier import LoginVerifier
 from rackhub.net.tds.stream import TdsStream
 from rackhub.operatorfile import TdsFrontSettings, TdsLogin
 from rackhub.version import VERSION
@@ -50,6 +51,8 @@
 ERROR_SEVERITY = 16
 LOGIN_SEVERITY = 14
 
+LOGIN_RETRY_MS = 500
+
 # Types of ENVCHANGE.
 ENV_DATABASE = 1
 ENV_PACKET_SIZE = 4
@@ -89,6 +92,7 @@
 
     PRELOGIN = enum.auto()
     LOGIN = enum.auto()
+    VERIFYING = enum.auto()  # the password of the login is being verified
     READY = enum.auto()
     BUSY = enum.auto()  # a request is running
     ROWS = enum.auto()  # the result of a request is being written
@@ -101,9 +105,12 @@
 class TdsConnection(Client, TdsStream):
     """One client's connection. While `ending` is true it accepts no new request and closes as soon as it is READY."""
 
-    def __init__(self, front: Front, settings: TdsFrontSettings, generate_id: Callable[[], str]):
+    def __init__(
+        self, front: Front, settings: TdsFrontSettings, generate_id: Callable[[], str], verifier: LoginVerifier
+    ):
         super().__init__(front)
         self.settings = settings
+        self._verifier = verifier
         self.state = State.PRELOGIN
         self.login: TdsLogin | None = None
         self._generate_id = generate_id
@@ -143,11 +150,11 @@
             self.core.disconnect_client(query)
 
     def is_blocked(self) -> bool:
-        """Whether no more messages may be handled: for a time after invalid ones.
+        """Whether no more messages may be handled: for a time after invalid ones, and while a login is verified.
 
         Unlike in other protocols reading goes on while rows are written, to detect Attention and disconnects.
         """
-        return not self.ending and self.is_paused_for_faults()
+        return not self.ending and (self.is_paused_for_faults() or self.state == State.VERIFYING)
 
     def update_reading(self) -> None:
         """Pause or resume reading, unless the connection is closed and the rest of its output is being sent."""
@@ -173,7 +180,7 @@
     def end(self) -> None:
         """Accept no new request; close once the running request has been answered."""
         self.ending = True
-        if self.state in (State.PRELOGIN, State.LOGIN, State.READY):
+        if self.state in (State.PRELOGIN, State.LOGIN, State.VERIFYING, State.READY):
             self._close()
 
     def _is_closed(self) -> bool:
@@ -275,8 +282,23 @@
         if kind != codec.LOGIN7:  # a client that requires encryption starts a TLS handshake here
             raise codec.TdsProtocolError(f"packet type {kind} after PRELOGIN: must be {codec.LOGIN7} (LOGIN7)")
         requested = codec.parse_login7(body)
-        login = self._authenticate(requested)
-        if login is None:
+        self.state = State.VERIFYING
+        if requested.integrated_security:
+            self._verified(requested, None)
+            return
+        if not self._verifier.verify(
+            requested.user, requested.password, lambda login: self._verified(requested, login)
+        ):
+            self.counters.add("tds_logins_refused")
+            text = f"refused: too many logins at once, a retry is safe, retry after {LOGIN_RETRY_MS} ms"
+            self._send_error(REJECTED, SAFE_TO_RETRY, LOGIN_SEVERITY, text)
+            self._close()
+
+    def _verified(self, requested: codec.Login, login: TdsLogin | None) -> None:
+        """Complete a login whose password has been verified; `login` is None if there is none with this password."""
+        if self.state != State.VERIFYING:  # the connection has ended meanwhile
+            return
+        if login is None or not self._is_acceptable(requested):
             self.counters.add("tds_bad_logins")
             user = requested.user[:MAX_QUOTED_NAME_CHARACTERS]
             self._send_error(LOGIN_FAILED, DEFAULT_ERROR_STATE, LOGIN_SEVERITY, f"Login failed for user '{user}'.")
@@ -284,19 +306,17 @@
             return
         self.counters.add("tds_logins")
         self.login = login
+        self.has_sent_message = True
         self.state = State.READY
         if codec.MIN_PACKET_BYTES <= requested.packet_size <= codec.MAX_PACKET_BYTES:
             self._packet_bytes = requested.packet_size
         self._acknowledge_login(min(requested.version, codec.VERSION_74))
+        self.last_used = self.core.clock.now()
+        self.input_handled()
 
-    def _authenticate(self, requested: codec.Login) -> TdsLogin | None:
-        """Return the login, or None if the credentials, the database or the TDS version is not accepted."""
-        login = (
-            None if requested.integrated_security else self.settings.authenticate(requested.user, requested.password)
-        )
-        if requested.database not in ("", self.settings.database) or requested.version < codec.VERSION_72:
-            return None
-        return login
+    def _is_acceptable(self, requested: codec.Login) -> bool:
+        """Whether the database and the TDS version are accepted."""
+        return requested.database in ("", self.settings.database) and requested.version >= codec.VERSION_72
 
     def _acknowledge_login(self, version: int) -> None:
         tokens = (
@@ -513,14 +533,17 @@
     counters: Counters,
     generate_id: Callable[[], str] | None = None,
     scheduler: InputScheduler | None = None,
+    verifier: LoginVerifier | None = None,
 ) -> Front:
     """Create the front for TDS clients.
 
-    `generate_id` returns request ids, random ones by default. `scheduler` is shared with other fronts.
+    `generate_id` returns request ids, random ones by default. `scheduler` is shared with other fronts. `verifier`
+    verifies the passwords of logins, by default on the calling thread.
     """
     make_id = generate_id or random_id_generator()
+    login_verifier = verifier or LoginVerifier(settings)
     return Front(
-        lambda front: TdsConnection(front, settings, make_id),
+        lambda front: TdsConnection(front, settings, make_id, login_verifier),
         core,
         limits,
         counters,
--- a/rackhub/operatorfile.py
+++ b/rackhub/operatorfile.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-SCRYPT = {"n": 1 << 12, "r": 8, "p": 1, "dklen": 32}  # cheap enough to compute on the event loop at each login
+SCRYPT = {"n": 1 << 12, "r": 8, "p": 1, "dklen": 32}  # some 10 ms of processor time
 
 
 def hash_password(password: str, salt: bytes | None = None) -> str:
