Serve a TDS engine's result only if it is complete

Cause: at the last packet of a message TdsEngineConnection asked whether the bytes end between two tokens and whether an ERROR had come. The end of a result is a DONE token without the MORE bit (MS-TDS 2.2.7.6), whose number of rows it did not compare either.

Change: net/tds/response.py follows the tokens of a message and says whether it is complete. What is not ends its attempt as one that may have run, and its connection, before the next call can use it.

--- a/rackhub/net/tds/codec.py
+++ b/rackhub/net/tds/codec.py
@@ -56,6 +56,7 @@
 DONE_ERROR = 0x02
 DONE_COUNT = 0x10
 DONE_ATTN = 0x20
+DONE_SERVER_ERROR = 0x100  # DONE_SRVERROR: the result is incomplete
 
 # Data types (MS-TDS 2.2.5.4).
 NULLTYPE = 0x1F
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -30,6 +30,7 @@
 from rackhub.net.pool import EngineDialer, EnginePool, EnginePools
 from rackhub.net.resp_protocol import parse_load_report
 from rackhub.net.tds import codec
+from rackhub.net.tds.response import ResponseState
 from rackhub.net.tds.stream import TdsStream
 from rackhub.net.tds.token_reader import TokenReader
 from rackhub.operatorfile import TdsEngineSettings
@@ -105,8 +106,7 @@
         self._tokens = TokenReader(self.limits.max_tds_token_bytes)
         self._rows: list[str] = []
         self._result_length = 0
-        self._first_error = 0  # number of the first ERROR token; 0: none was received
-        self._attention_acknowledged = False
+        self._response = ResponseState()
         self._load_report: dict[str, float] = {}
 
     # ---- interface to the pool
@@ -313,6 +313,8 @@
                 self._process_response(body, bool(status & codec.EOM))
             else:
                 raise codec.TdsProtocolError(f"response received in state {self.state.name}, in which none is expected")
+        if self.state == State.READY and self._assembler.has_partial_message:
+            raise codec.TdsProtocolError("bytes received after the end of a response")
 
     def _send_login(self, options: dict[int, bytes]) -> None:
         if options.get(ENCRYPTION_OPTION, b"\x02") not in ACCEPTED_ENCRYPTION:
@@ -337,18 +339,18 @@
             return
         if not self._tokens.at_token_boundary():
             raise codec.TdsProtocolError("response ends inside a token")
+        self._response.check_complete()
         if self.state == State.LOGIN:
             self._complete_login()
         elif self.state == State.CANCELLING:
             self._end_cancelled_response()
         else:
-            self.state = State.READY
             self._complete_call()
 
     def _end_cancelled_response(self) -> None:
         # If the engine had completed its response before it read the Attention, this is the end of that response, and
         # the acknowledgement follows as a separate message.
-        if self._attention_acknowledged:
+        if self._response.attention_acknowledged:
             self.state = State.READY
             self.last_used = self.clock.now()
         self._reset_response()
@@ -356,30 +358,32 @@
             self.close_if_idle()
 
     def _complete_call(self) -> None:
-        if self._first_error:
-            self._complete_attempt(OUTCOME_BY_ERROR.get(self._first_error, Outcome.ERROR))
+        if self._response.attention_acknowledged:
+            raise codec.TdsProtocolError("Attention acknowledged that was not sent")
+        self.state = State.READY
+        if self._response.error:
+            self._complete_attempt(OUTCOME_BY_ERROR.get(self._response.error, Outcome.ERROR))
         else:
             self._complete_attempt(Outcome.SUCCESS, ("".join(self._rows).encode("utf-8", "replace"),))
 
     def _complete_login(self) -> None:
-        if self._first_error:
-            log.warning("engine %s rejected the login with error %d", self.pool.name, self._first_error)
+        if self._response.error:
+            log.warning("engine %s rejected the login with error %d", self.pool.name, self._response.error)
             self._complete_attempt(Outcome.CONNECT_FAILED)
             self._abort()
             return
+        if not self._response.login_acknowledged:
+            raise codec.TdsProtocolError("login is not acknowledged")
         self.state = State.READY
         if self._attempt is not None:
             self._request_write()
 
     def _process_token(self, kind: int, value: Any) -> None:
-        if kind == codec.ERROR:
-            self._first_error = self._first_error or value.number or -1  # -1: an ERROR with the number 0
-        elif kind == codec.ROW and self.state == State.BUSY:
+        self._response.add(kind, value)
+        if kind == codec.ROW and self.state == State.BUSY:
             self._add_row(self._attempt, value)
         elif kind == codec.INFO and self._attempt is not None:
             self._process_info(self._attempt, value)
-        elif kind in (codec.DONE, codec.DONEPROC) and value.status & codec.DONE_ATTN:
-            self._attention_acknowledged = True
 
     def _add_row(self, attempt: Attempt | None, values: list[str]) -> None:
         text = "\t".join(values) + "\n"
