Merge the manual ejections of both processes of a replacement, and save before the yes

Cause: each process read the handover file whole and wrote its own copy whole, without a lock from the reading to the writing. In the class: the ids ever listed, which went the same way; a version of the file taken after the own write, so that the other's write between the two was never read; a yes after a failed write; a file that could not be read for a moment, counted as damaged and written over.

Change: ops/shared_ejections.py makes each change to what was saved last, under an exclusive lock, and saves it before it is published and answered. What can't be saved gets a no; a call out is in force here all the same and is saved later, merged.

--- a/rackhub/ops/commands.py
+++ b/rackhub/ops/commands.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from rackhub.ops.manual_ejections import ManualEjections
+from rackhub.ops.shared_ejections import NotSavedError, SharedEjections
 
 MAX_QUOTED_VERB = 40  # characters of an unknown verb that are quoted in the response
 MAX_QUOTED_ENGINE = 80  # characters of an unknown engine id that are quoted in the response
@@ -69,25 +69,22 @@
 
     def __init__(
         self,
-        ejections: ManualEjections,
+        ejections: SharedEjections,
         is_ready: Callable[[], bool],
         on_change: Callable[[], None],
         metrics_text: Callable[[], bytes],
         now: Callable[[], int],
-        refresh: Callable[[], None] = lambda: None,
     ):
         """Connect the handler to the process.
 
         `is_ready` tells whether the process serves requests, `metrics_text` returns the metrics for DUMP, `now` the
-        time in microseconds. `refresh` is called before a change of the ejections and adopts those that another
-        process has saved, `on_change` after it, to publish and save them.
+        time in microseconds. `on_change` is called after a change of the ejections, to publish them.
         """
         self.ejections = ejections
         self._is_ready = is_ready
         self._on_change = on_change
         self._metrics_text = metrics_text
         self._now = now
-        self._refresh = refresh
 
     def execute(self, line: bytes) -> bytes:
         """Execute a command line (without its terminator) and return the response, which ends with a newline."""
@@ -103,13 +100,17 @@
             case Verb.DUMP:
                 return b"YES figures follow\n" + self._metrics_text() + b"END\n"
             case Verb.OFFLINE:
-                self._refresh()
-                return self._apply_change(self.ejections.eject(command.engine), command.engine, "out")
+                return self._change(command.engine, lambda: self.ejections.eject(command.engine), "out")
             case Verb.ONLINE:
-                self._refresh()
-                return self._apply_change(self.ejections.restore(command.engine, self._now()), command.engine, "back")
+                return self._change(command.engine, lambda: self.ejections.restore(command.engine, self._now()), "back")
 
-    def _apply_change(self, known: bool, engine: str, result: str) -> bytes:
+    def _change(self, engine: str, change: Callable[[], bool], result: str) -> bytes:
+        """Make a change and publish it; it is confirmed only once it is saved."""
+        try:
+            known = change()
+        except NotSavedError as error:
+            self._on_change()
+            raise CommandError(f"{engine[:MAX_QUOTED_ENGINE]}: can't be saved, call again: {error}") from None
         if not known:
             raise CommandError(f"unknown engine {engine[:MAX_QUOTED_ENGINE]}: it was never in the endpoint list")
         self._on_change()
--- a/rackhub/ops/component.py
+++ b/rackhub/ops/component.py
@@ -16,6 +16,7 @@
 from rackhub.ops.commands import CommandHandler
 from rackhub.ops.listener import OperatorListener
 from rackhub.ops.metrics import MetricsCollector
+from rackhub.ops.shared_ejections import SharedEjections
 
 log = logging.getLogger(__name__)
 LISTEN_BACKLOG = 64  # connections
@@ -30,22 +31,19 @@
         self._successor_is_running = self._take_lock()
         process_replacement.stop_throttling()
         self._entries: Sequence[interface.EngineEntry] = ()
-        self._path = handover_file.file_path(os.environ)
-        self._file_version = handover_file.file_version(self._path)  # the version last read or written by this process
-        self.ejections = handover_file.load_ejections(self._path, context.counters.add)
+        self.ejections = SharedEjections(handover_file.file_path(os.environ), context.counters.add)
         metrics = MetricsCollector(
             context.core.counts_by_class,
             lambda: len(context.core.queries),
             lambda: len(self._entries),
-            lambda: self.ejections.count_unavailable(self._entries),
+            lambda: self.ejections.current.count_unavailable(self._entries),
         )
         handler = CommandHandler(
             self.ejections,
             is_ready=context.is_serving,
-            on_change=self._publish_and_save,
+            on_change=context.republish_endpoints,
             metrics_text=metrics.text,
             now=context.clock.now,
-            refresh=self._refresh,
         )
         self._listener = OperatorListener(handler, context.reactor, context.config.limits, context.counters)
         self._port: SharedPort | None = None
@@ -75,46 +73,18 @@
     def visible_endpoints(self, entries: Sequence[interface.EngineEntry]) -> Sequence[interface.EngineEntry]:
         """Return the endpoint list with manually ejected engines shown as draining."""
         self._entries = entries
-        self._adopt_saved_ejections()
-        if self.ejections.add_known(entries):  # a successor has to know these ids too
-            self._save()
-        return self.ejections.visible_endpoints(entries)
+        self.ejections.refresh()
+        self.ejections.add_known(entries)
+        return self.ejections.current.visible_endpoints(entries)
 
     def has_successor(self) -> bool:
         """Whether the process that replaces this one is running."""
         return self._successor_is_running()
 
-    def _adopt_saved_ejections(self) -> bool:
-        """Adopt the ejections that another process has saved. Returns whether they differ from the current ones.
-
-        While one process replaces another, a command may reach either of them, so both use the state saved last.
-        """
-        version = handover_file.file_version(self._path)
-        if version is None or version == self._file_version:
-            return False
-        self._file_version = version
-        try:
-            state = handover_file.read(self._path)
-        except handover_file.HandoverFileError as error:
-            self.context.counters.add("ops_state_bad")
-            log.error("ignoring the ejections saved by another process: %s", error)
-            return False
-        if state is None:
-            return False
-        return self.ejections.adopt(set(state.ejected), set(state.known), state.restored_at)
-
     def _refresh(self) -> None:
-        if self._adopt_saved_ejections():
+        if self.ejections.refresh():
             self.context.republish_endpoints()
 
-    def _publish_and_save(self) -> None:
-        self.context.republish_endpoints()
-        self._save()
-
-    def _save(self) -> None:
-        handover_file.save_ejections(self._path, self.ejections, self.context.counters.add)
-        self._file_version = handover_file.file_version(self._path)
-
 
 def create_component(context: ComponentContext) -> OpsComponent:
     """Create the component. Called by `rackhub.components`."""
--- a/rackhub/ops/handover_file.py
+++ b/rackhub/ops/handover_file.py
@@ -68,13 +68,14 @@
 
 
 def read(path: Path) -> HandoverState | None:
-    """Read the file; returns None if it does not exist. Raises `HandoverFileError`."""
+    """Read the file; returns None if it does not exist.
+
+    Raises `HandoverFileError` if its content can't be used, and `OSError` if it can't be read.
+    """
     try:
         data = path.read_bytes()
     except FileNotFoundError:
         return None
-    except OSError as error:
-        raise HandoverFileError(f"{path}: {os.strerror(error.errno or 0)}") from None
     return decode(data)
 
 
@@ -105,7 +106,7 @@
     """
     try:
         state = read(path)
-    except HandoverFileError as error:
+    except (HandoverFileError, OSError) as error:
         count("ops_state_bad")
         log.error("ignoring the ejections saved by the previous process: %s", error)
         return ManualEjections()
@@ -113,12 +114,3 @@
         return ManualEjections()
     log.info("the previous process handed over %d manually ejected engines", len(state.ejected))
     return ManualEjections(ejected=state.ejected, known=state.known, restored_at=state.restored_at)
-
-
-def save_ejections(path: Path, ejections: ManualEjections, count: Callable[[str], None]) -> None:
-    """Save the ejections for the next process; a failure is logged and counted (`ops_state_unwritten`)."""
-    try:
-        write(path, encode(ejections.ejected, ejections.known, ejections.restored_at))
-    except OSError as error:
-        count("ops_state_unwritten")
-        log.error("can't save the manual ejections for the next process: %s", error)
--- a/rackhub/ops/manual_ejections.py
+++ b/rackhub/ops/manual_ejections.py
@@ -32,6 +32,10 @@
         self.known: set[str] = set(known)
         self.restored_at: dict[str, int] = dict(restored_at or {})
 
+    def copy(self) -> "ManualEjections":
+        """Return an independent copy."""
+        return ManualEjections(ejected=self.ejected, known=self.known, restored_at=self.restored_at)
+
     def add_known(self, entries: Sequence[interface.EngineEntry]) -> bool:
         """Add the ids of an endpoint list to the known ids. Returns whether any of them was new."""
         known_before = len(self.known)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -17,6 +17,7 @@
 from rackhub.ops.listener import OperatorListener
 from rackhub.ops.manual_ejections import ManualEjections
 from rackhub.ops.metrics import MetricsCollector
+from rackhub.ops.shared_ejections import SharedEjections
 
 ENTRIES = (
     interface.EngineEntry("a", started_at=5),
@@ -106,17 +107,17 @@
         self.change_count += 1
 
 
-def create_handler(process: ProcessStub) -> CommandHandler:
-    ejections = ManualEjections()
+def create_handler(process: ProcessStub, directory) -> CommandHandler:
+    ejections = SharedEjections(handover_file.file_path({"TMPDIR": str(directory)}), Counters().add)
     ejections.add_known(ENTRIES)
     counts_by_class = {"lookup": [3, 1, 2, 7]}
-    metrics = MetricsCollector(counts_by_class, lambda: 4, lambda: 3, lambda: len(ejections.ejected))
+    metrics = MetricsCollector(counts_by_class, lambda: 4, lambda: 3, lambda: len(ejections.current.ejected))
     return CommandHandler(ejections, lambda: process.ready, process.on_change, metrics.text, lambda: 100)
 
 
-def test_the_handler_answers_every_command_and_every_error_with_yes_or_no():
+def test_the_handler_answers_every_command_and_every_error_with_yes_or_no(tmp_path):
     process = ProcessStub()
-    handler = create_handler(process)
+    handler = create_handler(process, tmp_path)
     assert handler.execute(b"HEALTH") == b"YES ready\n"
     process.ready = False
     assert handler.execute(b"HEALTH").startswith(b"NO")
@@ -127,9 +128,9 @@
         assert handler.execute(invalid_line).startswith(b"NO "), invalid_line
 
 
-def test_metrics_are_the_coordinators_counts_in_the_text_format():
+def test_metrics_are_the_coordinators_counts_in_the_text_format(tmp_path):
     process = ProcessStub()
-    handler = create_handler(process)
+    handler = create_handler(process, tmp_path)
     handler.execute(b"OFFLINE b")
     text = handler.execute(b"DUMP").decode()
     lines = text.splitlines()
@@ -154,9 +155,9 @@
 
 
 @pytest.fixture
-def listener_and_clock():
+def listener_and_clock(tmp_path):
     clock = Clock()
-    return OperatorListener(create_handler(ProcessStub()), clock, Limits(), Counters()), clock
+    return OperatorListener(create_handler(ProcessStub(), tmp_path), clock, Limits(), Counters()), clock
 
 
 def test_a_command_split_at_every_byte_is_answered(listener_and_clock):
@@ -186,10 +187,9 @@
 def test_an_ejection_outlives_the_process_and_a_damaged_file_is_counted_and_ignored(tmp_path):
     path = handover_file.file_path({"TMPDIR": str(tmp_path)})
     counters = Counters()
-    first = handover_file.load_ejections(path, counters.add)  # without a file
+    first = SharedEjections(path, counters.add)  # without a file
     first.add_known(ENTRIES)
     assert first.eject("b")
-    handover_file.save_ejections(path, first, counters.add)
     second = handover_file.load_ejections(path, counters.add)  # as the successor process does
     assert visible_states(second, (interface.EngineEntry("b"), interface.EngineEntry("a")))["b"] == "Terminating"
     assert second.restore("b", 10) and not second.eject("never")  # ids listed before the start are known
@@ -200,7 +200,8 @@
 
 def test_ejections_that_cannot_be_saved_are_counted(tmp_path):
     counters = Counters()
-    handover_file.save_ejections(tmp_path / "gone" / handover_file.FILE_NAME, ManualEjections(), counters.add)
+    ejections = SharedEjections(tmp_path / "gone" / handover_file.FILE_NAME, counters.add)
+    ejections.add_known(ENTRIES)
     assert counters["ops_state_unwritten"] == 1
 
 
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import socket
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from replacement_harness import (
@@ -21,7 +23,8 @@
 
 NO_SHARING = "import socket; socket.SO_REUSEPORT = socket.SO_REUSEADDR; "
 NO_DRAIN = "import rackhub.daemon as d; d.Daemon._begin_shutdown = lambda _: d.reactor.stop(); "
-NO_HANDOVER = "import rackhub.ops.handover_file as s; s.save_ejections = lambda *_: None; "
+NO_HANDOVER = "import rackhub.ops.handover_file as s; s.write = lambda *_: None; "
+CALLS_AT_ONCE = 8
 MAIN = "import sys; from rackhub.cli import main; sys.exit(main())"
 
 
@@ -117,3 +120,37 @@
         wait_until(lambda: len(engines[0].received_ids) > sent_before)  # the ejection was lost with the file
         assert "ignoring the ejections saved by the previous process: not a state file" in new.log_text()
         assert_all_answered_once(traffic)
+
+
+def call_operator(port, line):
+    """Make one call at an operators' address on a plain socket, and return the whole response."""
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.sendall(line.encode() + b"\n")
+        return b"".join(iter(lambda: connection.recv(1 << 16), b"")).decode()
+
+
+# Guards against a ban that is undone by the other process: both wrote the whole list of bans, each over the other's.
+def test_calls_to_both_processes_at_one_moment_all_hold(tmp_path):
+    (listen_port,) = free_ports(1)
+    engines, processes = [DelayedEngine(0.05) for _ in range(CALLS_AT_ONCE)], []
+    resolver = start_resolver(engines)
+    try:
+        for name in ("old", "new"):
+            process = CoordinatorProcess(tmp_path, name, listen_port, engines, resolver.address, ("-m", "rackhub"))
+            processes.append(process.wait_until_serving())
+        for verb, ejected in (("OFFLINE", CALLS_AT_ONCE), ("ONLINE", 0)) * 2:
+            figure = f"balancer_pool_ejected {ejected}.0\n"
+            with ThreadPoolExecutor(CALLS_AT_ONCE) as pool:
+                ports = [processes[number % 2].operator_port for number in range(CALLS_AT_ONCE)]
+                lines = [f"{verb} e{number}" for number in range(CALLS_AT_ONCE)]
+                assert all(answer.startswith("YES") for answer in pool.map(call_operator, ports, lines))
+            run_reactor_for(0.3)  # both have read the file again
+            for process in processes:
+                assert figure in call_operator(process.operator_port, "DUMP")
+    finally:
+        resolver.close()
+        for process in processes:
+            process.close()
+        for engine in engines:
+            engine.port.stopListening()
+        run_reactor_for(0.05)
