Let no process lower or share the stored generation of a gateway

With [fleet] state both store their generation in one file. Each read it and wrote it without a lock, by way of one temporary name: two that start at once could draw the same number or fail, and the old process, when it raised its own, could store a lower number over the new one's. No report of it is known.

Change: read and written under an exclusive lock (rackhub/file_lock.py, shared with the ejections), and never lowered.

Tests: test_two_processes_that_store_their_generations_never_share_or_lower_one; on the code before it fails (a process's rename finds that another has taken the temporary file). The golden test stored a lower number over a higher one, which was the fault; it now removes the file before and compares the same bytes.

--- a/rackhub/ops/shared_ejections.py
+++ b/rackhub/ops/shared_ejections.py
@@ -5,22 +5,19 @@
 """
 
 import contextlib
-import fcntl
 import logging
 import os
-import time
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 
 from rackhub import interface
+from rackhub.file_lock import exclusive_lock
 from rackhub.ops import handover_file
 from rackhub.ops.manual_ejections import ManualEjections
 
 log = logging.getLogger(__name__)
 
 LOCK_SUFFIX = ".lock"
-LOCK_TRIES = 20  # the other process holds the lock for about a millisecond
-LOCK_RETRY_S = 0.002
 
 
 class NotSavedError(Exception):
@@ -125,13 +122,9 @@
     def _exclusive(self) -> Iterator[None]:
         """Hold the lock of the file, for reading and writing it as one step. Raises `NotSavedError`."""
         try:
-            descriptor = os.open(f"{self._path}{LOCK_SUFFIX}", os.O_RDWR | os.O_CREAT, 0o600)
-            try:
-                _lock(descriptor)
+            with exclusive_lock(f"{self._path}{LOCK_SUFFIX}"):
                 self._check_readable()
                 yield
-            finally:
-                os.close(descriptor)
         except OSError as error:
             self._count("ops_state_unwritten")
             log.error("can't save the manual ejections: %s", error)
@@ -141,13 +134,3 @@
         """Raise `OSError` if what is saved can't be read now: writing would undo the other process's changes."""
         with contextlib.suppress(handover_file.HandoverFileError):
             handover_file.read(self._path)
-
-
-def _lock(descriptor: int) -> None:
-    """Take the exclusive lock, which ends with the descriptor or the process. Raises `OSError`."""
-    for _ in range(LOCK_TRIES - 1):
-        with contextlib.suppress(BlockingIOError):
-            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            return
-        time.sleep(LOCK_RETRY_S)
-    fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from hypothesis import given, settings
@@ -325,6 +326,17 @@
     assert generations.next_generation(state) >= first
 
 
+# Guards against two processes of one gateway with the same generation, and against a number that falls again.
+def test_two_processes_that_store_their_generations_never_share_or_lower_one(tmp_path):
+    state = str(tmp_path / "kept")
+    generations.store_generation(state, 10**15)
+    with ThreadPoolExecutor(8) as pool:
+        drawn = list(pool.map(lambda _: generations.next_generation(state), range(40)))
+    assert sorted(drawn) == list(range(10**15 + 1, 10**15 + 41))
+    generations.store_generation(state, 10**15 + 5)  # raised by the process that is being replaced
+    assert generations.next_generation(state) == 10**15 + 41
+
+
 def test_each_request_gets_one_response_whatever_its_handler_does():
     counts, said = Counter(), []
     dispatcher = CommandDispatcher(ControlLimits(max_response_bytes=1_000), lambda name: counts.update([name]))
--- a/tests/test_golden_disk.py
+++ b/tests/test_golden_disk.py
@@ -241,6 +241,7 @@
 def test_a_recorded_incarnation_number_goes_on_and_is_stored_alike(tmp_path):
     shutil.copy(RECORDED / "boot", tmp_path / generations.FILE_NAME)
     assert generations.next_generation(str(tmp_path)) == 4_102_444_800_001
+    (tmp_path / generations.FILE_NAME).unlink()  # a lower number than the stored one is not written
     generations.store_generation(str(tmp_path), 4_102_444_800_000)
     assert (tmp_path / generations.FILE_NAME).read_bytes() == (RECORDED / "boot").read_bytes()
 
