Leave new connections in the queue while there is no room for them

What callers saw: lookups on new connections reset without an answer while others stopped half way through large requests.

Change: the listening socket has a gate; without room nothing is accepted, and reading goes on as soon as a descriptor is free. The time of what waited counts from the stop. New connections are evicted last.

--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -7,6 +7,7 @@
     NAMES = (
         "clients_accepted",
         "clients_refused",
+        "accepts_stopped",
         "clients_closed",
         "clients_evicted",
         "clients_silent",
--- a/rackhub/daemon.py
+++ b/rackhub/daemon.py
@@ -172,7 +172,7 @@
 
     def _listen(self) -> None:
         for (host, port), factory in self.listeners:
-            self._listening_sockets.append(SharedPort(reactor, host, port, factory, LISTEN_BACKLOG))
+            self._listening_sockets.append(SharedPort(reactor, host, port, factory, LISTEN_BACKLOG, gate=factory))
         # A copy, because the fleet's rule set may load the timings component meanwhile.
         for component in list(self.components.values()):
             component.open()
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -38,6 +38,7 @@
     client_idle_timeout: int = 5 * SECOND  # time without an open request
     crowded_idle_timeout: int = 1 * SECOND  # idle timeout while more than half of the connections are in use
     write_timeout: int = 5 * SECOND  # time in which a client has to drain its full send buffer
+    accept_retry_interval: int = 20 * MS  # while new connections wait for room
     max_aborted_connections: int = 16  # aborted connections whose descriptors are not free yet
     faults_before_pause: int = 2  # malformed messages on one connection before each further one pauses reading
     fault_pause: int = 100 * MS
--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -41,6 +41,7 @@
         self._reading_stopped_at = 0
         self._check_number = 0  # number of the latest scheduled check for unread input; earlier ones do nothing
         self.has_sent_message = False
+        self.awaits_first_read = False  # just connected, so that a request may be unread; only while the front is full
         self.ending = False  # True once no further requests are accepted
         self.faults = 0  # number of invalid messages received
 
@@ -254,6 +255,19 @@
             self.reading_stopped = True
             self.transport.pauseProducing()
 
+    def expect_first_read(self) -> None:
+        """Mark this new connection until it was read once, or had nothing to be read."""
+        self.awaits_first_read = True
+        self.core.timers.call_after_reads(DEFER_UNCONDITIONALLY, self._first_read_over)
+
+    def _first_read_over(self) -> None:
+        self.awaits_first_read = False
+
+    def record_queued_since(self, since: int) -> None:
+        """Record that the connection may have waited to be accepted since then, with what its client has sent."""
+        self.unread_input_since = since
+        self.may_have_unread_input = self.core.clock.now() - since > self.front.limits.late_iteration_delay
+
     def record_read(self, size: int) -> None:
         """Record that `size` bytes of one read have been handled; after a full read more may be left in the kernel."""
         if size >= self.front.limits.socket_read_bytes:
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -6,6 +6,7 @@
 messages (see `client`).
 """
 
+import enum
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -40,6 +41,26 @@
     return InputScheduler(call_in_next_iteration, limits.max_input_steps)
 
 
+class EvictionRank(enum.IntEnum):
+    """Which clients without an open request are evicted first when descriptors run short."""
+
+    CLOSED = 0  # this side is closed, only the client's close is awaited
+    HALF_SENT = 1  # has never completed a message, and has begun one
+    SILENT = 2
+    IDLE = 3  # has sent messages before
+    NEW = 4  # has just connected and may not have been read yet: its request would be lost
+
+
+def _eviction_rank(client: Client) -> EvictionRank:
+    if client.closed_at:
+        return EvictionRank.CLOSED
+    if client.has_sent_message:
+        return EvictionRank.IDLE
+    if client.incomplete_since:
+        return EvictionRank.HALF_SENT
+    return EvictionRank.NEW if client.awaits_first_read else EvictionRank.SILENT
+
+
 class Front(protocol.ServerFactory):
     """The listening side of one front: its connections, their maximum number, and their timeouts."""
 
@@ -66,27 +87,68 @@
         self._aborted: set[Client] = set()  # aborted connections whose descriptors are not free yet
         self.input = scheduler or input_scheduler(core, limits)
         self.buffers = BufferBudget(limits.max_client_buffer_bytes, self._abort_over_budget)
+        self.resume_accepting: Callable[[], None] | None = None  # set by the listening port
+        self._accepting_stopped = False
+        self._queued_since = 0  # time since which connections may have waited to be accepted; 0: none has
         self.replaced = False  # set when the process ends and another one serves on the same address
         core.timers.call_at(core.clock.now() + limits.client_check_interval, self.check_timeouts)
 
     def buildProtocol(self, addr: object) -> protocol.Protocol | None:  # noqa: N802
         """Accept a connection, or close it if there are too many: engines need the other descriptors (Twisted)."""
-        full = len(self.connections) >= self._max_connections
-        if full and (len(self._aborted) >= self.limits.max_aborted_connections or not self._evict_client()):
+        if self._is_full() and (not self._may_evict() or not self._evict_client()):
             self.counters.add("clients_refused")
             log.debug("client_rejected", reason="too many connections, and none can be evicted")
             return None
         return self._make(self)
 
+    def _is_full(self) -> bool:
+        return len(self.connections) >= self._max_connections
+
+    def _may_evict(self) -> bool:
+        """Return whether one more aborted connection may wait for its end, which frees its descriptor."""
+        return len(self._aborted) < self.limits.max_aborted_connections
+
+    # ---- the gate of the listening port: connections without room wait in the kernel's queue
+
+    def can_accept(self) -> bool:
+        """Return whether there is room for one more connection, if need be after evicting one."""
+        if not self._is_full():
+            return True
+        return self._may_evict() and any(not client.has_open_request() for client in self.connections)
+
+    def accepting_stopped(self) -> None:
+        """Record that connections may wait in the queue, and accept them as soon as there is room."""
+        self.counters.add("accepts_stopped")
+        now = self.core.clock.now()
+        self._queued_since = self._queued_since or now
+        if not self._accepting_stopped:
+            self._accepting_stopped = True
+            self.core.timers.call_at(now + self.limits.accept_retry_interval, self._retry_accepting)
+
+    def queue_drained(self) -> None:
+        """Record that no connection waits in the queue."""
+        self._queued_since = 0
+
+    def _retry_accepting(self) -> None:
+        self._accept_if_room()
+        if self._accepting_stopped:
+            now = self.core.clock.now()
+            self.core.timers.call_at(now + self.limits.accept_retry_interval, self._retry_accepting)
+
+    def _accept_if_room(self) -> None:
+        if self._accepting_stopped and self.resume_accepting is not None and self.can_accept():
+            self._accepting_stopped = False
+            self.resume_accepting()
+
     def _evict_client(self) -> bool:
         """Abort one client without an open request; returns False if there is none.
 
-        Clients closed on this side come first, then those that never sent a message, then those idle longest.
+        They come in the order of `EvictionRank`, those that are idle for the longest time first.
         """
         candidates = [client for client in self.connections if not client.has_open_request()]
         if not candidates:
             return False
-        evicted = min(candidates, key=lambda client: (not client.closed_at, client.has_sent_message, client.last_used))
+        evicted = min(candidates, key=lambda client: (_eviction_rank(client), client.last_used))
         self._abort(evicted, "clients_evicted")
         return True
 
@@ -106,6 +168,10 @@
         self.counters.add("clients_accepted")
         log.debug("client_connected", client=client)
         self.connections.add(client)
+        if self._is_full():
+            client.expect_first_read()
+        if self._queued_since:
+            client.record_queued_since(self._queued_since)
 
     def lost(self, client: Client) -> None:
         """Remove a closed connection."""
@@ -114,6 +180,7 @@
         self.input.remove(client)
         self.connections.discard(client)
         self._aborted.discard(client)
+        self._accept_if_room()
 
     def check_timeouts(self) -> None:
         """Disconnect the clients that have timed out. Called periodically.
--- a/rackhub/net/listen.py
+++ b/rackhub/net/listen.py
@@ -6,12 +6,13 @@
 first directs all new connections to the other one, then accepts those left in its own queue as it closes the socket.
 """
 
+import errno
 import socket
 import struct
 import time
 from array import array
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet import tcp
 from twisted.internet.defer import Deferred
@@ -68,6 +69,49 @@
         return self._spare.__exit__(*exception)
 
 
+class AcceptGate(Protocol):
+    """Decides whether the next connection in the queue of a listening socket is accepted now."""
+
+    resume_accepting: Callable[[], None] | None  # set by the port
+
+    def can_accept(self) -> bool:
+        """Return whether there is room for one more connection."""
+
+    def accepting_stopped(self) -> None:
+        """Called when a connection may wait in the queue: `resume_accepting` is to be called once there is room."""
+
+    def queue_drained(self) -> None:
+        """Called when no connection waits in the queue."""
+
+
+class GatedSocket:
+    """A listening socket from which nothing is accepted while its gate is closed.
+
+    A connection that is accepted and closed at once is reset with the request that it has sent. In the queue of the
+    kernel it waits until there is room.
+    """
+
+    def __init__(self, listening_socket: Any, gate: AcceptGate, stop_reading: Callable[[], None]):
+        self._socket = listening_socket
+        self._gate = gate
+        self._stop_reading = stop_reading
+
+    def accept(self) -> Any:
+        """Accept a connection. Raises `BlockingIOError` if there is none, or no room for it."""
+        if not self._gate.can_accept():
+            self._stop_reading()
+            self._gate.accepting_stopped()
+            raise BlockingIOError(errno.EAGAIN, "no room for a connection")
+        try:
+            return self._socket.accept()
+        except BlockingIOError:
+            self._gate.queue_drained()
+            raise
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._socket, name)
+
+
 class SharedPort:
     """A listening socket whose address another process can bind too. It listens from its construction on.
 
@@ -75,8 +119,10 @@
     last connection in its queue is accepted.
     """
 
-    def __init__(self, reactor: Any, host: str, port: int, factory: Factory, backlog: int):
-        """Listen on `host`:`port` (IPv4).
+    def __init__(
+        self, reactor: Any, host: str, port: int, factory: Factory, backlog: int, gate: AcceptGate | None = None
+    ):
+        """Listen on `host`:`port` (IPv4), with a `gate` if the number of connections is limited.
 
         `reactor` provides Twisted's `IReactorSocket`. Raises `CannotListenError` if the address is in use by a socket
         without SO_REUSEPORT, or is not available.
@@ -96,6 +142,13 @@
         except OSError as fault:
             self._socket.close()
             raise CannotListenError(host, port, fault) from None  # type: ignore[no-untyped-call]
+        if gate is not None:
+            self._port.socket = GatedSocket(self._port.socket, gate, self._port.stopReading)
+            gate.resume_accepting = self._resume_accepting
+
+    def _resume_accepting(self) -> None:
+        if self._port.connected and not self._port.disconnecting:
+            self._port.startReading()
 
     def _detach_program(self) -> None:
         """Detach the BPF program of a process that has exited, so that new connections are distributed evenly."""
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -521,9 +521,9 @@
 LISTENING = """
 import rackhub.net.listen as listen
 inner = listen.SharedPort.__init__
-def init(*given):
+def init(*given, **named):
     gate(b"listening")
-    inner(*given)
+    inner(*given, **named)
 listen.SharedPort.__init__ = init
 """
 RUNNING = """
