Do not run an id again after its client has left, or at the other process

Change: ids that may have run are remembered apart. With an operators' address each process writes the ids it sends to a file in $TMPDIR and reads the other's, before its first attempt leaves.

--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -89,9 +89,21 @@
         if attempt.query.reply.may_have_unread_input:  # the client may have disconnected
             self._state.timers.call_after_reads(DEFER_UNCONDITIONALLY, self.begin, attempt)
             return
+        if not self._claim_id(attempt.query):
+            return
         attempt.state = AttemptState.IN_FLIGHT  # the port sets QUEUED if it can't send the attempt now
         self._state.engine_port.send(attempt)
 
+    def _claim_id(self, query: Query) -> bool:
+        """Record the id before the request's first attempt; fail the request if another process has executed it."""
+        executed_ids = self._state.executed_ids
+        if executed_ids is None or query.id_claimed or executed_ids.claim(query.id):
+            query.id_claimed = True
+            return True
+        self._state.counters.add("ids_claimed_elsewhere")
+        self._completion.complete(query, RequestOutcome.FAILED, "the request id was used before")
+        return False
+
     def cancel(self, action: interface.Cancel) -> None:
         """Cancel an attempt at the routing policy's request; a completed attempt is ignored."""
         attempt = self._state.in_flight.get((action.query, action.attempt))
@@ -267,6 +279,8 @@
             del self._state.in_flight[query.id, attempt.number]
         if outcome in NOT_EXECUTED_OUTCOMES:
             query.possibly_executed.pop(attempt.number, None)
+        else:
+            query.may_have_run = True
         return was_registered
 
     def _update_lease(self, attempt: Attempt, outcome: str, now: int) -> None:
--- a/rackhub/core/coordinator.py
+++ b/rackhub/core/coordinator.py
@@ -65,7 +65,9 @@
 
         Clients use a new id for each request, also for a retry.
         """
-        return id in self.queries or self.completion.is_recent(id)
+        if id in self.queries or self.completion.is_recent(id):
+            return True
+        return self.executed_ids is not None and self.executed_ids.is_claimed(id)
 
     def is_near_deadline(self, query: Query) -> bool:
         """Return whether so little time is left that an answer given now counts as caused by the deadline."""
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -69,6 +69,8 @@
         "is_gathered",
         "deferred",
         "possibly_executed",
+        "may_have_run",
+        "id_claimed",
     )
 
     def __init__(
@@ -102,6 +104,8 @@
         self.attempts = 0  # number of attempts started so far
         self.in_flight: dict[int, Attempt] = {}  # attempt number -> attempt that is not completed, sent or not
         self.possibly_executed: dict[int, int] = {}  # attempt number -> send time; only with an idempotency key
+        self.may_have_run = False  # an attempt has ended that may have been executed
+        self.id_claimed = False  # the id was recorded for the other processes of this coordinator
         self.priority = 1
         self.priority_pinned = False  # the operator's terms set the priority
         self.terms: RequestTerms | None = None  # the operator's terms
--- a/rackhub/core/request_completion.py
+++ b/rackhub/core/request_completion.py
@@ -27,11 +27,12 @@
         """`give_up` cancels an attempt."""
         self._state = state
         self._give_up = give_up
-        self._recent_ids: dict[str, None] = {}  # oldest first
+        self._recent_ids: dict[str, None] = {}  # of requests that surely never ran, oldest first
+        self._executed_ids: dict[str, None] = {}  # of the others, which a flood of the former must not displace
 
     def is_recent(self, id: str) -> bool:
         """Return whether a request of this id was completed recently."""
-        return id in self._recent_ids
+        return id in self._executed_ids or id in self._recent_ids
 
     def complete(self, query: Query, outcome: RequestOutcome, *details: Any) -> bool:
         """Complete a request: answer its client with `details` and cancel the attempts that were not sent.
@@ -41,7 +42,7 @@
         if query.closed:
             return False
         query.closed = True
-        self._remember(query.id)
+        self._remember(query)
         self._count(query, outcome)
         if self._state.queries.get(query.id) is query:  # a request rejected at admission is not registered
             self._release(query, outcome)
@@ -64,11 +65,13 @@
             log.debug("request_failed", request=query.id, reason=action.reason)
             self.complete(query, RequestOutcome.FAILED, "failed: its effect is not known")
 
-    def _remember(self, id: str) -> None:
-        # Each id is kept once: a faulty client may use one id for hundreds of requests, each cancelled at once.
-        self._recent_ids[id] = None
-        if len(self._recent_ids) > self._state.limits.max_recent_ids:
-            del self._recent_ids[next(iter(self._recent_ids))]
+    def _remember(self, query: Query) -> None:
+        """Remember an id once: a faulty client may use one id for hundreds of requests, each cancelled at once."""
+        may_have_run = query.may_have_run or any(not attempt.unsent for attempt in query.in_flight.values())
+        ids = self._executed_ids if may_have_run else self._recent_ids
+        ids[query.id] = None
+        if len(ids) > self._state.limits.max_recent_ids:
+            del ids[next(iter(ids))]
 
     def _count(self, query: Query, outcome: RequestOutcome) -> None:
         self._state.counters.add(outcome)
--- a/rackhub/core/state.py
+++ b/rackhub/core/state.py
@@ -12,6 +12,7 @@
 from rackhub.limits import SECOND, Limits
 
 if TYPE_CHECKING:  # ports of optional components, whose modules are not imported at run time
+    from rackhub.core.executed_ids import ExecutedIds
     from rackhub.core.fleet import FleetCoordinator
     from rackhub.core.gather import GatherPort
     from rackhub.core.request_journal import RequestJournal
@@ -56,6 +57,7 @@
 
         self.engines: EnginePort | None = None
         self.lease: EndpointLease | None = None  # lease on the endpoint list; None: the list is always confirmed
+        self.executed_ids: ExecutedIds | None = None  # ids that other processes of this coordinator may have executed
         self.request_journal: RequestJournal | None = None  # record of requests with an idempotency key
         self.request_policy: RequestPolicy | None = None  # the operator's terms
         self.gather_port: GatherPort | None = None  # answers requests from several sites
--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -8,6 +8,7 @@
         "clients_accepted",
         "clients_refused",
         "accepts_stopped",
+        "ids_claimed_elsewhere",
         "clients_closed",
         "clients_evicted",
         "clients_silent",
--- a/rackhub/ops/component.py
+++ b/rackhub/ops/component.py
@@ -17,6 +17,7 @@
 from rackhub.ops.listener import OperatorListener
 from rackhub.ops.metrics import MetricsCollector
 from rackhub.ops.shared_ejections import SharedEjections
+from rackhub.ops.shared_ids import SharedIds
 
 log = logging.getLogger(__name__)
 LISTEN_BACKLOG = 64  # connections
@@ -31,6 +32,8 @@
         self._successor_is_running = self._take_lock()
         process_replacement.stop_throttling()
         self._entries: Sequence[interface.EngineEntry] = ()
+        self.ids = self._share_ids()
+        context.core.executed_ids = self.ids
         self.ejections = SharedEjections(handover_file.file_path(os.environ), context.counters.add)
         metrics = MetricsCollector(
             context.core.counts_by_class,
@@ -48,6 +51,14 @@
         self._listener = OperatorListener(handler, context.reactor, context.config.limits, context.counters)
         self._port: SharedPort | None = None
 
+    def _share_ids(self) -> SharedIds | None:
+        """Share the ids of executed requests with other processes; without a directory for that they are not shared."""
+        try:
+            return SharedIds(handover_file.file_path(os.environ).parent, self.context.counters.add)
+        except OSError as error:
+            log.warning("can't share the ids of requests with another process: %s", error)
+            return None
+
     @staticmethod
     def _take_lock() -> Callable[[], bool]:
         """Take the replacement lock and return a function that tells whether a successor is running."""
@@ -82,6 +93,8 @@
         return self._successor_is_running()
 
     def _refresh(self) -> None:
+        if self.ids is not None:
+            self.ids.refresh()
         if self.ejections.refresh():
             self.context.republish_endpoints()
 
