Tell processes that share ids apart by a random name, not by their number

Two processes in containers that share $TMPDIR may have the same one, and a number is used again: the second truncated the first one's file. Between its creation and its lock a file could be taken for that of a process that had ended, and be removed.

Change: a random name, given once the file is locked. Tests: two in tests/test_executed_ids.py; both fail on the commit before.

--- a/rackhub/ops/shared_ids.py
+++ b/rackhub/ops/shared_ids.py
@@ -4,8 +4,9 @@
 process writes the ids that it sends into a file of its own and reads those of the others. It writes before it reads, so
 that of two processes that claim an id at the same moment at least one sees the other's claim.
 
-A file holds the number of ids written so far, then the latest `CAPACITY` ids in a ring, each as 8 bytes. The file of a
-process that has ended is read once more and removed by the next one that starts; a shared lock tells that it lives.
+A file holds the number of ids written so far, then the latest `CAPACITY` ids in a ring, each as 8 bytes. Its name is
+random, as process numbers are used again, and processes in different containers may have the same one. The file of a
+process that has ended is read once more and removed by another one; a shared lock tells that it lives.
 """
 
 import contextlib
@@ -13,6 +14,7 @@
 import hashlib
 import logging
 import os
+import secrets
 import struct
 from collections.abc import Callable
 from pathlib import Path
@@ -20,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 FILE_PREFIX = "rackhub-ops-ids."
+NAME_BYTES = 8
 CAPACITY = 8_192  # ids of each process
 ID_MASK = (1 << 64) - 1
 WORD = struct.Struct("<Q")
@@ -60,18 +63,25 @@
 class SharedIds:
     """The ids claimed by this process and by the others. Implements `core.executed_ids.ExecutedIds`."""
 
-    def __init__(self, directory: Path, count: Callable[[str], None], process_id: int | None = None) -> None:
+    def __init__(self, directory: Path, count: Callable[[str], None]) -> None:
         """Create this process's file and read those that are there. Raises `OSError`."""
         self._directory = directory
         self._count = count
-        self._path = directory / f"{FILE_PREFIX}{os.getpid() if process_id is None else process_id}"
-        self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
-        fcntl.flock(self._descriptor, fcntl.LOCK_SH)
+        self._path = directory / f"{FILE_PREFIX}{secrets.token_hex(NAME_BYTES)}"
+        self._descriptor = self._create_locked()
         self._written = 0
         self._peers: dict[str, PeerFile] = {}
         self._ended: list[dict[int, None]] = []  # ids of processes that have ended
         self.refresh()
 
+    def _create_locked(self) -> int:
+        """Create the file under another name, so that no process finds it before it is locked."""
+        unlocked = self._path.with_name(f".{self._path.name}")
+        descriptor = os.open(unlocked, os.O_RDWR | os.O_CREAT | os.O_EXCL, 0o600)
+        fcntl.flock(descriptor, fcntl.LOCK_SH)
+        os.rename(unlocked, self._path)
+        return descriptor
+
     def refresh(self) -> None:
         """Find the files of other processes, and remove those of processes that have ended."""
         for path in self._directory.glob(f"{FILE_PREFIX}*"):
--- a/tests/test_executed_ids.py
+++ b/tests/test_executed_ids.py
@@ -4,7 +4,9 @@
 from the memory of ids, or at the other process of a replacement.
 """
 
+import fcntl
 import json
+import os
 import socket
 
 from harness import LIMITS, MS, EngineServer, FakeClock, spin
@@ -64,12 +66,12 @@
     assert harness.counters["ids_claimed_elsewhere"] == 1
 
 
-def process(path, number, counters=None):
-    return SharedIds(path, (counters or Counters()).add, number)
+def process(path):
+    return SharedIds(path, Counters().add)
 
 
 def test_of_two_processes_that_claim_an_id_one_sees_the_other(tmp_path):
-    old, new = process(tmp_path, 1), process(tmp_path, 2)
+    old, new = process(tmp_path), process(tmp_path)
     old.refresh()
     assert old.claim(EXECUTED) and not new.claim(EXECUTED)
     assert new.is_claimed(EXECUTED) and old.claim(f"{2:016x}") and new.is_claimed(f"{2:016x}")
@@ -77,25 +79,47 @@
 
 
 def test_a_process_knows_the_ids_of_the_one_before_that_has_ended(tmp_path):
-    old = process(tmp_path, 1)
+    old = process(tmp_path)
     assert old.claim(EXECUTED)
-    new = process(tmp_path, 2)
-    import os
-
+    new = process(tmp_path)
     os.close(old._descriptor)  # the process has ended, and with it its lock
     new.refresh()
-    assert not (tmp_path / f"{FILE_PREFIX}1").exists() and new.is_claimed(EXECUTED)
-    assert process(tmp_path, 3).is_claimed(EXECUTED) is False  # a third process: the first one's ids are gone
+    assert len(list(tmp_path.glob(f"{FILE_PREFIX}*"))) == 1 and new.is_claimed(EXECUTED)
+    assert process(tmp_path).is_claimed(EXECUTED) is False  # a third process: the first one's ids are gone
 
 
 def test_the_files_and_the_memory_of_ids_are_bounded(tmp_path):
-    old, new = process(tmp_path, 1), process(tmp_path, 2)
+    old, new = process(tmp_path), process(tmp_path)
     for number in range(1, CAPACITY + 100):
         assert old.claim(f"{number:016x}")
         if number % 500 == 0:
             new.refresh()
     assert not new.is_claimed(EXECUTED) and new.is_claimed(f"{CAPACITY + 99:016x}") and new.is_claimed(f"{200:016x}")
-    assert (tmp_path / f"{FILE_PREFIX}1").stat().st_size == 8 * (CAPACITY + 1)
+    assert max(path.stat().st_size for path in tmp_path.glob(f"{FILE_PREFIX}*")) == 8 * (CAPACITY + 1)
+
+
+# Guards against a process that is taken for another one with the same process number, which truncated its file.
+def test_a_process_with_the_number_of_another_one_keeps_its_ids(tmp_path, monkeypatch):
+    monkeypatch.setattr(os, "getpid", lambda: 7)  # as in two containers, or used again
+    first, second = process(tmp_path), process(tmp_path)
+    first.refresh()
+    assert first.claim(EXECUTED) and not second.claim(EXECUTED)
+
+
+# Guards against a file that is found and removed before its process has locked it.
+def test_a_process_that_starts_is_not_taken_for_one_that_has_ended(tmp_path, monkeypatch):
+    old, flock = process(tmp_path), fcntl.flock
+
+    def refreshed_before(descriptor, operation):
+        if operation == fcntl.LOCK_SH:
+            monkeypatch.setattr(fcntl, "flock", flock)
+            old.refresh()
+        flock(descriptor, operation)
+
+    monkeypatch.setattr(fcntl, "flock", refreshed_before)
+    new = process(tmp_path)
+    old.refresh()
+    assert new.claim(EXECUTED) and old.is_claimed(EXECUTED)
 
 
 def send_request(port, rid):
