--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -94,13 +94,6 @@
         return
 
 
-class TdsFlood(TdsClient):
-    """A TDS client that sends messages without waiting."""
-
-    def flood(self, data):
-        self.transport.write(data)
-
-
 # Guards against an iteration that handles a full read of each connection, whatever the messages are.
 @pytest.mark.parametrize("flood", JSON_FLOODS)
 def test_one_iteration_handles_a_bounded_number_of_lines_of_all_connections(site, monkeypatch, flood):  # noqa: F811
@@ -115,19 +108,19 @@
 @pytest.mark.parametrize("flood", TDS_FLOODS)
 def test_one_iteration_handles_a_bounded_number_of_packets_of_all_connections(site, monkeypatch, flood):  # noqa: F811
     bed = site(EngineServer())
-    clients = [dial(bed.ports[1].getHost().port, TdsFlood()) for _ in range(FLOODS)]
+    clients = [dial(bed.ports[1].getHost().port, TdsClient()) for _ in range(FLOODS)]
     for client in clients:
         client.log_in()
     counter = StepCounter(monkeypatch)
     for client in clients:
-        client.flood(TDS_FLOODS[flood])
+        client.transport.write(TDS_FLOODS[flood])
     assert 0 < counter.most_in_one_iteration(100) <= LIMITS.max_input_steps + MAX_MESSAGE_STEPS
 
 
 # Guards against a bound for each front: the two share one event loop.
 def test_both_fronts_share_one_bound(site, monkeypatch):  # noqa: F811
     bed = site(EngineServer())
-    tds_clients = [dial(bed.ports[1].getHost().port, TdsFlood()) for _ in range(FLOODS)]
+    tds_clients = [dial(bed.ports[1].getHost().port, TdsClient()) for _ in range(FLOODS)]
     for client in tds_clients:
         client.log_in()
     json_clients = [bed.client() for _ in range(FLOODS)]
@@ -135,7 +128,7 @@
     for client in json_clients:
         send_all(client, JSON_FLOODS["alive"])
     for client in tds_clients:
-        client.flood(TDS_FLOODS["ignored"])
+        client.transport.write(TDS_FLOODS["ignored"])
     assert 0 < counter.most_in_one_iteration(100) <= LIMITS.max_input_steps + MAX_MESSAGE_STEPS
 
 
