Cancel the timers of requests that have ended

Cause: a timer of the core could not be cancelled. The policy dropped the deadline timer of a query that it closed from its own table only; the core's heap kept the entry until its time. The check of an attempt that had ended, the timer of a delayed retry, that of a hedge and those of a gathered request stayed in both, with the request, its statement and its reply. So what was kept grew with all requests that came in the time of their budgets, not with the open ones: long budgets, withdrawn requests and fast rejections are three ways in.

--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -71,7 +71,7 @@
         self._guard_idempotency_window(attempt, now)
         self._register(attempt, now)
         if hedge_after and now + hedge_after < attempt.deadline:
-            state.timers.call_at(now + hedge_after, self._offer_hedge, attempt)
+            attempt.hedge_timer = state.timers.call_at(now + hedge_after, self._offer_hedge, attempt)
         self._begin_after_reads(attempt)
 
     def begin(self, attempt: Attempt) -> None:
@@ -273,6 +273,8 @@
         """Remove a completed attempt; return whether it had been registered as in flight."""
         query = attempt.query
         attempt.state = AttemptState.DONE
+        if attempt.hedge_timer is not None:
+            attempt.hedge_timer.cancel()
         query.in_flight.pop(attempt.number, None)
         was_registered = self._state.in_flight.get((query.id, attempt.number)) is attempt
         if was_registered:
--- a/rackhub/core/decision_driver.py
+++ b/rackhub/core/decision_driver.py
@@ -6,6 +6,7 @@
 
 from rackhub import interface, logs
 from rackhub.core.state import CoordinatorState
+from rackhub.core.timers import Timer
 
 log = logs.logger(__name__)
 
@@ -18,6 +19,10 @@
     def handle(self, now: int, event: object) -> Iterable[object]:
         """Return the actions to execute, in order, after an event at `now` (microseconds)."""
 
+    @property
+    def dropped_timers(self) -> Iterable[int]:
+        """The ids of the timers that the last event has made needless."""
+
 
 class DecisionDriver:
     """Queue of events, and the handlers of actions by the action's type.
@@ -30,6 +35,7 @@
         self._state = state
         self._events: deque[object] = deque()
         self._handling = False
+        self._timers: dict[int, Timer] = {}  # the policy's pending timers by its ids
         self._handlers: dict[type, ActionHandler] = {
             interface.Timer: self._start_timer,
             interface.CloseIdleConnections: self._close_idle_connections,
@@ -62,13 +68,22 @@
         except Exception:  # a fault in the policy must not stop the daemon: the deadline monitor answers
             self._state.counters.add("module_errors")
             log.exception("policy_failed", on=repr(event))
+        self._cancel_dropped_timers()
+
+    def _cancel_dropped_timers(self) -> None:
+        """Cancel the timers that the policy no longer needs: they would keep what they refer to until they expire."""
+        for timer_id in self.control.dropped_timers:
+            if timer := self._timers.pop(timer_id, None):
+                timer.cancel()
 
-    def timer_fired(self, reference: int) -> None:
+    def timer_fired(self, timer_id: int) -> None:
         """Notify the policy that a timer which it requested has expired."""
-        self.dispatch(interface.TimerFired(reference))
+        self._timers.pop(timer_id, None)
+        self.dispatch(interface.TimerFired(timer_id))
 
     def _start_timer(self, action: interface.Timer) -> None:
-        self._state.timers.call_at(self._state.clock.now() + action.delay, self.timer_fired, action.timer_id)
+        expires_at = self._state.clock.now() + action.delay
+        self._timers[action.timer_id] = self._state.timers.call_at(expires_at, self.timer_fired, action.timer_id)
 
     def _close_idle_connections(self, action: interface.CloseIdleConnections) -> None:
         self._state.engine_port.close_idle(action.engine)
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from rackhub.core.lease import EndpointLease, LeaseStatus
+from rackhub.core.timers import Timer
 from rackhub.interface import Outcome
 
 if TYPE_CHECKING:
@@ -140,6 +141,7 @@
         "connection",
         "send_by",
         "timeout_configured",
+        "hedge_timer",
     )
 
     def __init__(self, query: Query, number: int, engine: str, now: int) -> None:
@@ -152,6 +154,7 @@
         self.state = AttemptState.PENDING
         self.connection: Any = None
         self.send_by = 0  # time from which the port must not send the attempt; 0: no limit
+        self.hedge_timer: Timer | None = None
         self.timeout_configured = False  # the deadline is the operator's time-out, not the request's deadline
 
     @property
--- a/rackhub/gather/dispatcher.py
+++ b/rackhub/gather/dispatcher.py
@@ -12,6 +12,7 @@
 from rackhub.core.gather import MissingReason
 from rackhub.core.request import Query, Reply
 from rackhub.core.source import Address, EndpointSnapshot
+from rackhub.core.timers import Timer
 from rackhub.fleet.ports import OverloadStatus
 from rackhub.gather import hop_count
 from rackhub.gather.latency import SiteLatencies
@@ -90,10 +91,10 @@
 class GatheredRequest:
     """One open gathered request, with the rule and sites that were active when it began.
 
-    `calls` and `sent_at` are by site and attempt.
+    `calls` and `sent_at` are by site and attempt. `timers` are those started for the state machine.
     """
 
-    __slots__ = ("query", "rule", "sites", "state", "hops", "calls", "sent_at", "attempted_addresses")
+    __slots__ = ("query", "rule", "sites", "state", "hops", "calls", "sent_at", "attempted_addresses", "timers")
 
     def __init__(self, query: Query, rule: Rule, sites: Mapping[str, Site], hops: int):
         self.query = query
@@ -104,6 +105,7 @@
         self.calls: dict[tuple[str, int], Call] = {}
         self.sent_at: dict[tuple[str, int], int] = {}
         self.attempted_addresses: dict[str, set[Address]] = {}
+        self.timers: list[Timer] = []
 
 
 class ActiveRules(NamedTuple):
@@ -209,6 +211,7 @@
         """Cancel the subrequests of a request whose client has disconnected, or that the core has answered."""
         request = self.requests.pop(query.id, None)
         if request is not None:
+            self._cancel_timers(request)
             self._apply(request, request.state.cancel())
 
     def _take_retry_token(self) -> bool:
@@ -253,10 +256,18 @@
                 case CancelSubrequest(site, attempt):
                     self._cancel_call(request, site, attempt)
                 case StartTimer(at):
-                    self.core.timers.call_at(at, self._timer_fired, request)
+                    if not request.state.done:
+                        request.timers.append(self.core.timers.call_at(at, self._timer_fired, request))
                 case Answer():
                     self._answer(request, effect)
 
+    @staticmethod
+    def _cancel_timers(request: GatheredRequest) -> None:
+        """Cancel the timers of a request that has ended: they would keep it until they expire."""
+        for timer in request.timers:
+            timer.cancel()
+        request.timers.clear()
+
     def _timer_fired(self, request: GatheredRequest) -> None:
         self._apply(request, request.state.timer_fired(self.core.clock.now()))
 
@@ -330,6 +341,7 @@
     def _answer(self, request: GatheredRequest, answer: Answer) -> None:
         query = request.query
         self.requests.pop(query.id, None)
+        self._cancel_timers(request)
         if answer.outcome == "refused":
             self.count("gather_refused")
             self.core.complete_gathered(query, "refused", backoff=answer.backoff)
--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -4,7 +4,7 @@
 
 from rackhub import logs
 from rackhub.core.request import Reply
-from rackhub.core.timers import DEFER_UNCONDITIONALLY
+from rackhub.core.timers import DEFER_UNCONDITIONALLY, Timer
 
 if TYPE_CHECKING:
     from rackhub.net.front import Front
@@ -32,6 +32,7 @@
         self.incomplete_since = 0  # arrival of the first bytes of an incomplete message
         self.write_blocked_since = 0  # time at which the send buffer became full
         self.fault_pause_until = 0  # end of the pause in reading after faults
+        self._fault_pause_timer: Timer | None = None
         self.closed_at = 0  # time at which the writing side was closed
         self.virtual_time = 0  # see `InputScheduler`
         self.input_pending = False  # True while complete messages wait in the buffer
@@ -211,15 +212,23 @@
         self.fault_pause_until = now + min(pause, self.front.limits.max_fault_pause)
         if not timer_runs:
             self.counters.add("clients_slowed")
-            self.core.timers.call_at(self.fault_pause_until, self._check_fault_pause)
+            self._schedule_fault_pause_check()
             self.update_reading()
 
+    def _schedule_fault_pause_check(self) -> None:
+        self._fault_pause_timer = self.core.timers.call_at(self.fault_pause_until, self._check_fault_pause)
+
     def _check_fault_pause(self) -> None:
         if self.core.clock.now() < self.fault_pause_until:
-            self.core.timers.call_at(self.fault_pause_until, self._check_fault_pause)
+            self._schedule_fault_pause_check()
         else:
             self.update_reading()
 
+    def connection_ended(self) -> None:
+        """Cancel the timer of a lost connection."""
+        if self._fault_pause_timer is not None:
+            self._fault_pause_timer.cancel()
+
     def is_blocked(self) -> bool:
         """Return whether no more messages may be handled now, so that reading has to be paused."""
         return not self.ending and (self.write_blocked_since > 0 or self.is_paused_for_faults())
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -176,6 +176,7 @@
     def lost(self, client: Client) -> None:
         """Remove a closed connection."""
         self.counters.add("clients_closed")
+        client.connection_ended()
         self.buffers.remove(client)
         self.input.remove(client)
         self.connections.discard(client)
--- a/rackhub/policy/context.py
+++ b/rackhub/policy/context.py
@@ -35,6 +35,7 @@
         self.now = 0
         self.stalled_at = 0  # time of the event at which a stall of this process was last detected
         self.actions: list[Action] = []
+        self.dropped_timers: list[int] = []  # timers dropped by the present event, which need not fire
         self.engines: dict[str, EngineState] = {}
         self.classes = {entry.name: ClassStatistics(entry) for entry in settings.classes}
         self.queries: dict[str, QueryState] = {}
@@ -67,8 +68,8 @@
 
     def drop_timer(self, timer_id: int | None) -> None:
         """Drop a timer, so that its callback is not run."""
-        if timer_id is not None:
-            self.timers.pop(timer_id, None)
+        if timer_id is not None and self.timers.pop(timer_id, None) is not None:
+            self.dropped_timers.append(timer_id)
 
     @property
     def stalled(self) -> bool:
--- a/rackhub/policy/lifecycle.py
+++ b/rackhub/policy/lifecycle.py
@@ -104,6 +104,7 @@
         query.closed = True
         self.context.queries.pop(query.id, None)
         self.context.drop_timer(query.deadline_timer)
+        self.context.drop_timer(query.retry_timer)
         if self.context.settings.cancel:
             self.context.actions += [interface.Cancel(query.id, number) for number in query.in_flight]
         self.key_queues.advance(query.event.key)
--- a/rackhub/policy/progress.py
+++ b/rackhub/policy/progress.py
@@ -49,7 +49,10 @@
         """
         halved = self.outcomes.losing_responses or not self.context.settings.cancel
         delay = OVERDUE_LATENCIES / (1 + halved) * attempt.query.expected_latency
-        self.context.schedule(delay, self._on_overdue, attempt)
+        self._schedule_check(attempt, delay)
+
+    def _schedule_check(self, attempt: AttemptState, delay: float) -> None:
+        attempt.overdue_timer = self.context.schedule(delay, self._on_overdue, attempt)
 
     def on_progress_report(self, event: interface.ProgressReport) -> None:
         """Process a progress report, unless the result is already streaming."""
@@ -158,12 +161,12 @@
         if context.stalled:
             self.schedule_overdue_check(attempt)
         elif since_progress < report_timeout and not self._is_unresponsive(attempt):
-            context.schedule(report_timeout - since_progress, self._on_overdue, attempt)
+            self._schedule_check(attempt, report_timeout - since_progress)
         elif context.settings.health_checks and not attempt.health_check_sent and engine.ready:
             # An engine with few queries may be healthy although it has sent nothing since the attempt.
             attempt.health_check_sent = True
             context.actions.append(interface.CheckHealth(engine.id))
-            context.schedule(HEALTH_CHECK_TIMEOUT, self._on_overdue, attempt)
+            self._schedule_check(attempt, HEALTH_CHECK_TIMEOUT)
             return True
         elif engine.last_response_at < attempt.sent_at:
             self.outliers.record_failure(engine)
@@ -188,7 +191,7 @@
         latency = best_latency * max(attempt.engine.relative_response_time, class_slowdown)
         if context.now - attempt.sent_at < timeout_latencies * latency:
             delay = attempt.sent_at + timeout_latencies * latency - context.now
-            context.schedule(delay, self._on_overdue, attempt)
+            self._schedule_check(attempt, delay)
             return True
         self.outcomes.presume_lost(attempt)
         return False
--- a/rackhub/policy/router.py
+++ b/rackhub/policy/router.py
@@ -81,9 +81,15 @@
             context.stalled_at = now
         context.now = now
         context.actions = []
+        context.dropped_timers = []
         self._handlers[type(event)](event)
         return context.actions
 
+    @property
+    def dropped_timers(self) -> list[int]:
+        """The ids of the timers that the last event has made needless; nothing happens if they fire all the same."""
+        return self.context.dropped_timers
+
     def _on_started(self, event: interface.Started) -> None:
         self.endpoints.watch()
         self.context.schedule(self.context.random.randrange(1, TICK_INTERVAL), self._update)
@@ -163,6 +169,7 @@
         attempt = context.attempts.pop((event.query, event.attempt), None)
         if attempt is None:
             return
+        context.drop_timer(attempt.overdue_timer)
         query = attempt.query
         outcome = event.outcome
         statistics = query.statistics
@@ -188,7 +195,7 @@
                 query, event.backoff or self.lifecycle.failure_backoff(query), f"policy allows no retry after {outcome}"
             )
         elif event.retry_delay:  # The engine is chosen after the delay, as the endpoint list may change until then.
-            context.schedule(event.retry_delay, self.lifecycle.retry_if_waiting, query, outcome)
+            query.retry_timer = context.schedule(event.retry_delay, self.lifecycle.retry_if_waiting, query, outcome)
         else:
             self.lifecycle.retry(query, outcome)
 
--- a/rackhub/policy/state.py
+++ b/rackhub/policy/state.py
@@ -31,7 +31,8 @@
 
     `relative_size` is its work as a multiple of the mean of its class. `expected_latency` is the mean latency of the
     class times that size. `failed_on` is the engine that returned an error while it is not known whether the query or
-    the engine is at fault. `deadline_timer` is None once the result is streaming.
+    the engine is at fault. `deadline_timer` is None once the result is streaming. `retry_timer` is that of a delayed
+    retry.
     """
 
     event: QueryReceived
@@ -47,11 +48,16 @@
     closed: bool = False
     failed_on: EngineState | None = None
     deadline_timer: int | None = None
+    retry_timer: int | None = None
 
 
 @dataclass(slots=True, eq=False)
 class AttemptState:
-    """An attempt in flight. `threads` and `memory_mb` are the resources that `ResourceUsage` counts for it."""
+    """An attempt in flight.
+
+    `threads` and `memory_mb` are the resources that `ResourceUsage` counts for it. `overdue_timer` is that of the next
+    check whether the attempt is overdue.
+    """
 
     query: QueryState
     number: int
@@ -64,6 +70,7 @@
     spilled: bool = False
     health_check_sent: bool = False
     presumed_lost: bool = False
+    overdue_timer: int | None = None
 
 
 def remove_expired(times: deque[int], limit: float) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -44,6 +44,8 @@
 class ScriptedPolicy:
     """A routing policy whose actions the test sets by the event's type: an iterable, or a function of the event."""
 
+    dropped_timers = ()
+
     def __init__(self):
         self.events, self.acts = [], {}
 
--- a/tests/test_crossings_model.py
+++ b/tests/test_crossings_model.py
@@ -143,6 +143,8 @@
     It respects no other rule, because the core must guarantee them independently of the policy.
     """
 
+    dropped_timers = ()
+
     def __init__(self, seed, states):
         self.random, self.open, self.refs, self.timers = random.Random(seed), {}, itertools.count(1), {}
         self.states = states
--- /dev/null
+++ b/tests/test_retained_state.py
@@ -0,0 +1,188 @@
+"""What is kept of requests that have ended: it must not grow with the number of all requests that came.
+
+A process passed its memory limit and was killed, as the timers of ended requests stayed until the deadline. The tests
+count objects. Their clock stands still, so that nothing is forgotten merely because its time is over.
+"""
+
+import dataclasses
+import random
+
+import msgspec
+import pytest
+from harness import LIMITS, SETTINGS, FakeClock, S
+from reachable import growth
+from test_gather import Gateway
+
+from rackhub import interface as t
+from rackhub.core.coordinator import Coordinator
+from rackhub.core.request import AttemptState, Query
+from rackhub.core.timers import MAX_CANCELLED_ENTRIES, Timers
+from rackhub.counters import Counters
+from rackhub.timings.route_policy import RoutePolicy
+from rackhub.timings.routes import Route, SecondCopy
+from rackhub.timings.table import Table
+
+HOUR = 3_600 * S
+# Room for the entries of cancelled timers, each with a few objects, and for statistics that are still filling.
+MAX_GROWTH = 8 * MAX_CANCELLED_ENTRIES
+FEW_IDS = msgspec.structs.replace(LIMITS, max_recent_ids=16)
+
+
+class EnginePortStub:
+    """An engine port and the reply of all requests; it keeps the attempts only until `take_sent`."""
+
+    reading_paused = may_have_unread_input = False
+    unread_input_since = 0
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, attempt):
+        attempt.state = AttemptState.IN_FLIGHT
+        self.sent.append(attempt)
+
+    def take_sent(self):
+        sent, self.sent = self.sent, []
+        return sent
+
+    def give_up(self, attempt):
+        """Ignore the call, as do the methods below."""
+
+    def promote(self, attempt):
+        pass
+
+    def close_idle(self, engine):
+        pass
+
+    def served(self, query, rows):
+        pass
+
+    def rejected(self, query, backoff):
+        pass
+
+    def failed(self, query, why):
+        pass
+
+
+class Bed:
+    """A coordinator with engines whose answers the test gives, and a clock that stands still."""
+
+    def __init__(self, settings=SETTINGS, engines=4, limits=FEW_IDS):
+        self.clock, self.port, self.count = FakeClock(), EnginePortStub(), 0
+        self.core = Coordinator(settings, 7, self.clock, Timers(self.clock, self.clock), limits, Counters())
+        self.core.start(self.port, [t.EngineEntry(f"e{i}", "z", "std") for i in range(engines)], 1)
+
+    def ask(self, cls="lookup", budget=HOUR, **more):
+        self.count += 1
+        more = {"tenant": "acme"} | more
+        query = Query(f"{self.count:016x}", cls, b"SELECT 1", self.clock.now() + budget, self.port, **more)
+        self.core.submit(query)
+        return query
+
+    def growth(self, step):
+        return growth(step, [self.core])
+
+
+def withdrawn(bed):
+    """The client cancels at once; the cancellations reach the engines."""
+    bed.core.disconnect_client(bed.ask())
+    bed.port.take_sent()
+    bed.clock.advance(LIMITS.cancellation_delay)
+
+
+def served(bed):
+    bed.ask()
+    for attempt in bed.port.take_sent():
+        bed.core.complete_attempt(attempt, "GOOD", None, (b"rows",))
+
+
+# Guards against timers of ended requests that stay until the deadline of the request, here an hour.
+@pytest.mark.parametrize("step", [withdrawn, served], ids=lambda step: step.__name__)
+def test_nothing_grows_with_the_requests_that_have_ended(step):
+    bed = Bed()
+    assert bed.growth(lambda: step(bed)) < MAX_GROWTH
+    assert not bed.core.queries and not bed.core.in_flight
+    assert not bed.core.decisions.control.context.attempts
+
+
+# Guards against the same for requests that stay open meanwhile: what is kept is in proportion to these alone.
+def test_open_requests_keep_their_timers_while_others_end():
+    bed = Bed()
+    still_open = [bed.ask() for _ in range(5)]
+    bed.port.take_sent()
+    pending = bed.core.timers.pending_count
+    assert bed.growth(lambda: served(bed)) < MAX_GROWTH
+    assert bed.core.timers.pending_count == pending
+    assert bed.core.timers.entry_count <= pending + max(pending, MAX_CANCELLED_ENTRIES)
+    bed.clock.advance(HOUR)
+    assert all(query.closed for query in still_open)
+
+
+# Guards against the timers of hedges, which kept each attempt and its statement until the hedge was due.
+def test_hedge_that_is_not_needed_leaves_no_timer():
+    settings = dataclasses.replace(SETTINGS, hedging=True)
+    bed = Bed(settings)
+    route = Route(cls="lookup", second_copy=SecondCopy(after_ms=900.0))
+    bed.core.request_policy = RoutePolicy(Table([route], settings), {}, 3)
+    assert bed.growth(lambda: served(bed)) < MAX_GROWTH
+    bed.ask()
+    bed.clock.advance(S)
+    assert len(bed.port.take_sent()) == 2  # the hedge, which is due after 900 ms, is sent
+
+
+# Guards against the timers of gathered requests, one until the deadline and one for each site that has answered.
+def test_gathered_requests_leave_no_timers():
+    gateway = Gateway(sites=["a", "b"])
+    numbers = iter(range(1, 10_000))
+
+    def withdraw():
+        query, _ = gateway.ask(number=next(numbers))
+        gateway.end("za", text=b"a\t1\t2\n")
+        gateway.core.disconnect_client(query)
+        gateway.clock.advance(LIMITS.cancellation_delay)
+        gateway.engines.__init__()
+
+    for _ in range(100):
+        withdraw()
+    assert gateway.core.timers.entry_count <= 2 * MAX_CANCELLED_ENTRIES
+
+
+# Guards against a cancellation that changes when, or in which order, the other calls are made.
+def test_cancelled_timers_are_not_called_and_the_others_are_in_order():
+    draws = random.Random(67)
+    clock = FakeClock()
+    timers = Timers(clock, clock)
+    called, expected, pending = [], [], {}
+    for number in range(4_000):
+        when = clock.now() + draws.randrange(2_000)
+        pending[when, number] = timers.call_at(when, called.append, (when, number))
+        while draws.random() < 0.45 and pending:
+            pending.pop(draws.choice(list(pending))).cancel()
+        assert timers.entry_count <= len(pending) + max(len(pending), MAX_CANCELLED_ENTRIES) + 1
+        if draws.random() < 0.01:
+            clock.advance(draws.randrange(500))
+            due = sorted(key for key in pending if key[0] <= clock.now())
+            expected += due
+            for key in due:
+                assert not pending.pop(key).pending
+        assert called == expected and timers.pending_count == len(pending)
+
+
+# Guards against calls that cancel others: of the same moment, and so many that the heap is rebuilt meanwhile.
+def test_call_may_cancel_other_timers_that_are_due():
+    clock = FakeClock()
+    timers = Timers(clock, clock)
+    called = []
+
+    def cancel_all():
+        called.append("first")
+        for timer in others:
+            timer.cancel()
+            timer.cancel()  # has no further effect
+
+    now = clock.now() + 1
+    timers.call_at(now, cancel_all)
+    others = [timers.call_at(now, called.append, "cancelled") for _ in range(3 * MAX_CANCELLED_ENTRIES)]
+    timers.call_at(now, called.append, "last")
+    clock.advance(1)
+    assert called == ["first", "last"] and timers.pending_count == 0 and timers.entry_count == 0
