Stop the timer of an Attention with its acknowledgement

Callers saw nothing of the memory; of the other effect, a connection to a TDS engine that was reset although its engine had answered.

Cause: each Attention started a timer of 1.5 s that nothing stopped. A connection on which calls are cancelled at full speed kept one for each of them. An old one that fired while a later Attention had just been sent took that for unacknowledged and aborted the connection, up to 1.5 s early.

Change: the connection has one timer, stopped by the acknowledgement and by its close.

--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -22,7 +22,7 @@
 
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import Attempt, AttemptState, Query
-from rackhub.core.timers import DEFER_UNCONDITIONALLY, Clock
+from rackhub.core.timers import DEFER_UNCONDITIONALLY, Clock, Timer
 from rackhub.counters import Counters
 from rackhub.interface import Outcome
 from rackhub.limits import Limits
@@ -95,10 +95,12 @@
         self._write_requested_at = 0
         self._retired_at = 0
         self._attempt: Attempt | None = None
+        self._attention_timer: Timer | None = None  # runs until the acknowledgement of an Attention
         self._assembler = codec.MessageAssembler(limits.max_tds_message_bytes)
         self._reset_response()
 
     def _mark_closed(self) -> None:
+        self._cancel_attention_timer()
         self.state = State.CLOSED
         self.closed = True
 
@@ -141,14 +143,18 @@
         self.state = State.CANCELLING
         self.write(codec.encode_message(codec.ATTENTION, b""))
         # Without an acknowledgement the engine's host is probably unreachable: abort, to free the descriptor.
-        self.core.timers.call_at(
-            self.clock.now() + self.limits.unresponsive_timeout, self._check_attention_acknowledged
+        self._attention_timer = self.core.timers.call_at(
+            self.clock.now() + self.limits.unresponsive_timeout, self._attention_not_acknowledged
         )
 
-    def _check_attention_acknowledged(self) -> None:
-        if self.state == State.CANCELLING:
-            self.counters.add("silent_connections")
-            self._abort()
+    def _attention_not_acknowledged(self) -> None:
+        self.counters.add("silent_connections")
+        self._abort()
+
+    def _cancel_attention_timer(self) -> None:
+        if self._attention_timer is not None:
+            self._attention_timer.cancel()
+            self._attention_timer = None
 
     def promote(self, attempt: Attempt) -> None:
         """Ignore a change of priority: TDS can't change the priority of a running call."""
@@ -351,6 +357,7 @@
         # If the engine had completed its response before it read the Attention, this is the end of that response, and
         # the acknowledgement follows as a separate message.
         if self._response.attention_acknowledged:
+            self._cancel_attention_timer()
             self.state = State.READY
             self.last_used = self.clock.now()
         self._reset_response()
--- a/tests/test_retained_state.py
+++ b/tests/test_retained_state.py
@@ -9,15 +9,17 @@
 
 import msgspec
 import pytest
-from harness import LIMITS, SETTINGS, FakeClock, S
+from harness import LIMITS, MS, SETTINGS, FakeClock, S
 from reachable import growth
 from test_gather import Gateway
+from test_tds_responses import ATTENTION_ACK, EngineBed
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.request import AttemptState, Query
 from rackhub.core.timers import MAX_CANCELLED_ENTRIES, Timers
 from rackhub.counters import Counters
+from rackhub.net.tds.engine import EngineConnectionState
 from rackhub.timings.route_policy import RoutePolicy
 from rackhub.timings.routes import Route, SecondCopy
 from rackhub.timings.table import Table
@@ -147,6 +149,25 @@
     assert gateway.core.timers.entry_count <= 2 * MAX_CANCELLED_ENTRIES
 
 
+# Guards against one timer for each Attention of a connection to a TDS engine, and against an early end by an old one.
+def test_acknowledged_attention_leaves_no_timer():
+    bed = EngineBed().log_in()
+
+    def cancel_call():
+        bed.connection.give_up(bed.call())
+        bed.receive(ATTENTION_ACK)
+
+    for _ in range(300):
+        cancel_call()
+    assert bed.core.timers.pending_count == 0 and bed.core.timers.entry_count <= MAX_CANCELLED_ENTRIES + 1
+    bed.core.clock.advance(LIMITS.unresponsive_timeout - MS)
+    bed.connection.give_up(bed.call())
+    bed.core.clock.advance(2 * MS)  # the time of the earlier Attentions is over, not that of the last one
+    assert bed.connection.state == EngineConnectionState.CANCELLING
+    bed.core.clock.advance(LIMITS.unresponsive_timeout)
+    assert bed.connection.state == EngineConnectionState.CLOSED
+
+
 # Guards against a cancellation that changes when, or in which order, the other calls are made.
 def test_cancelled_timers_are_not_called_and_the_others_are_in_order():
     draws = random.Random(67)
