Forget a request that waits for the endpoint list when it ends

While the resolver is silent, requests and attempts wait for the endpoint list. A client that withdraws what it has sent, and sends again, left each request with its statement, up to 48 kB, in the gate's list until the list was confirmed or had expired, seven seconds and the grace later.

Change: the gate keeps what waits by its request or attempt and forgets it with their end.

--- a/rackhub/core/admission.py
+++ b/rackhub/core/admission.py
@@ -110,7 +110,7 @@
             log.debug("request_deferred", request=query.id, reason="the endpoint list is not confirmed")
             self._state.counters.add("requests_deferred")
             query.deferred = True
-            self._gate.call_when_settled(partial(self._dispatch_when_confirmed, query))
+            self._gate.call_when_settled(query, partial(self._dispatch_when_confirmed, query))
         elif status is LeaseStatus.EXPIRED and query.deferred:
             self._reject(query, "over_lease", self._state.overload_backoff())
         else:
--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -42,7 +42,7 @@
         self._state = state
         self._decisions = decisions
         self._gate = EndpointGate(state, decisions, self._begin_after_reads)
-        self._completion = RequestCompletion(state, self.give_up)
+        self._completion = RequestCompletion(state, self.give_up, self._gate.discard)
 
     @property
     def gate(self) -> EndpointGate:
@@ -273,6 +273,7 @@
         """Remove a completed attempt; return whether it had been registered as in flight."""
         query = attempt.query
         attempt.state = AttemptState.DONE
+        self._gate.discard(attempt)
         if attempt.hedge_timer is not None:
             attempt.hedge_timer.cancel()
         query.in_flight.pop(attempt.number, None)
--- a/rackhub/core/endpoint_gate.py
+++ b/rackhub/core/endpoint_gate.py
@@ -7,7 +7,7 @@
 from rackhub import interface, logs
 from rackhub.core.decision_driver import DecisionDriver
 from rackhub.core.lease import LeaseStatus
-from rackhub.core.request import Attempt
+from rackhub.core.request import Attempt, Query
 from rackhub.core.state import CoordinatorState
 
 log = logs.logger(__name__)
@@ -21,7 +21,7 @@
         self._resume = resume
         self._state = state
         self._decisions = decisions
-        self._waiting: list[Callable[[], None]] = []
+        self._waiting: dict[Query | Attempt, Callable[[], None]] = {}  # in the order of their arrival
         self._ineligible: frozenset[str] = frozenset()
         self._allocation = interface.FleetAllocation()  # the fleet's last allocation, without the ineligible engines
 
@@ -34,11 +34,15 @@
 
     def defer(self, attempt: Attempt) -> None:
         """Queue an attempt until the endpoint list is confirmed or has expired."""
-        self.call_when_settled(partial(self._resume, attempt))
+        self.call_when_settled(attempt, partial(self._resume, attempt))
 
-    def call_when_settled(self, resume: Callable[[], None]) -> None:
-        """Call `resume` once the endpoint list is confirmed or has expired."""
-        self._waiting.append(resume)
+    def call_when_settled(self, waiting: Query | Attempt, resume: Callable[[], None]) -> None:
+        """Call `resume` for a request or attempt once the endpoint list is confirmed or has expired."""
+        self._waiting[waiting] = resume
+
+    def discard(self, ended: Query | Attempt) -> None:
+        """Forget a request or attempt that has ended; one that does not wait is ignored."""
+        self._waiting.pop(ended, None)
 
     def resume_if_settled(self) -> None:
         """Resume what was deferred unless the endpoint list is still unconfirmed."""
@@ -76,6 +80,6 @@
 
     def _resume_all(self) -> None:
         waiting = self._waiting
-        self._waiting = []
-        for resume in waiting:
+        self._waiting = {}
+        for resume in waiting.values():
             resume()
--- a/rackhub/core/request_completion.py
+++ b/rackhub/core/request_completion.py
@@ -23,10 +23,16 @@
 class RequestCompletion:
     """Completes requests and remembers the ids of the most recent ones."""
 
-    def __init__(self, state: CoordinatorState, give_up: Callable[[Attempt, Outcome], None]) -> None:
-        """`give_up` cancels an attempt."""
+    def __init__(
+        self,
+        state: CoordinatorState,
+        give_up: Callable[[Attempt, Outcome], None],
+        stop_waiting: Callable[[Query], None],
+    ) -> None:
+        """`give_up` cancels an attempt; `stop_waiting` forgets a request that waits for the endpoint list."""
         self._state = state
         self._give_up = give_up
+        self._stop_waiting = stop_waiting
         self._recent_ids: dict[str, None] = {}  # of requests that surely never ran, oldest first
         self._executed_ids: dict[str, None] = {}  # of the others, which a flood of the former must not displace
 
@@ -83,6 +89,7 @@
         """Remove a request from the open requests and notify the ports."""
         state = self._state
         del state.queries[query.id]
+        self._stop_waiting(query)
         state.statement_bytes -= len(query.statement)
         if state.request_journal is not None and query.idempotency_key:
             state.request_journal.request_completed(query, outcome)
--- a/tests/test_retained_state.py
+++ b/tests/test_retained_state.py
@@ -16,6 +16,7 @@
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
+from rackhub.core.lease import EndpointLease, LeaseStatus
 from rackhub.core.request import AttemptState, Query
 from rackhub.core.timers import MAX_CANCELLED_ENTRIES, Timers
 from rackhub.counters import Counters
@@ -149,6 +150,30 @@
     assert gateway.core.timers.entry_count <= 2 * MAX_CANCELLED_ENTRIES
 
 
+# Guards against requests, with their statements, that wait for a silent resolver after their clients have left.
+@pytest.mark.parametrize("waits", ["request", "attempt"])
+def test_withdrawn_requests_do_not_wait_for_the_resolver(waits):
+    bed = Bed()
+    lease = EndpointLease(LIMITS, S, bed.clock.now())
+    bed.clock.advance(LIMITS.notification_time + S)
+    assert lease.status(bed.clock.now()) is LeaseStatus.UNCONFIRMED
+
+    def withdraw():
+        bed.core.lease = lease if waits == "request" else None
+        query = bed.ask()
+        for attempt in bed.port.take_sent():  # as if the lease had ended between the policy's choice and the sending
+            bed.core.lease = lease
+            attempt.state = AttemptState.PENDING
+            bed.core.attempts.begin(attempt)
+        bed.core.disconnect_client(query)
+
+    assert bed.growth(withdraw) < MAX_GROWTH
+    bed.core.lease = lease
+    still_waits = bed.ask()
+    bed.core.endpoint_poll_confirmed(bed.core.endpoint_poll_started())
+    assert [attempt.query for attempt in bed.port.take_sent()] == [still_waits]
+
+
 # Guards against one timer for each Attention of a connection to a TDS engine, and against an early end by an old one.
 def test_acknowledged_attention_leaves_no_timer():
     bed = EngineBed().log_in()
