Bound the ids of failed attempts that connections to engines remember

Each cancelled attempt left its id on its connection for 30 s, so that requests withdrawn at full speed left as many ids as came in that time, on up to 400 connections.

Cause: one table served two needs. A retry of a request that is open must not go out on a connection on which an attempt of it has failed; that needs as many entries as open requests have attempts. An id that a client uses again after its request has ended must not either; that is a guard behind the table of recent ids, and needs no more than that table and some more.

Change: an open request knows its failed connections itself, however many others fail meanwhile and however long it is open.

The test of a crossing answer clears the request's own memory too where it shows that it would notice the fault: it has two guards now, and both have to be off for that.

--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -72,6 +72,7 @@
         "possibly_executed",
         "may_have_run",
         "id_claimed",
+        "failed_connections",
     )
 
     def __init__(
@@ -107,6 +108,7 @@
         self.possibly_executed: dict[int, int] = {}  # attempt number -> send time; only with an idempotency key
         self.may_have_run = False  # an attempt has ended that may have been executed
         self.id_claimed = False  # the id was recorded for the other processes of this coordinator
+        self.failed_connections: tuple[Any, ...] = ()  # where an attempt has failed; for the engine port's use only
         self.priority = 1
         self.priority_pinned = False  # the operator's terms set the priority
         self.terms: RequestTerms | None = None  # the operator's terms
--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -73,6 +73,7 @@
     # after this time with attempts in flight and no byte received, new attempts use a new connection
     unresponsive_timeout: int = 1_500 * MS
     failed_id_retention: int = 30 * SECOND  # time before a cancelled id may be reused on its connection
+    max_failed_ids: int = 4_096  # such ids of all connections; more than `max_recent_ids`, as those can't be reused
 
     # TDS
     max_tds_connections: int = 100  # client connections
--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -1,8 +1,8 @@
 """Connections to engines by RESP over TCP, with many attempts on a connection and results in pages.
 
 A retry of a request has the same id, so an answer that crossed a cancel, or a late duplicate of a rejection, would be
-mistaken for an answer to the new attempt. So a connection remembers the ids that ended on it without success, does not
-send them again, and ignores answers to them.
+mistaken for an answer to the new attempt. So the ids that ended on a connection without success are remembered (see
+`failed_ids`) and not sent on it again, and answers to them are ignored.
 """
 
 from typing import Any
@@ -13,6 +13,7 @@
 from rackhub.core.timers import DEFER_UNCONDITIONALLY, Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
+from rackhub.net.failed_ids import FailedIds
 from rackhub.net.outgoing import SocketWriter
 from rackhub.net.pool import EngineDialer, EnginePool, EnginePools
 from rackhub.net.resp_answers import AnswerReader, ByteRange
@@ -29,8 +30,16 @@
     because the connection is not up or the socket is not writable.
     """
 
-    def __init__(self, pool: EnginePool, clock: Clock, limits: Limits, counters: Counters, core: Coordinator):
-        super().__init__(pool, clock, limits, counters, core)
+    def __init__(
+        self,
+        pool: EnginePool,
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        core: Coordinator,
+        failed_ids: FailedIds | None = None,
+    ):
+        super().__init__(pool, clock, limits, counters, core, failed_ids)
         self.unresponsive = False  # set by `_check_responsive`; no further attempts are accepted then
         self.retired = False
         self._retired_at = 0
@@ -42,7 +51,6 @@
 
     def accepts(self, attempt: Attempt) -> bool:
         """Return whether a new attempt may use this connection."""
-        self._expire_failed_ids()
         id = attempt.query.id.encode()
         return not (
             self.closed
@@ -50,7 +58,7 @@
             or len(self.open) >= self.limits.max_attempts_per_connection
             or self.is_blocked()
             or id in self.open
-            or id in self.failed_ids
+            or self.has_failed(id, attempt)
         )
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -90,7 +98,7 @@
                 self._abort("an attempt was cancelled after a part of its request was sent")
                 return
             self._out.write(encode_command(b"shut" if id in self.partial_results else b"never_mind", id))
-            self._attempt_failed(id)
+            self._attempt_failed(id, attempt)
             self._check_responsive(attempt)
         self.partial_results.pop(id, None)
         self._attempt_removed()
@@ -319,10 +327,11 @@
 
 def resp_pools(reactor: Any, clock: Clock, limits: Limits, counters: Counters, core: Coordinator) -> EnginePools:
     """Return the engine port over RESP; `reactor` provides Twisted's `IReactorTCP`."""
+    failed_ids = FailedIds(clock, limits)
 
     def make(pool: EnginePool) -> EngineConnection:
         """Return an unconnected link."""
-        return EngineConnection(pool, clock, limits, counters, core)
+        return EngineConnection(pool, clock, limits, counters, core, failed_ids)
 
     return EnginePools(
         EngineDialer(reactor, make, limits), clock, limits, counters, core, limits.max_connections_per_engine
--- a/rackhub/net/resp_answers.py
+++ b/rackhub/net/resp_answers.py
@@ -13,6 +13,7 @@
 from rackhub.core.timers import Clock
 from rackhub.counters import Counters
 from rackhub.limits import Limits
+from rackhub.net.failed_ids import FailedIds
 from rackhub.net.outgoing import SocketWriter
 from rackhub.net.pool import EnginePool
 from rackhub.net.resp_protocol import (
@@ -56,7 +57,16 @@
 
     _out: SocketWriter  # set when the connection is established
 
-    def __init__(self, pool: EnginePool, clock: Clock, limits: Limits, counters: Counters, core: Coordinator):
+    def __init__(
+        self,
+        pool: EnginePool,
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        core: Coordinator,
+        failed_ids: FailedIds | None = None,
+    ):
+        """`failed_ids` is shared by the connections to all engines; by default the connection has its own."""
         super().__init__(clock, limits)
         self.pool = pool
         self.counters = counters
@@ -64,7 +74,8 @@
         self.open: dict[bytes, Attempt] = {}  # the open attempts by request id
         self.partial_results: dict[bytes, PartialResult] = {}  # the incomplete results by request id
         self._sent_ranges: dict[bytes, ByteRange] = {}  # the sent attempts in `open` by request id
-        self.failed_ids: dict[bytes, int] = {}  # request id of an attempt without success -> time of its end, in order
+        self.failed_ids = FailedIds(clock, limits) if failed_ids is None else failed_ids
+        self._number = self.failed_ids.new_connection()
         self.up = False  # True while the connection is established
 
     def give_up(self, attempt: Attempt) -> None:
@@ -83,16 +94,14 @@
         """
         return id not in self._sent_ranges or not self._out.has_sent(self._sent_ranges[id].end)
 
-    def _attempt_failed(self, id: bytes) -> None:
-        """Remember the id of a failed attempt: a duplicate of this answer could be mistaken for that of a retry."""
-        self._expire_failed_ids()
-        self.failed_ids.pop(id, None)
-        self.failed_ids[id] = self.clock.now()
+    def _attempt_failed(self, id: bytes, attempt: Attempt) -> None:
+        """Remember a failed attempt: a duplicate of this answer could be mistaken for that of a retry."""
+        attempt.query.failed_connections += (self,)
+        self.failed_ids.add(self._number, id)
 
-    def _expire_failed_ids(self) -> None:
-        oldest_kept = self.clock.now() - self.limits.failed_id_retention
-        while self.failed_ids and (oldest := next(iter(self.failed_ids))) and self.failed_ids[oldest] < oldest_kept:
-            del self.failed_ids[oldest]
+    def has_failed(self, id: bytes, attempt: Attempt) -> bool:
+        """Return whether an attempt of the same request, or of an ended one with the same id, has failed here."""
+        return self in attempt.query.failed_connections or self.failed_ids.contains(self._number, id)
 
     def drop(self) -> None:
         """Reset the connection if it is up; its open attempts are lost."""
@@ -206,6 +215,6 @@
         del self._sent_ranges[id]
         self.partial_results.pop(id, None)
         if reason != "GOOD":
-            self._attempt_failed(id)
+            self._attempt_failed(id, attempt)
         self._attempt_removed()
         self.core.complete_attempt(attempt, reason, report, rows)
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -608,6 +608,7 @@
     bed.core.attempts.cancel(t.Cancel(query.id, 0))
     if bug:
         first.connection.failed_ids.clear()
+        query.failed_connections = ()
     bed.clock.advance(2 * LIMITS.cancellation_delay)
     second = attempt_in_flight(query)
     assert second is not first and (second.connection is first.connection) == bug
--- a/tests/test_retained_state.py
+++ b/tests/test_retained_state.py
@@ -9,17 +9,20 @@
 
 import msgspec
 import pytest
-from harness import LIMITS, MS, SETTINGS, FakeClock, S
+from harness import LIMITS, MS, SETTINGS, CoordinatorTestBed, EngineServer, FakeClock, S, spin
 from reachable import growth
 from test_gather import Gateway
-from test_tds_responses import ATTENTION_ACK, EngineBed
+from test_tds_responses import ATTENTION_ACK, READ_REPLY, EngineBed
+from test_wire_models import FakeCore, MemoryTransport
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
 from rackhub.core.lease import EndpointLease, LeaseStatus
-from rackhub.core.request import AttemptState, Query
+from rackhub.core.request import Attempt, AttemptState, Query
 from rackhub.core.timers import MAX_CANCELLED_ENTRIES, Timers
 from rackhub.counters import Counters
+from rackhub.net.pool import EnginePool
+from rackhub.net.resp import EngineConnection
 from rackhub.net.tds.engine import EngineConnectionState
 from rackhub.timings.route_policy import RoutePolicy
 from rackhub.timings.routes import Route, SecondCopy
@@ -232,3 +235,58 @@
     timers.call_at(now, called.append, "last")
     clock.advance(1)
     assert called == ["first", "last"] and timers.pending_count == 0 and timers.entry_count == 0
+
+
+class RespBed:
+    """A connection to an engine over RESP that is never answered."""
+
+    def __init__(self, limits):
+        self.core, self.count = FakeCore(), 0
+        pool = EnginePool("e0", ("127.0.0.1", 1), Counters())
+        self.connection = EngineConnection(pool, self.core.clock, limits, pool.counters, self.core)
+        pool.links.append(self.connection)
+        self.wire = MemoryTransport()
+        self.connection.makeConnection(self.wire)
+
+    def send(self):
+        self.count += 1
+        query = Query(f"{self.count:016x}", "lookup", b"SELECT 1", self.core.clock.now() + S, READ_REPLY)
+        attempt = Attempt(query, 0, "e0", self.core.clock.now())
+        assert self.connection.accepts(attempt)
+        self.connection.enqueue(attempt)
+        self.wire.flush()
+        return attempt
+
+    def send_and_cancel(self):
+        self.connection.give_up(self.send())
+        self.wire.take_output()
+
+
+# Guards against one id for each cancelled attempt, which every connection kept for half a minute.
+def test_ids_of_cancelled_attempts_are_bounded_and_open_requests_still_know_theirs():
+    bed = RespBed(msgspec.structs.replace(LIMITS, max_failed_ids=32))
+    still_open = bed.send()
+    bed.connection.give_up(still_open)
+    assert growth(bed.send_and_cancel, [bed.connection]) < MAX_GROWTH
+    assert len(bed.connection.failed_ids) == 32
+    assert not bed.connection.accepts(Attempt(still_open.query, 1, "e0", bed.core.clock.now()))
+    last = Query(f"{bed.count:016x}", "lookup", b"SELECT 2", bed.core.clock.now() + S, READ_REPLY)
+    assert not bed.connection.accepts(Attempt(last, 0, "e0", bed.core.clock.now()))  # the same id in a new request
+    bed.core.clock.advance(LIMITS.failed_id_retention + 1)
+    assert bed.connection.accepts(Attempt(last, 0, "e0", bed.core.clock.now())) and not len(bed.connection.failed_ids)
+
+
+# Guards against a bound for each connection or engine, of which there may be hundreds.
+def test_connections_to_all_engines_share_the_table_of_failed_ids():
+    bed = CoordinatorTestBed(EngineServer(), EngineServer())
+    try:
+        for cancelled in range(2):
+            query = Query(f"{cancelled:016x}", "lookup", b"SELECT 1", bed.clock.now() + S, READ_REPLY, tenant="acme")
+            bed.core.submit(query)
+            spin(lambda sent=cancelled + 1: sum(len(server.wants()) for server in bed.engines) == sent)
+            bed.core.disconnect_client(query)
+        links = [link for pool in bed.pools.pools.values() for link in pool.links]
+        assert len({link.pool.name for link in links}) == 2
+        assert all(len(link.failed_ids) == 2 for link in links)
+    finally:
+        bed.close()
