Bound the times of the rate windows, and forget table groups without loads

Cause: the rate windows recorded the time of each admitted query for 20 s, and the retry budget that of each query for its window, also where no ratio is set and nobody reads it. Each engine had an entry for each table group that a load had ever locked there, and a group is a number in the client's statement. Each key of a class whose queries run one at a time had an entry once it was blocked.

Change: at most 32,768 times of one kind (some 1,600 admissions a second of one tenant and class for 20 s, or 3,200 queries a second for 10 s); a retry budget grows no further above that. Times for the retry budget only where it has a ratio. A group without running loads has no entry, a key no longer than it is blocked.

--- a/rackhub/policy/key_queues.py
+++ b/rackhub/policy/key_queues.py
@@ -14,7 +14,7 @@
         self.context = context
         self.dispatch = dispatch
         self.queues: dict[int | None, deque[QueryState]] = {}
-        self.blocked_until: dict[int | None, int] = {}
+        self.blocked_until: dict[int | None, int] = {}  # in the order of the times
 
     def add(self, query: QueryState) -> None:
         """Append a query to the queue of its key, and dispatch it if it is the first."""
@@ -24,8 +24,15 @@
 
     def block(self, key: int | None) -> None:
         """Delay the next query of a key, because an earlier attempt may still be executing."""
+        self._remove_expired_blocks()
+        self.blocked_until.pop(key, None)
         self.blocked_until[key] = self.context.now + self.context.settings.serial_key_delay
 
+    def _remove_expired_blocks(self) -> None:
+        """Forget the keys that are no longer blocked, of which no query may come any more."""
+        while self.blocked_until and self.blocked_until[first := next(iter(self.blocked_until))] < self.context.now:
+            del self.blocked_until[first]
+
     def advance(self, key: int | None) -> None:
         """Remove closed queries without attempts in flight from the front, and dispatch the next query."""
         queue = self.queues.get(key)
--- a/rackhub/policy/retries.py
+++ b/rackhub/policy/retries.py
@@ -1,10 +1,8 @@
 """Retry policy: idempotency, maximum attempts and the retry budget. All times are microseconds."""
 
-from collections import deque
-
 from rackhub.interface import Idempotency, Outcome
 from rackhub.policy.context import RouterContext
-from rackhub.policy.state import QueryState, remove_expired
+from rackhub.policy.state import QueryState, new_time_record, remove_expired
 
 NOT_EXECUTED_OUTCOMES = (Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NOT_EXECUTED)
 MAY_STILL_RUN_OUTCOMES = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
@@ -18,14 +16,15 @@
 
     def __init__(self, context: RouterContext) -> None:
         self.context = context
-        self.received_at: deque[int] = deque()
-        self.retried_at: deque[int] = deque()
+        self.received_at = new_time_record()  # only where the retry budget depends on it
+        self.retried_at = new_time_record()
         self.tokens = context.allocation.retry_tokens  # retries that the fleet allows; None: by the own budget
 
     def record_query(self) -> None:
         """Count a received query."""
-        self.received_at.append(self.context.now)
-        remove_expired(self.received_at, self.context.now - self.context.settings.retry_budget_window)
+        if self.context.settings.retry_budget_ratio:
+            self.received_at.append(self.context.now)
+            remove_expired(self.received_at, self.context.now - self.context.settings.retry_budget_window)
 
     def record_retry(self) -> None:
         """Count a retry that is being sent."""
--- a/rackhub/policy/state.py
+++ b/rackhub/policy/state.py
@@ -6,6 +6,13 @@
 from rackhub.interface import QueryReceived
 from rackhub.policy.statistics import ClassStatistics, EngineState, Placement
 
+MAX_RECORDED_TIMES = 32_768  # of one kind; under a flood a window would otherwise record every query of it
+
+
+def new_time_record() -> deque[int]:
+    """Return an empty record of the latest times of one kind, in order."""
+    return deque(maxlen=MAX_RECORDED_TIMES)
+
 
 @dataclass(slots=True, eq=False)
 class TenantState:
@@ -13,7 +20,7 @@
 
     quota_fraction: float
     threads: int = 0
-    admitted_at: defaultdict[str, deque[int]] = field(default_factory=lambda: defaultdict(deque))
+    admitted_at: defaultdict[str, deque[int]] = field(default_factory=lambda: defaultdict(new_time_record))
 
 
 @dataclass(slots=True, frozen=True)
--- a/rackhub/policy/statistics.py
+++ b/rackhub/policy/statistics.py
@@ -1,7 +1,6 @@
 """Running statistics of engines and query classes. All times are microseconds."""
 
 import math
-from collections import defaultdict
 from dataclasses import dataclass
 
 from rackhub.interface import ClassSettings, EngineEntry
@@ -121,7 +120,7 @@
         self.credit_updated_at = 0
         self.consecutive_failures = 0
         self.last_reset_at = 0
-        self.running_loads: defaultdict[int | None, int] = defaultdict(int)
+        self.running_loads: dict[int | None, int] = {}  # table group -> attempts that lock it
         self.locked_until: dict[int | None, float] = {}
         self.zone = entry.zone
         self.kind = entry.kind
--- a/rackhub/policy/usage.py
+++ b/rackhub/policy/usage.py
@@ -1,6 +1,7 @@
 """Threads and memory used by this gateway's attempts: in total, per engine and per tenant."""
 
 from rackhub.policy.state import AttemptState
+from rackhub.policy.statistics import EngineState
 
 
 class ResourceUsage:
@@ -37,4 +38,13 @@
         self.granted_memory_mb += sign * attempt.memory_mb
         query.tenant.threads += threads
         if query.statistics.settings.locks_tables and attempt.threads:
-            engine.running_loads[query.event.tables] += sign
+            self._count_load(engine, query.event.tables, sign)
+
+    @staticmethod
+    def _count_load(engine: EngineState, tables: int | None, sign: int) -> None:
+        """Count a running load of a table group; a group without one has no entry, as clients name the groups."""
+        loads = engine.running_loads.get(tables, 0) + sign
+        if loads:
+            engine.running_loads[tables] = loads
+        else:
+            del engine.running_loads[tables]
--- a/tests/test_retained_state.py
+++ b/tests/test_retained_state.py
@@ -24,6 +24,9 @@
 from rackhub.net.pool import EnginePool
 from rackhub.net.resp import EngineConnection
 from rackhub.net.tds.engine import EngineConnectionState
+from rackhub.policy import state
+from rackhub.policy.context import RouterContext
+from rackhub.policy.key_queues import KeyQueues
 from rackhub.timings.route_policy import RoutePolicy
 from rackhub.timings.routes import Route, SecondCopy
 from rackhub.timings.table import Table
@@ -32,6 +35,13 @@
 # Room for the entries of cancelled timers, each with a few objects, and for statistics that are still filling.
 MAX_GROWTH = 8 * MAX_CANCELLED_ENTRIES
 FEW_IDS = msgspec.structs.replace(LIMITS, max_recent_ids=16)
+WITH_RETRY_BUDGET = dataclasses.replace(SETTINGS, retry_budget_ratio=0.5, retry_budget_window=10 * S)
+
+
+@pytest.fixture(autouse=True)
+def few_recorded_times(monkeypatch):
+    """Bound the times that the rate windows record so that the bound is reached."""
+    monkeypatch.setattr(state, "MAX_RECORDED_TIMES", 16)
 
 
 class EnginePortStub:
@@ -102,10 +112,33 @@
         bed.core.complete_attempt(attempt, "GOOD", None, (b"rows",))
 
 
+def refused(bed):
+    """No engine is ready."""
+    bed.core.update_endpoints([], bed.count)
+    assert bed.ask().closed
+
+
+def failed_twice(bed):
+    """Two engines return an error, and the request ends as failed."""
+    query = bed.ask("depot-load", idempotency_key=f"key{bed.count}")
+    while not query.closed:
+        for attempt in bed.port.take_sent():
+            bed.core.complete_attempt(attempt, "BAD")
+
+
+def loads_of_many_groups(bed):
+    """Each request locks another group of tables, whose number the client writes."""
+    bed.ask("depot-load", idempotency_key=f"key{bed.count}", tables=bed.count)
+    for attempt in bed.port.take_sent():
+        bed.core.complete_attempt(attempt, "GOOD", None, (b"rows",))
+
+
 # Guards against timers of ended requests that stay until the deadline of the request, here an hour.
-@pytest.mark.parametrize("step", [withdrawn, served], ids=lambda step: step.__name__)
+@pytest.mark.parametrize(
+    "step", [withdrawn, served, refused, failed_twice, loads_of_many_groups], ids=lambda step: step.__name__
+)
 def test_nothing_grows_with_the_requests_that_have_ended(step):
-    bed = Bed()
+    bed = Bed(WITH_RETRY_BUDGET)
     assert bed.growth(lambda: step(bed)) < MAX_GROWTH
     assert not bed.core.queries and not bed.core.in_flight
     assert not bed.core.decisions.control.context.attempts
@@ -290,3 +323,13 @@
         assert all(len(link.failed_ids) == 2 for link in links)
     finally:
         bed.close()
+
+
+# Guards against an entry for each key of a class whose queries run one at a time, for keys that never come again.
+def test_keys_that_are_no_longer_blocked_are_forgotten():
+    context = RouterContext(dataclasses.replace(SETTINGS, serial_key_delay=5), 7)
+    queues = KeyQueues(context, lambda query: None)
+    for key in range(1_000):
+        context.now = key
+        queues.block(key)
+    assert set(queues.blocked_until) == set(range(994, 1_000))
