Do not keep cancelled subrequests to other installations

Cause: a subrequest waited for the dial of its coordinator as an encoded line with its statement. One that was cancelled meanwhile stayed, with a line for the cancellation behind it. On an established connection each cancellation made room for one more pending call, whether or not the other coordinator read: what it did not read was kept by the transport without a bound.

Change: what waits for the dial is known by its call and goes with its cancellation.

Test: test_cancelled_subrequests_to_other_installations_are_not_kept, which failed on the commit before.

--- a/rackhub/gather/remote_gateways.py
+++ b/rackhub/gather/remote_gateways.py
@@ -79,6 +79,11 @@
     return all(row.count(b"\t") == COLUMNS - 1 for row in body.split(b"\n")[:-1])
 
 
+def encode_line(message: dict[str, Any]) -> bytes:
+    """Return one message as a line."""
+    return msgspec.json.encode(message) + b"\n"
+
+
 class Connection(LineOnlyReceiver):
     """One connection to another coordinator, with its pending calls."""
 
@@ -92,27 +97,46 @@
         self.is_open = False
         self.closed = False
         self.pending_calls: dict[int, Completion] = {}
-        self._unsent_lines: list[bytes] = []
+        self.is_blocked = False  # the other coordinator does not read: what is sent waits in the transport's buffer
+        self._unsent_lines: dict[int, bytes] = {}  # calls that wait until the connection is established, by id
         self._call_ids = itertools.count(1)
 
     def call(self, params: dict[str, Any], method: str, completed: Completion) -> int:
         """Send a call and return its id; `completed` is called once, unless the call is cancelled."""
         call_id = next(self._call_ids)
         self.pending_calls[call_id] = completed
-        self._send({"jsonrpc": "2.0", "id": call_id, "method": method, "params": params})
+        line = encode_line({"jsonrpc": "2.0", "id": call_id, "method": method, "params": params})
+        if self.is_open:
+            self.transport.write(line)
+        else:
+            self._unsent_lines[call_id] = line
         return call_id
 
     def cancel(self, call_id: int) -> None:
-        """Cancel a pending call."""
-        if self.pending_calls.pop(call_id, None) is not None:
-            self._send({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": call_id}})
-
-    def _send(self, message: dict[str, Any]) -> None:
-        line = msgspec.json.encode(message) + b"\n"
+        """Cancel a pending call. One that was not sent yet is forgotten."""
+        if self.pending_calls.pop(call_id, None) is None or self._unsent_lines.pop(call_id, None) is not None:
+            return
         if self.is_open:
-            self.transport.write(line)
-        else:
-            self._unsent_lines.append(line)
+            self.transport.write(encode_line({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": call_id}}))
+
+    def accepts_calls(self) -> bool:
+        """Return whether one more call may be pending.
+
+        Calls that are cancelled before they have left the transport's buffer are still in it, so that only a connection
+        whose buffer is not full takes further ones.
+        """
+        return not self.is_blocked and len(self.pending_calls) < MAX_PENDING_CALLS
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Record that the transport's buffer is full (Twisted)."""
+        self.is_blocked = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Record that the transport's buffer has been sent (Twisted)."""
+        self.is_blocked = False
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: `connectionLost` handles the loss of the connection (Twisted)."""
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's names
         """Send the calls that were made while the connection was being dialled."""
@@ -121,9 +145,10 @@
             return
         self.is_open = True
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
         unsent = self._unsent_lines
-        self._unsent_lines = []
-        self.transport.writeSequence(unsent)
+        self._unsent_lines = {}
+        self.transport.writeSequence(list(unsent.values()))
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Complete the call that a response belongs to."""
@@ -173,6 +198,7 @@
         self.closed = True
         self.is_open = False
         self.remotes.forget(self)
+        self._unsent_lines.clear()
         pending = self.pending_calls
         self.pending_calls = {}
         for completed in pending.values():
@@ -211,14 +237,14 @@
     ) -> RemoteCall | None:
         """Send a subrequest to one coordinator, with a time budget in microseconds.
 
-        Returns None if it has `MAX_PENDING_CALLS` pending; `completed` is not called then.
+        Returns None if it has `MAX_PENDING_CALLS` pending, or does not read; `completed` is not called then.
         """
         connection = self._connections.get(address)
         if connection is None:
             connection = self._connections[address] = Connection(self, address)
             factory = SingleConnectionFactory(connection, connection.connection_closed)
             self._reactor.connectTCP(*address, factory, timeout=self._dial_timeout_s)
-        if len(connection.pending_calls) >= MAX_PENDING_CALLS:
+        if not connection.accepts_calls():
             return None
         params: dict[str, Any] = {"rid": request_id, "budget": max(budget // MS, 1), "body": query.statement}
         if query.tenant:
--- a/tests/test_retained_state.py
+++ b/tests/test_retained_state.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 import random
 
 import msgspec
@@ -14,6 +15,7 @@
 from test_gather import Gateway
 from test_tds_responses import ATTENTION_ACK, READ_REPLY, EngineBed
 from test_wire_models import FakeCore, MemoryTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from rackhub import interface as t
 from rackhub.core.coordinator import Coordinator
@@ -21,6 +23,7 @@
 from rackhub.core.request import Attempt, AttemptState, Query
 from rackhub.core.timers import MAX_CANCELLED_ENTRIES, Timers
 from rackhub.counters import Counters
+from rackhub.gather.remote_gateways import RemoteGateways
 from rackhub.net.pool import EnginePool
 from rackhub.net.resp import EngineConnection
 from rackhub.net.tds.engine import EngineConnectionState
@@ -333,3 +336,27 @@
         context.now = key
         queues.block(key)
     assert set(queues.blocked_until) == set(range(994, 1_000))
+
+
+def remote_call(remotes, number):
+    query = Query(f"{number:016x}", "report", b"SELECT 1" * 100, S, READ_REPLY)
+    return remotes.call(("127.0.0.1", 1), query, query.id, S, lambda *_: None)
+
+
+# Guards against statements of cancelled subrequests: of those that wait for a connection, and of those that wait for
+# another coordinator to read.
+def test_cancelled_subrequests_to_other_installations_are_not_kept():
+    reactor = MemoryReactorClock()
+    remotes = RemoteGateways(reactor, 250 * MS, 48_000, lambda name: None)
+    numbers = itertools.count(1)
+    assert growth(lambda: remote_call(remotes, next(numbers)).cancel(), [remotes]) < MAX_GROWTH
+    remote_call(remotes, next(numbers))
+    connection = reactor.tcpClients[0][2].buildProtocol(None)
+    transport = StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    connection.makeConnection(transport)
+    assert transport.value().count(b"\n") == 1  # only the subrequest that was not cancelled is sent
+    transport.producer.pauseProducing()
+    assert remote_call(remotes, next(numbers)) is None
+    transport.producer.resumeProducing()
+    assert remote_call(remotes, next(numbers)) is not None
