Number attempts alike in the policy and in the core, also those not started

Cause: the core gave an attempt that it did not start no number of its own, the policy did. After a refused hedge both numbered the next attempt of the request differently, so that no outcome matched it: the policy kept it, and its threads, until the process ended. The same came of a request that had ended before its first attempt was started: the core said nothing of that attempt.

Change: the core counts what the policy has decided on, started or not. A cancellation of an attempt that the core does not have is answered by its outcome, not executed; the policy ignores that if it has had the outcome.

--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -62,7 +62,8 @@
             state.counters.add("attempts_not_sent")
             return
         now = state.clock.now()
-        attempt = Attempt(query, query.attempts, action.engine, now)
+        attempt = Attempt(query, query.next_attempt_number, action.engine, now)
+        query.next_attempt_number += 1
         attempt.deadline = min(query.deadline, now + action.timeout) if action.timeout > 0 else query.deadline
         if not self._may_start(attempt, action.timeout, now):
             self._reject(attempt, Outcome.NOT_EXECUTED)
@@ -105,10 +106,19 @@
         return False
 
     def cancel(self, action: interface.Cancel) -> None:
-        """Cancel an attempt at the routing policy's request; a completed attempt is ignored."""
+        """Cancel an attempt at the routing policy's request.
+
+        One that is unknown here has been completed, or was never started as its request had ended: the policy is told
+        that it does not run, and ignores that if it knows of the completion.
+        """
         attempt = self._state.in_flight.get((action.query, action.attempt))
         if attempt is not None:
             self.give_up(attempt, Outcome.CANCELLED)
+            return
+        settled = action.query not in self._state.queries
+        self._decisions.dispatch(
+            interface.AttemptCompleted(action.query, action.attempt, Outcome.NOT_EXECUTED, settled=settled)
+        )
 
     def give_up(self, attempt: Attempt, outcome: str) -> None:
         """Cancel an attempt, for the reason `outcome`.
--- a/rackhub/core/request.py
+++ b/rackhub/core/request.py
@@ -59,6 +59,7 @@
         "tag",
         "closed",
         "attempts",
+        "next_attempt_number",
         "in_flight",
         "priority",
         "priority_pinned",
@@ -104,6 +105,7 @@
         self.tables = tables
         self.closed = False
         self.attempts = 0  # number of attempts started so far
+        self.next_attempt_number = 0  # counts those too that the policy decided on and that were not started
         self.in_flight: dict[int, Attempt] = {}  # attempt number -> attempt that is not completed, sent or not
         self.possibly_executed: dict[int, int] = {}  # attempt number -> send time; only with an idempotency key
         self.may_have_run = False  # an attempt has ended that may have been executed
