Use a connection to a TDS engine for one call only

Cause: a response over TDS does not say which call it answers. A connection took the next call at once, and whatever came then for its response, a late copy of the one before too. A wait between two calls would only bound how late a copy may be.

Change: a connection is closed after its response, or after the acknowledgement of an Attention. The pool dials another one in its place at once, so that the next call finds a login that is done. A second copy of the login's response ends the attempt instead of being served as an empty result. The reset leaves no port in TIME_WAIT; reference cycles of the connection, its connector, its token parser and its writer are cut, so that none waits for the garbage collector.

The test of a blocked socket takes the connection that replaced the first one's.

--- a/rackhub/net/outgoing.py
+++ b/rackhub/net/outgoing.py
@@ -19,6 +19,10 @@
 MAX_NOT_SENT_BYTES = 1  # limits the kernel's buffer to one request that the engine does not read
 
 
+def _do_nothing() -> None:
+    """Do nothing: the connection is lost, and nobody is called any more."""
+
+
 class SocketWriter:
     """Sends on one connection and counts the bytes since its start. Calls `writable` once per `request_write`."""
 
@@ -81,6 +85,10 @@
             self.bytes_written += len(data)
             self._transport.write(data)
 
+    def connection_lost(self) -> None:
+        """Forget the owner, which refers to this object, so that neither waits for the garbage collector."""
+        self._writable = _do_nothing
+
     # ---- progress of the sending
 
     def buffered_bytes(self) -> int:
--- a/rackhub/net/pool.py
+++ b/rackhub/net/pool.py
@@ -69,6 +69,7 @@
         self.counters = counters
         self.started_at = started_at
         self.links: list[EngineLink] = []
+        self.replace_connection: Callable[[EnginePool], None] | None = None  # set by `EnginePools`
         self.dials: dict[EngineLink, Any] = {}  # the connectors (IConnector) of the links that are not up yet
 
     def connection_closed(self, link: EngineLink) -> None:
@@ -76,6 +77,11 @@
         if link in self.links:
             self.links.remove(link)
 
+    def connection_used_up(self) -> None:
+        """Have a connection replaced that has closed because its protocol allows no second attempt on it."""
+        if self.replace_connection is not None:
+            self.replace_connection(self)
+
     def retire(self) -> None:
         """Send no more attempts: those queued for a dial return unsent, those in flight end, idle connections close."""
         for link in list(self.links):
@@ -113,6 +119,11 @@
         del self._pool.dials[self._link]
         return self._link
 
+    def clientConnectionLost(self, connector: Any, reason: object) -> None:  # noqa: N802
+        """Break the reference cycles of a lost connection (Twisted): some protocols dial for each attempt."""
+        connector.transport = None
+        del self._link
+
     def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
         """Report a dial that was refused, timed out or cancelled (Twisted)."""
         self._pool.dial_failed(self._link)
@@ -175,6 +186,7 @@
                 self.pools[name] = obsolete.pop(name)
             else:
                 self.pools[name] = EnginePool(name, address, self._counters, entry.started_at)
+                self.pools[name].replace_connection = self._replace_connection
         self.retired += obsolete.values()
         if obsolete:
             log.info("engines_retired", engines=sorted(obsolete))
@@ -201,18 +213,36 @@
         if link is not None and not self._should_add_link(pool, link):
             return link
         if len(pool.links) < self._max_links and self._reserve_descriptor():
-            self._counters.add("engine_dials")
-            log.debug("engine_dialled", engine=pool.name, links=len(pool.links))
-            link = self._dial(pool)
-            pool.links.append(link)
+            link = self._add_link(pool)
+        return link
+
+    def _add_link(self, pool: EnginePool) -> EngineLink:
+        """Dial a new connection of a pool."""
+        self._counters.add("engine_dials")
+        log.debug("engine_dialled", engine=pool.name, links=len(pool.links))
+        link = self._dial(pool)
+        pool.links.append(link)
         return link
 
+    def _replace_connection(self, pool: EnginePool) -> None:
+        """Dial in place of a used-up connection, so that the next attempt need not wait for the dial and the login.
+
+        The number of connections to an engine so follows the attempts at once of the last time; idle ones close.
+        """
+        is_active = self.pools.get(pool.name) is pool
+        if is_active and len(pool.links) < self._max_links and self._may_spread():
+            self._add_link(pool)
+
     def _should_add_link(self, pool: EnginePool, best: EngineLink) -> bool:
         """Return whether to open one more connection, although the `best` one accepts the attempt."""
         crowded = (
             best.load() >= self._limits.attempts_before_spread and len(pool.links) < self._limits.max_spread_connections
         )
-        return crowded and len(self._all_links()) < self._limits.max_engine_connections * 3 // 4
+        return crowded and self._may_spread()
+
+    def _may_spread(self) -> bool:
+        """Return whether there is room for a connection that no attempt needs yet."""
+        return len(self._all_links()) < self._limits.max_engine_connections * 3 // 4
 
     def _all_pools(self) -> Iterable[EnginePool]:
         return (*self.pools.values(), *self.retired)
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -8,9 +8,11 @@
 the engine is full, ERROR 51504 that the time budget was used up; in both cases the call was not executed. After any
 other ERROR it may have been executed.
 
-TDS can't change the priority of a running call, and a connection carries one attempt at a time. A cancelled attempt
-is interrupted by Attention. The connection is reused only after the acknowledgement of the Attention, so that a late
-response is never taken for the response to a later attempt.
+TDS can't change the priority of a running call. A cancelled attempt is interrupted by Attention.
+
+A response does not say which call it answers, so a late copy of one would be taken for the response to the next call.
+Therefore a connection carries one call: it is closed after the response, or after the acknowledgement of an Attention,
+and the pool logs in to a new one in its place.
 """
 
 import enum
@@ -66,7 +68,7 @@
 
 
 class TdsEngineConnection(TdsStream):
-    """One connection to an engine. Before it is READY, `_attempt` may hold an attempt that is not sent yet."""
+    """One connection to an engine, for one call. Before that, `_attempt` may hold an attempt that is not sent yet."""
 
     _out: SocketWriter  # set by `connection_made`
 
@@ -88,6 +90,7 @@
         self.state = State.DIALLING
         self.closed = False
         self.last_used = clock.now()
+        self._used_up = False  # the connection has carried a call, and is closed after it
         self.retired = False  # the pool sends no more attempts to this engine or to this address of it
         # Offsets of the first byte of the call and of the byte after it, counted from the start of the connection.
         self._call_start = 0
@@ -97,6 +100,7 @@
         self._attempt: Attempt | None = None
         self._attention_timer: Timer | None = None  # runs until the acknowledgement of an Attention
         self._assembler = codec.MessageAssembler(limits.max_tds_message_bytes)
+        self._tokens = TokenReader(limits.max_tds_token_bytes)
         self._reset_response()
 
     def _mark_closed(self) -> None:
@@ -104,7 +108,13 @@
         self.state = State.CLOSED
         self.closed = True
 
+    def _use_up(self) -> None:
+        """Close the connection after its call. A reset leaves no port in TIME_WAIT, of which each call takes one."""
+        self._used_up = True
+        self._abort()
+
     def _reset_response(self) -> None:
+        self._tokens.close()
         self._tokens = TokenReader(self.limits.max_tds_token_bytes)
         self._rows: list[str] = []
         self._result_length = 0
@@ -114,7 +124,7 @@
     # ---- interface to the pool
 
     def accepts(self, attempt: Attempt) -> bool:
-        """Whether the connection can accept an attempt: it has none and none is being cancelled."""
+        """Whether the connection can accept an attempt: it has had none yet."""
         return self._attempt is None and self.state in ACCEPTING_STATES
 
     def enqueue(self, attempt: Attempt) -> None:
@@ -238,6 +248,10 @@
             self.counters.add("engine_losses")
             not_received = self._attempt.unsent or not self._out.has_sent(self._call_end)
             self._complete_attempt(Outcome.CONNECT_FAILED if not_received else Outcome.RESET)
+        self._tokens.close()
+        self._out.connection_lost()
+        if self._used_up:
+            self.pool.connection_used_up()
 
     def malformed_data_received(self) -> None:
         """Count a malformed response."""
@@ -357,17 +371,16 @@
         # If the engine had completed its response before it read the Attention, this is the end of that response, and
         # the acknowledgement follows as a separate message.
         if self._response.attention_acknowledged:
-            self._cancel_attention_timer()
-            self.state = State.READY
-            self.last_used = self.clock.now()
-        self._reset_response()
-        if self.retired:
-            self.close_if_idle()
+            self._use_up()
+        else:
+            self._reset_response()
 
     def _complete_call(self) -> None:
         if self._response.attention_acknowledged:
             raise codec.TdsProtocolError("Attention acknowledged that was not sent")
-        self.state = State.READY
+        if self._response.login_acknowledged:
+            raise codec.TdsProtocolError("login acknowledged a second time, in place of a response to the call")
+        self._use_up()
         if self._response.error:
             self._complete_attempt(OUTCOME_BY_ERROR.get(self._response.error, Outcome.ERROR))
         else:
--- a/rackhub/net/tds/token_reader.py
+++ b/rackhub/net/tds/token_reader.py
@@ -62,6 +62,10 @@
         while (token := next(self._parser)) is not None:
             yield token
 
+    def close(self) -> None:
+        """End the parser, which refers to this object, so that neither waits for the garbage collector."""
+        self._parser.close()
+
     def at_token_boundary(self) -> bool:
         """Whether all received tokens are complete."""
         return not self._buffer and not self._token_bytes
--- a/tests/test_crossings_engines.py
+++ b/tests/test_crossings_engines.py
@@ -354,6 +354,8 @@
     bed.apply_states("Ready", None)
     first = bed.ask()
     spin(lambda: first.closed)
+    if tds:  # over TDS a connection carries one call, and a new one takes its place
+        spin(lambda: [link.state for link in bed.links()] == [EngineConnectionState.READY])
     (link,) = bed.links()
     link._out.send = lambda data: False
     query = bed.ask()
