End a login at a TDS engine that takes too long

Cause: nothing bounded the time of a login. Its connection stayed in the pool as the least loaded one; an attempt that was cancelled on it, unsent, made room for the next one.

Change: after 500 ms without a completed login the connection is reset and its attempt, which surely was not sent, goes elsewhere.

--- a/rackhub/limits.py
+++ b/rackhub/limits.py
@@ -84,7 +84,8 @@
     max_tds_message_bytes: int = 262_144
     max_unsent_response_bytes: int = 65_536  # responses that a TDS client has not read, without rows of results
     max_tds_token_bytes: int = 65_536  # size of one token of an engine's response
-    max_tds_connections_per_engine: int = 32  # a TDS connection carries one attempt at a time
+    max_tds_connections_per_engine: int = 32  # a TDS connection carries one attempt
+    tds_engine_login_timeout: int = 500 * MS  # time from the connection to an engine to the completed login
 
     # resolver
     poll_interval: int = 250 * MS  # longer where many coordinators are configured, see `rackhub.config`
--- a/rackhub/net/tds/engine.py
+++ b/rackhub/net/tds/engine.py
@@ -95,6 +95,7 @@
         # Offsets of the first byte of the call and of the byte after it, counted from the start of the connection.
         self._call_start = 0
         self._call_end = 0
+        self._connected_at = 0
         self._write_requested_at = 0
         self._retired_at = 0
         self._attempt: Attempt | None = None
@@ -196,12 +197,17 @@
             self.close_if_idle()
 
     def check_timeouts(self, now: int) -> None:
-        """Periodic check of the attempt on the connection.
+        """Periodic check of the connection and its attempt.
 
-        An attempt whose socket has not been writable for `unwritable_timeout` is ended, so that it is sent to another
-        engine. A retired connection is aborted if the engine's host has not acknowledged the call. A slow response
-        needs no check: a TDS connection carries no other attempt, and the attempt's own timeout covers it.
+        A login that takes too long is ended: its connection, as the least loaded one, would get attempts again and
+        again. An attempt whose socket has not been writable for `unwritable_timeout` is ended, so that it is sent to
+        another engine. A retired connection is aborted if the engine's host has not acknowledged the call. A slow
+        response needs no check: a TDS connection carries no other attempt, and the attempt's own timeout covers it.
         """
+        if self.state in (State.PRELOGIN, State.LOGIN):
+            if now - self._connected_at >= self.limits.tds_engine_login_timeout:
+                self._end_slow_login()
+            return
         if self._attempt is None:
             return
         if self.state == State.READY and now - self._write_requested_at >= self.limits.unwritable_timeout:
@@ -210,6 +216,12 @@
             self.counters.add("engine_cuts")
             self._abort()
 
+    def _end_slow_login(self) -> None:
+        log.warning("engine %s has not completed the login in time", self.pool.name)
+        self.counters.add("engine_dial_failures")
+        self._abort()
+        self._complete_attempt(Outcome.CONNECT_FAILED)
+
     def _is_unacknowledged_after_retirement(self, now: int) -> bool:
         """Whether no byte of a sent call was acknowledged (by TCP) within `retired_send_timeout` after retirement."""
         if self.state != State.BUSY or not self.retired or now - self._retired_at < self.limits.retired_send_timeout:
@@ -230,6 +242,7 @@
     def connection_made(self) -> None:
         """Start the login."""
         self.state = State.PRELOGIN
+        self._connected_at = self.clock.now()
         self._out = SocketWriter(self.transport, self._on_writable)
         self.write(codec.encode_message(codec.PRELOGIN, codec.encode_prelogin()))
 
--- a/tests/test_tds_responses.py
+++ b/tests/test_tds_responses.py
@@ -206,3 +206,19 @@
 @pytest.mark.parametrize("tokens", [[LOGIN_ACK], [codec.encode_done(0)]], ids=["no-done", "no-ack"])
 def test_a_login_that_is_not_acknowledged_as_a_whole_ends_the_connection(tokens):
     assert EngineBed().log_in(*tokens).wire.aborted
+
+
+# Guards against an engine that accepts and says nothing, whose connection got one attempt after the other.
+@pytest.mark.parametrize("answers", [[], [message(codec.encode_prelogin())]], ids=["nothing", "prelogin"])
+def test_a_login_that_is_not_completed_in_time_ends_the_connection(answers):
+    bed = EngineBed()
+    for answer in answers:
+        bed.connection.dataReceived(answer)
+    bed.connection.enqueue(bed.attempt())
+    bed.core.clock.advance(LIMITS.tds_engine_login_timeout - 1)
+    bed.connection.check_timeouts(bed.core.clock.now())
+    assert not bed.wire.aborted and not bed.core.attempt_ends
+    bed.core.clock.advance(1)
+    bed.connection.check_timeouts(bed.core.clock.now())
+    assert bed.wire.aborted and not bed.connection.accepts(bed.attempt())
+    assert [reason for _, reason, _ in bed.core.attempt_ends] == [Outcome.CONNECT_FAILED]
