Drop what gone clients have sent, and evict nobody whose request is unread

A connection is not read while its messages wait for their turn, so that its close is not seen: gone clients kept their places until all that they had sent was handled. Newcomers then got room by evictions, and a connection counted as idle whose request the kernel had received and nobody had read, or whose answer had not been sent.

Change: before the turn of a connection that has waited, TCP_INFO tells whether its client has closed it; if so what it has sent is dropped, for one step. A connection is evicted only if nothing of it is unread, unhandled, unsent or unacknowledged.

The stub of a transport has a socket's state now.

--- a/rackhub/counters.py
+++ b/rackhub/counters.py
@@ -11,6 +11,7 @@
         "ids_claimed_elsewhere",
         "clients_closed",
         "clients_evicted",
+        "clients_gone",
         "clients_silent",
         "clients_half",
         "clients_idle",
--- a/rackhub/net/client.py
+++ b/rackhub/net/client.py
@@ -5,6 +5,7 @@
 from rackhub import logs
 from rackhub.core.request import Reply
 from rackhub.core.timers import DEFER_UNCONDITIONALLY, Timer
+from rackhub.net.socket_state import has_peer_closed, unacknowledged_bytes, unread_bytes
 
 if TYPE_CHECKING:
     from rackhub.net.front import Front
@@ -50,6 +51,16 @@
         """Return whether a request is open on this connection, or received and not handled yet."""
         raise NotImplementedError
 
+    def is_in_use(self) -> bool:
+        """Return whether a reset may cost the client an answer.
+
+        A request is open, or may be among the bytes that were received, read here or not; or the client's host has not
+        received all answers.
+        """
+        if self.has_open_request() or self.input_pending or self.unsent_bytes():
+            return True
+        return unread_bytes(self.transport) > 0 or unacknowledged_bytes(self.transport) > 0
+
     def buffered_bytes(self) -> int:
         """Return the number of bytes that the connection keeps: input not handled yet, and output not sent yet."""
         return self.unsent_bytes()
@@ -104,6 +115,16 @@
         """Return whether a complete message waits, and reading is not paused for another reason."""
         return self.input_pending and not self.is_blocked()
 
+    def discard_if_gone(self) -> bool:
+        """End the connection if its client has closed it: no answer is owed to the messages that wait.
+
+        While they wait the socket is not read, so that the close would be seen only after all of them.
+        """
+        if not has_peer_closed(self.transport):
+            return False
+        self.front.end_gone(self)
+        return True
+
     def handle_input(self, max_steps: int) -> int:
         """Handle messages until `max_steps` are reached, none is left, or reading has to be paused; return the steps.
 
@@ -131,6 +152,7 @@
         if not self._handling_input:
             self.front.buffers.update(self)
             self.update_reading()
+            self.front.input_handled(self)
 
     def end(self) -> None:
         """Accept no further requests, answer the open ones, then close."""
--- a/rackhub/net/front.py
+++ b/rackhub/net/front.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import heapq
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -114,7 +115,7 @@
         """Return whether there is room for one more connection, if need be after evicting one."""
         if not self._is_full():
             return True
-        return self._may_evict() and any(not client.has_open_request() for client in self.connections)
+        return self._may_evict() and self._find_evictable() is not None
 
     def accepting_stopped(self) -> None:
         """Record that connections may wait in the queue, and accept them as soon as there is room."""
@@ -129,6 +130,11 @@
         """Record that no connection waits in the queue."""
         self._queued_since = 0
 
+    def input_handled(self, client: Client) -> None:
+        """Accept waiting connections if there is room by the client, whose input has been handled, for one of them."""
+        if self._accepting_stopped and not client.is_in_use():
+            self._accept_if_room()
+
     def _retry_accepting(self) -> None:
         self._accept_if_room()
         if self._accepting_stopped:
@@ -141,17 +147,39 @@
             self.resume_accepting()
 
     def _evict_client(self) -> bool:
-        """Abort one client without an open request; returns False if there is none.
-
-        They come in the order of `EvictionRank`, those that are idle for the longest time first.
-        """
-        candidates = [client for client in self.connections if not client.has_open_request()]
-        if not candidates:
+        """Abort one client that may be evicted; returns False if there is none."""
+        evicted = self._find_evictable()
+        if evicted is None:
             return False
-        evicted = min(candidates, key=lambda client: (_eviction_rank(client), client.last_used))
         self._abort(evicted, "clients_evicted")
         return True
 
+    def _find_evictable(self) -> Client | None:
+        """Return the client to evict first, or None: the others have a request, or may be about to send one.
+
+        They come in the order of `EvictionRank`, those that are idle for the longest time first. A connection that only
+        waits for its client's close goes in any case.
+        """
+        candidates = [
+            (_eviction_rank(client), client.last_used, number, client)
+            for number, client in enumerate(self.connections)
+            if not client.has_open_request()
+        ]
+        heapq.heapify(candidates)
+        while candidates:
+            rank, _, _, client = heapq.heappop(candidates)
+            if rank is EvictionRank.CLOSED or not client.is_in_use():
+                return client
+        return None
+
+    def end_gone(self, client: Client) -> None:
+        """End the connection of a client that has closed it, without what it has sent and nobody has handled yet."""
+        self.counters.add("clients_gone")
+        log.debug("client_gone", client=client, reason="closed before its messages were handled")
+        client.discard_buffers()
+        client.input_pending = False
+        client.abort()
+
     def _abort(self, client: Client, counter: str) -> None:
         self.counters.add(counter)
         log.debug("client_aborted", client=client, reason=counter, busy=client.has_open_request())
--- a/rackhub/net/input_scheduler.py
+++ b/rackhub/net/input_scheduler.py
@@ -42,6 +42,9 @@
     def can_handle_input(self) -> bool:
         """Return whether a received message waits that may be handled now."""
 
+    def discard_if_gone(self) -> bool:
+        """Drop the messages that wait if the client has closed the connection meanwhile; return whether it has."""
+
     def input_handled(self) -> None:
         """Called after each turn, when `can_handle_input` tells whether there will be another one."""
 
@@ -117,7 +120,9 @@
 
     def _handle_queued(self, source: InputSource) -> None:
         try:
-            if source.can_handle_input():
+            if source.discard_if_gone():
+                self._left -= 1
+            elif source.can_handle_input():
                 self._handle(source, min(STEPS_PER_TURN, self._left))
             else:  # reading was paused meanwhile, for another reason
                 source.input_handled()
--- a/rackhub/net/outgoing.py
+++ b/rackhub/net/outgoing.py
@@ -7,14 +7,13 @@
 socket. Only the rest of a request that the socket accepted in part is left to the transport.
 """
 
-import array
 import contextlib
-import fcntl
 import socket
-import termios
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from rackhub.net.socket_state import unacknowledged_bytes
+
 NOT_SENT_LOW_WATER = 25  # TCP_NOTSENT_LOWAT of linux/tcp.h, which the socket module does not define
 MAX_NOT_SENT_BYTES = 1  # limits the kernel's buffer to one request that the engine does not read
 
@@ -103,7 +102,4 @@
 
     def unacknowledged_bytes(self) -> int:
         """Return the number of bytes in the buffers of process and kernel, not acknowledged by the engine's host."""
-        in_kernel = array.array("i", [0])
-        with contextlib.suppress(OSError):
-            fcntl.ioctl(self._transport.getHandle(), termios.TIOCOUTQ, in_kernel)
-        return self.buffered_bytes() + in_kernel[0]
+        return self.buffered_bytes() + unacknowledged_bytes(self._transport)
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -218,6 +218,9 @@
     def can_handle_input(self):
         return bool(self.messages)
 
+    def discard_if_gone(self):
+        return False
+
     def handle_input(self, max_steps):
         steps = 0
         while self.messages and steps < max_steps:
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -26,6 +26,7 @@
 from rackhub.net.pool import EnginePool, EnginePools
 from rackhub.net.resp import EngineConnection
 from rackhub.net.resp_protocol import encode_command
+from rackhub.net.socket_state import TcpState
 from rackhub.net.tds import codec
 from rackhub.net.tds import front as tds
 
@@ -53,6 +54,12 @@
     def setsockopt(self, *option):
         pass
 
+    def getsockopt(self, *option):
+        return bytes([TcpState.ESTABLISHED])
+
+    def fileno(self):
+        return -1  # as that of a closed socket
+
     def startWriting(self):
         pass
 
