Hold the ports of trial runs and test processes from the choice on

Cause: free_base looked for a range of free ports and the processes bound it some time later. Two runs at one moment chose the same range: called twice in a row it gives 11000 twice. The same shape: a rig's block of addresses by its process id alone (7 and 32775 gave 127.64.7 to both), and the tests' ports that were bound, closed and handed to a process, which in between may be anybody's, as they lie among those that the kernel gives to outgoing connections.

Change: a scale run holds its range by bound TCP ports until its processes have ended; a rig holds its block likewise; a test's port stays bound, shared, so that its process can bind it too and the kernel gives it to nobody else.

--- a/rackhub/trials/scale/real.py
+++ b/rackhub/trials/scale/real.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Sequence
 
-from rackhub.trials.scale.addresses import free_base
+from rackhub.trials.scale.addresses import HeldPorts, hold_ports
 from rackhub.trials.scale.audit import audit, newest_in_scope
 from rackhub.trials.scale.cases import plan
 from rackhub.trials.scale.editor import Editor
@@ -61,6 +61,7 @@
         self._voters: list[ChildProcess] = []
         self._real: list[ChildProcess] = []  # with distribution, then without
         self._host_of: dict[str, ChildProcess] = {}
+        self._ports: HeldPorts | None = None  # until all processes have ended
         self._empty: list[int] = []  # resident bytes of each hollow process before its coordinators
         self._edits = RealEdits(lambda: self._voters[0].send(Edit()))
         self._faults = RealFaults(self._layout, self._host_of, self._edits.edit)
@@ -72,6 +73,8 @@
             return await self._measure()
         finally:
             await asyncio.gather(*(child.end() for child in self._all()), return_exceptions=True)
+            if self._ports is not None:
+                self._ports.release()
 
     def _all(self) -> list[ChildProcess]:
         return self._hollow + self._relays + self._voters + self._real
@@ -85,7 +88,9 @@
         groups += [(self._voters, (place.name,)) for place in self._layout.voters]
         groups += [(self._relays, (place.name,)) for place in self._layout.relays]
         groups += [(self._hollow, tuple(shared[index::count])) for index in range(count) if shared[index::count]]
-        base_port, boot = free_base(self._layout), time.time_ns() // 1_000_000
+        self._ports = hold_ports(self._layout)
+        base_port = self._ports.base
+        boot = time.time_ns() // 1_000_000
         for children, places in groups:
             child = ChildProcess(places[0], self._told)
             children.append(child)
--- a/tests/real_process.py
+++ b/tests/real_process.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from ports import hold_port
 from test_config import endpoint, platform_config, watch_notice
 from test_resolver import answer
 
@@ -181,9 +182,7 @@
     """A running process of the program, and its log."""
 
     def __init__(self, directory: Path, resolver, *engines, prelude="", level="debug", **more):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.port = probe.getsockname()[1]
+        self.port = hold_port()
         entries = [endpoint(each.name) | {"address": "{}:{}".format(*each.socket_address)} for each in engines]
         self.file, self.config_fields = directory / "c.json", {"nameserver": resolver.address} | more
         self.config_fields |= {
--- a/tests/replacement_harness.py
+++ b/tests/replacement_harness.py
@@ -11,12 +11,12 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 from harness import EngineServer, RespEngine
+from ports import hold_port
 from real_process import READY, ResolverStandIn
 from test_config import SETTINGS, endpoint, platform_config, watch_notice
 from twisted.internet import reactor
@@ -162,16 +162,6 @@
             reactor.callLater(self.delay, connection.respond, id, b"200", b"chunks=1", ROWS)
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def start_resolver(engines):
     """Start a resolver that reports these engines; without it an endpoint list is valid for some seconds only."""
     return ResolverStandIn(
@@ -183,7 +173,7 @@
     """A coordinator process."""
 
     def __init__(self, directory, name, listen_port, engines, nameserver, program=("-m", "rackhub")):
-        self.operator_port = free_ports(1)[0]
+        self.operator_port = hold_port()
         entries = [
             endpoint(f"e{i}") | {"address": f"127.0.0.1:{engine.port.getHost().port}"}
             for i, engine in enumerate(engines)
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -10,7 +10,7 @@
 
 import pytest
 from harness import MS, EngineServer, spin
-from replacement_harness import free_ports
+from ports import hold_port
 from test_crossings_close import ALIVE, answer, ask, site  # noqa: F401 - `site` is a fixture
 from twisted.internet import reactor
 
@@ -32,7 +32,7 @@
     """Clients of a front with room for four connections, one of which may wait for its end after an abort."""
 
     def __init__(self, bed):
-        (number,) = free_ports(1)
+        number = hold_port()
         self.bed, self.address, self.sockets = bed, ("127.0.0.1", number), []
         self.front = bed.fronts[0]
         self.port = SharedPort(reactor, *self.address, self.front, 64, gate=self.front)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from ports import hold_port
 
 from rackhub import config
 from rackhub.cli import main
@@ -190,9 +191,7 @@
 def test_process_serves_reloads_drains_on_sigterm_and_prints_its_counters(tmp_path):
     """A process as the platform runs it. The test waits for events on pipes and sockets, never for a fixed time."""
     unresponsive = socket.create_server(("127.0.0.1", 0))  # an engine that accepts connections and sends nothing
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
+    port = hold_port()
     known = {
         "rev": 3,
         "notices": [watch_notice(3, endpoint("a", address=f"127.0.0.1:{unresponsive.getsockname()[1]}"))],
--- a/tests/test_crossings_close.py
+++ b/tests/test_crossings_close.py
@@ -18,7 +18,8 @@
 import pytest
 from harness import LIMITS, MS, CoordinatorTestBed, EngineServer, FakeClock, S, spin
 from msgspec.structs import replace
-from replacement_harness import CoordinatorProcess, DelayedEngine, free_ports, start_resolver, wait_until
+from ports import hold_port
+from replacement_harness import CoordinatorProcess, DelayedEngine, start_resolver, wait_until
 from test_config import SETTINGS, endpoint, platform_config, watch_notice
 from test_listen import AdoptingReactor
 from twisted.internet import reactor
@@ -549,9 +550,7 @@
         self.directory, self.engine = directory, engine
         self.nameserver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.nameserver.bind(("127.0.0.1", 0))
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.port = probe.getsockname()[1]
+        self.port = hold_port()
         self.write(**more)
         (self.gate_output, report), (wait, self.gate_input) = os.pipe(), os.pipe()
         program = GATED_PROGRAM.format(report=report, wait=wait, patch=patch, config=str(directory / "c.json"))
@@ -918,9 +917,7 @@
         def adoptStreamConnection(self, fd, family, factory):  # noqa: N802 - Twisted's name
             raise OSError(errno.EMFILE, "too many open files")
 
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        number = probe.getsockname()[1]
+    number = hold_port()
     port, ended = SharedPort(DescriptorlessReactor(), "127.0.0.1", number, None, 16), []
     with socket.create_connection(("127.0.0.1", number), 60), socket.create_connection(("127.0.0.1", number), 60):
         port.close().addBoth(ended.append)
@@ -985,7 +982,7 @@
 @pytest.fixture
 def start_pair(tmp_path):
     """Start two processes of a coordinator, of which one replaces the other, each with its own operators' address."""
-    (listen,) = free_ports(1)
+    listen = hold_port()
     engines, made = [DelayedEngine(0) for _ in range(2)], []
     resolver = start_resolver(engines)
 
--- a/tests/test_executed_ids.py
+++ b/tests/test_executed_ids.py
@@ -11,10 +11,10 @@
 
 from harness import LIMITS, MS, EngineServer, FakeClock, spin
 from msgspec.structs import replace
+from ports import hold_port
 from replacement_harness import (
     CoordinatorProcess,
     DelayedEngine,
-    free_ports,
     run_reactor_for,
     start_resolver,
     wait_until,
@@ -130,7 +130,7 @@
 
 # Guards against a request that runs at both processes of a replacement.
 def test_an_id_that_ran_at_the_old_process_does_not_run_at_the_new_one(tmp_path):
-    (listen_port,) = free_ports(1)
+    listen_port = hold_port()
     engine = DelayedEngine(0.5)
     resolver, processes = start_resolver([engine]), []
 
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -9,11 +9,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from ports import hold_port
 from replacement_harness import (
     CoordinatorProcess,
     DelayedEngine,
     Traffic,
-    free_ports,
     run_reactor_for,
     start_resolver,
     wait_until,
@@ -31,7 +31,7 @@
 @contextlib.contextmanager
 def replacement_test_bed(directory, injected_fault=""):
     """Three engines, a function that starts a coordinator process, and traffic; all are stopped at the end."""
-    (listen_port,) = free_ports(1)
+    listen_port = hold_port()
     engines, processes = [DelayedEngine(0.2) for _ in range(3)], []
     resolver = start_resolver(engines)
 
@@ -131,7 +131,7 @@
 
 # Guards against a ban that is undone by the other process: both wrote the whole list of bans, each over the other's.
 def test_calls_to_both_processes_at_one_moment_all_hold(tmp_path):
-    (listen_port,) = free_ports(1)
+    listen_port = hold_port()
     engines, processes = [DelayedEngine(0.05) for _ in range(CALLS_AT_ONCE)], []
     resolver = start_resolver(engines)
     try:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -32,6 +32,7 @@
 from rackhub.trials.processes.history import Entry, Held, Op, check
 from rackhub.trials.processes.lanes import Lane, Way
 from rackhub.trials.processes.link import Request
+from rackhub.trials.processes.places import Places
 from rackhub.trials.processes.resolver import answer
 from rackhub.trials.processes.rig import Rig
 from rackhub.trials.processes.site import Engine, Plan
@@ -558,3 +559,10 @@
     finally:
         run.kill()
         run.wait()
+
+
+# Guards against two rigs whose process ids lead to the same block of addresses.
+def test_rigs_with_the_same_number_have_different_addresses():
+    first, second = Places(7), Places(7 + 128 * 256)
+    assert first.block != second.block
+    assert first.host(10) != second.host(10)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -12,7 +12,7 @@
 from rackhub.fleet.distribution.messages import Change, Entry
 from rackhub.fleet.distribution.watcher import Watcher
 from rackhub.trials.scale import run as scale_run
-from rackhub.trials.scale.addresses import Addresses
+from rackhub.trials.scale.addresses import Addresses, hold_ports
 from rackhub.trials.scale.audit import Acknowledged, audit, content_after, spread
 from rackhub.trials.scale.cases import CASES, Cut, KillRelays, Restart, plan
 from rackhub.trials.scale.editor import Editor, spacing
@@ -470,3 +470,25 @@
 
 def scale_run_of(run):
     return asyncio.run(run.run())
+
+
+# ---- ports
+
+
+# Guards against two runs that take the same ports, as these were chosen at one moment and bound at a later one.
+@pytest.mark.parametrize("settings", [TINY, FULL], ids=["tiny", "full"])
+def test_runs_beside_each_other_have_different_ports(settings):
+    made = layout(settings)
+    wanted = 2 * len(made.all())
+    held = [hold_ports(made)]
+    try:
+        held.append(hold_ports(made))
+        ranges = [range(ports.base, ports.base + wanted) for ports in held]
+        assert not set(ranges[0]) & set(ranges[1])
+        held[0].release()
+        again = hold_ports(made)
+        held.append(again)
+        assert again.base == ranges[0].start
+    finally:
+        for ports in held:
+            ports.release()
