Send the command hurry, as the protocol has it, for a new priority

Cause: a renaming changed the word to promote on the wire too, and the expectation of the test with it, which took it from the product.

The model's expectation is literal now.

--- a/rackhub/net/resp.py
+++ b/rackhub/net/resp.py
@@ -120,7 +120,7 @@
         """Notify the engine of an attempt's new priority if it is sent and has no result yet."""
         id = attempt.query.id.encode()
         if self.up and not self.closed and id in self._sent_ranges and id not in self.partial_results:
-            self._out.write(encode_command(b"promote", id, b"%d" % attempt.query.priority))
+            self._out.write(encode_command(b"hurry", id, b"%d" % attempt.query.priority))
 
     def close_if_idle(self) -> None:
         """Close the connection if no attempt is open on it."""
--- a/rackhub/net/resp_protocol.py
+++ b/rackhub/net/resp_protocol.py
@@ -5,7 +5,7 @@
   deadline), `level` (the priority) and `replay` (the idempotency key).
 - `never_mind ID`: cancel a request before page 0 of its result
 - `shut ID`: release a result of which pages are missing
-- `promote ID PRIORITY`: change the priority
+- `hurry ID PRIORITY`: change the priority
 - `turn ID PAGE`: fetch a further page of a result
 """
 
--- a/tests/test_wire_models.py
+++ b/tests/test_wire_models.py
@@ -718,7 +718,7 @@
         self.connection.promote(self.attempts[id])
         is_pending = id in self.sent_ends and id not in self.pages
         assert self.wire.take_output() == (
-            b"".join(encode_command(b"promote", id.encode(), b"1")) if is_pending else b""
+            b"*3\r\n$5\r\nhurry\r\n$16\r\n%s\r\n$1\r\n1\r\n" % id.encode() if is_pending else b""
         )
 
     @precondition(lambda self: self.state == "up")
