Report the outcome of an attempt whose request has ended by its own number

Seen by reading: a cancellation of an attempt that the core does not have was answered as not executed. The core removes an attempt before it reports its outcome; where it cancelled an unsent hedge in between, the policy cancelled the attempt that had just succeeded, was told that it was not executed, and ignored the success: its latency and the engine's health were not recorded.

Change: a Send carries the policy's number of the attempt, which is not compared and not on the simulator's wire. The core reports the attempts that it does not start because their request has ended by that number, and answers no cancellation. A policy that gives no number is told nothing, as before: a first form told any policy, and a test's policy that answers each outcome with another attempt looped for ever.

--- a/rackhub/core/attempts.py
+++ b/rackhub/core/attempts.py
@@ -60,6 +60,10 @@
         query = state.queries.get(action.query)
         if query is None:  # the request was completed before this action was executed
             state.counters.add("attempts_not_sent")
+            if action.attempt is not None:
+                self._decisions.dispatch(
+                    interface.AttemptCompleted(action.query, action.attempt, Outcome.NOT_EXECUTED, settled=True)
+                )
             return
         now = state.clock.now()
         attempt = Attempt(query, query.next_attempt_number, action.engine, now)
@@ -106,19 +110,10 @@
         return False
 
     def cancel(self, action: interface.Cancel) -> None:
-        """Cancel an attempt at the routing policy's request.
-
-        One that is unknown here has been completed, or was never started as its request had ended: the policy is told
-        that it does not run, and ignores that if it knows of the completion.
-        """
+        """Cancel an attempt at the routing policy's request; a completed attempt is ignored."""
         attempt = self._state.in_flight.get((action.query, action.attempt))
         if attempt is not None:
             self.give_up(attempt, Outcome.CANCELLED)
-            return
-        settled = action.query not in self._state.queries
-        self._decisions.dispatch(
-            interface.AttemptCompleted(action.query, action.attempt, Outcome.NOT_EXECUTED, settled=settled)
-        )
 
     def give_up(self, attempt: Attempt, outcome: str) -> None:
         """Cancel an attempt, for the reason `outcome`.
--- a/rackhub/interface.py
+++ b/rackhub/interface.py
@@ -345,11 +345,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Send an attempt of a query to an engine. A `timeout` of 0 means until the deadline."""
+    """Send an attempt of a query to an engine. A `timeout` of 0 means until the deadline.
+
+    `attempt` is its number, for the outcome of an attempt that is not sent because its query has ended. Without a
+    number no outcome is reported then.
+    """
 
     query: str
     engine: str
     timeout: int = 0
+    attempt: int | None = field(default=None, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/rackhub/policy/lifecycle.py
+++ b/rackhub/policy/lifecycle.py
@@ -78,7 +78,7 @@
         query.engines_attempted.add(engine.id)
         query.attempts += 1
         self.usage.add(attempt)
-        context.actions.append(interface.Send(query.id, engine.id))
+        context.actions.append(interface.Send(query.id, engine.id, attempt=number))
         self.on_attempt_sent(attempt)
 
     def finish(self, query: QueryState, backoff: float = 0, reason: str = "") -> None:
--- a/tests/test_attempt_numbers.py
+++ b/tests/test_attempt_numbers.py
@@ -9,6 +9,7 @@
 
 from rackhub import interface as t
 from rackhub.core.attempts import AttemptRunner
+from rackhub.core.request import AttemptState
 
 STEPS = 3_000
 OUTCOMES = ("GOOD", "BAD", "FULL", "NOCONN", "RST", "LATE")
@@ -69,3 +70,21 @@
     bed.core.decisions.dispatch(t.ClientDisconnected("unknown"))
     assert bed.count == 1 and not bed.port.take_sent()
     assert not attempts_of_policy(bed) and threads_of_policy(bed) == 0
+
+
+# Guards against a success that the policy takes for an attempt that was not executed: the core cancels the unsent hedge
+# of the served request before it has reported the success, and the policy then cancels the attempt that has succeeded.
+def test_success_beside_an_unsent_hedge_is_recorded():
+    bed = Bed(dataclasses.replace(SETTINGS, hedging=True), limits=LIMITS)
+    query = bed.ask()
+    (first,) = bed.port.take_sent()
+    bed.core.decisions.dispatch(t.HedgeDue(query.id))
+    (hedge,) = bed.port.take_sent()
+    hedge.state = AttemptState.QUEUED
+    recorded = []
+    outcomes = bed.core.decisions.control.outcomes
+    record = outcomes.record
+    outcomes.record = lambda attempt, event: recorded.append((event.attempt, event.outcome)) or record(attempt, event)
+    bed.core.complete_attempt(first, "GOOD", None, (b"rows",))
+    assert sorted(recorded) == [(0, "GOOD"), (1, "NOP")]
+    assert not attempts_of_policy(bed) and threads_of_policy(bed) == 0
